Set up the package, its shared messages and the checks

Cause: nothing stood yet; parts need common ids, messages, a clock and one test command. Conclusion: rooms can now be filled independently.

--- /dev/null
+++ b/src/sequoiapulley/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on every VM."""
--- /dev/null
+++ b/src/sequoiapulley/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP port."""
--- /dev/null
+++ b/src/sequoiapulley/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, homes, entry addresses and the spread of configuration."""
--- /dev/null
+++ b/src/sequoiapulley/ids.py
@@ -0,0 +1,25 @@
+"""Identifier types shared by all rooms."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+CustomerName = NewType("CustomerName", str)
+ServiceName = NewType("ServiceName", str)
+InstanceName = NewType("InstanceName", str)
+UpstreamName = NewType("UpstreamName", str)
+PlaceName = NewType("PlaceName", str)
+RegionName = NewType("RegionName", str)
+ContractName = NewType("ContractName", str)
+ShardId = NewType("ShardId", str)
+NodeId = NewType("NodeId", str)
+Incarnation = NewType("Incarnation", int)
+CallerId = NewType("CallerId", str)
+RequestId = NewType("RequestId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Fingerprint = NewType("Fingerprint", str)
+ExchangeId = NewType("ExchangeId", int)
+ConfigVersion = NewType("ConfigVersion", int)
+EditId = NewType("EditId", str)
+Revision = NewType("Revision", int)
+LeaseId = NewType("LeaseId", str)
--- /dev/null
+++ b/src/sequoiapulley/link/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes over grpc."""
--- /dev/null
+++ b/src/sequoiapulley/platform/store.py
@@ -0,0 +1,80 @@
+"""The platform's key-value service, as the rest of the system sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Final, Protocol
+
+from msgspec import Struct
+from result import Result
+
+from sequoiapulley.ids import LeaseId, Revision
+
+ABSENT: Final = Revision(0)
+"""The revision of a key that does not exist."""
+
+
+class StoreErrorKind(Enum):
+    """What went wrong with a call to the store."""
+
+    CONFLICT = "conflict"
+    """The key has another revision than expected; nothing was written."""
+    UNAVAILABLE = "unavailable"
+    """The call was refused or could not be sent; nothing was written."""
+    NO_REPLY = "no_reply"
+    """No reply came; a write may have taken effect."""
+    REFUSED = "refused"
+    """The store rejected the call as invalid; nothing was written."""
+
+
+class StoreError(Struct, frozen=True):
+    """A failed call to the store."""
+
+    kind: StoreErrorKind
+    detail: str
+    current: StoreValue | None = None
+    """On a conflict, the value that is there, if any."""
+
+
+class StoreValue(Struct, frozen=True):
+    """A key's value and revision; a missing key has revision `ABSENT` and an empty value."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+StoreReply = Result[StoreValue, StoreError]
+LeaseReply = Result[LeaseId, StoreError]
+
+
+class Store(Protocol):
+    """Calls to the platform's key-value service.
+
+    Every call returns at once; its callback runs once, later, on the event loop.
+    """
+
+    def get(self, key: str, done: Callable[[StoreReply], None]) -> None:
+        """Reads a key."""
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: Revision,
+        done: Callable[[StoreReply], None],
+        lease: LeaseId | None = None,
+    ) -> None:
+        """Writes a key if its revision is `expected`; `ABSENT` creates it."""
+
+    def delete(self, key: str, expected: Revision, done: Callable[[StoreReply], None]) -> None:
+        """Removes a key if its revision is `expected`."""
+
+    def watch(
+        self, key: str, after: Revision, wait: float, done: Callable[[StoreReply], None]
+    ) -> None:
+        """Waits up to `wait` seconds for a revision above `after`, then reads the key."""
+
+    def grant_lease(self, ttl: float, done: Callable[[LeaseReply], None]) -> None:
+        """Creates a lease of `ttl` seconds; keys written under it go when it lapses."""
--- /dev/null
+++ b/src/sequoiapulley/platform/vm_list.py
@@ -0,0 +1,41 @@
+"""The platform's lagging list of live and leaving VMs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from msgspec import Struct
+from result import Result
+
+from sequoiapulley.ids import PlaceName
+
+
+class VmState(Enum):
+    """What the platform believes of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmRecord(Struct, frozen=True):
+    """One VM of the list."""
+
+    name: str
+    host: str
+    """IP address."""
+    port: int
+    """Membership port of the node on the VM."""
+    place: PlaceName
+    state: VmState
+
+
+VmListReply = Result[tuple[VmRecord, ...], str]
+
+
+class VmList(Protocol):
+    """Reads the platform's list; the list lags and may be wrong or empty."""
+
+    def fetch(self, done: Callable[[VmListReply], None]) -> None:
+        """Fetches the list; the callback runs once, later, on the event loop."""
--- /dev/null
+++ b/src/sequoiapulley/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Non-idempotent requests: claims, outcomes and callers' repeats."""
--- /dev/null
+++ b/src/sequoiapulley/runtime/__init__.py
@@ -0,0 +1,8 @@
+"""The runtime clock and the timers that run on it."""
+
+from __future__ import annotations
+
+from sequoiapulley.runtime.clock import Clock, PausedClock, SystemClock
+from sequoiapulley.runtime.timer_queue import TimerHandle, TimerQueue
+
+__all__ = ["Clock", "PausedClock", "SystemClock", "TimerHandle", "TimerQueue"]
--- /dev/null
+++ b/src/sequoiapulley/runtime/timer_queue.py
@@ -0,0 +1,88 @@
+"""Timers kept in order of due time and run by the event loop."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+
+from sequoiapulley.runtime.clock import Clock
+
+
+class TimerHandle:
+    """One scheduled call, which can be cancelled."""
+
+    __slots__ = ("callback", "cancelled", "due")
+
+    def __init__(self, due: float, callback: Callable[[], None]) -> None:
+        """Initialise the handle.
+
+        Args:
+            due: Clock reading at which the call is due, in seconds.
+            callback: Function without arguments.
+        """
+        self.due = due
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Prevents the call; a second cancel has no effect."""
+        self.cancelled = True
+
+
+class TimerQueue:
+    """Timers of one process."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Initialise an empty queue.
+
+        Args:
+            clock: Source of time.
+        """
+        self.clock = clock
+        self._heap: list[tuple[float, int, TimerHandle]] = []
+        self._order = count()
+
+    def call_at(self, due: float, callback: Callable[[], None]) -> TimerHandle:
+        """Schedules a call at a clock reading.
+
+        Args:
+            due: Clock reading in seconds.
+            callback: Function without arguments.
+
+        Returns:
+            A handle that cancels the call.
+        """
+        handle = TimerHandle(due, callback)
+        heappush(self._heap, (due, next(self._order), handle))
+        return handle
+
+    def call_later(self, delay: float, callback: Callable[[], None]) -> TimerHandle:
+        """Schedules a call after a delay in seconds."""
+        return self.call_at(self.clock.now() + delay, callback)
+
+    def next_due(self) -> float | None:
+        """Returns the clock reading of the first pending timer, or None."""
+        while self._heap and self._heap[0][2].cancelled:
+            heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def run_due(self) -> int:
+        """Runs every timer that is due now.
+
+        Timers that a callback schedules for the present run in the next call.
+
+        Returns:
+            The number of callbacks run.
+        """
+        now = self.clock.now()
+        ready: list[TimerHandle] = []
+        while self._heap and self._heap[0][0] <= now:
+            ready.append(heappop(self._heap)[2])
+        ran = 0
+        for handle in ready:
+            if handle.cancelled:
+                continue
+            handle.callback()
+            ran += 1
+        return ran
--- /dev/null
+++ b/src/sequoiapulley/search/__init__.py
@@ -0,0 +1,1 @@
+"""Scatter and gather: plans, snapshots, coverage and merged answers."""
--- /dev/null
+++ b/src/sequoiapulley/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams: connections, limits, hedges, health and quarantined requests."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance programs: the test runner and the renderers of generated pages."""
