--- /dev/null
+++ b/src/sequoiapulley/fleet/config_spread.py
@@ -0,0 +1,312 @@
+"""Decides how the configuration travels from the store to every node, and never back."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+
+from msgspec import Struct
+from result import Err
+from xxhash import xxh64_intdigest
+
+from sequoiapulley.fleet.config_messages import (
+    ConfigDelta,
+    ConfigFull,
+    ConfigMessage,
+    ConfigRequest,
+)
+from sequoiapulley.fleet.config_record import (
+    BadConfigRecordError,
+    ConfigRecord,
+    decode_record,
+)
+from sequoiapulley.fleet.log_events import (
+    CONFIG_BAD_RECORD,
+    CONFIG_LOWER_VERSION,
+    CONFIG_SAME_VERSION,
+    CONFIG_VERSION_HELD,
+)
+from sequoiapulley.fleet.member import Member, MemberState
+from sequoiapulley.fleet.text_delta import apply_delta, make_delta
+from sequoiapulley.ids import ConfigVersion, EditId, NodeId, Revision
+from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.platform.store import ABSENT, StoreReply, StoreValue
+
+WATCHERS_PER_PLACE: Final = 2
+WATCH_WAIT_S: Final = 20.0
+RETRY_MIN_S: Final = 0.5
+RETRY_MAX_S: Final = 8.0
+COLD_START_WAIT_S: Final = 1.0
+COLD_READ_JITTER_S: Final = 1.0
+REQUEST_TIMEOUT_S: Final = 1.0
+FANOUT: Final = 4
+KEPT_RECORDS: Final = 8
+NO_EDIT: Final = EditId("")
+
+
+class SpreadOrder(Struct, frozen=True):
+    """An order of the configuration spread."""
+
+
+class ApplyText(SpreadOrder, frozen=True):
+    """Put a newer text in force on this node."""
+
+    version: ConfigVersion
+    edit_id: EditId
+    text: str
+
+
+class SendPeer(SpreadOrder, frozen=True):
+    """Send a message to one node."""
+
+    node: NodeId
+    message: ConfigMessage
+
+
+class ArmWatch(SpreadOrder, frozen=True):
+    """Watch the configuration's key and hand the reply to `on_store_reply`."""
+
+    after: Revision
+    wait: float
+    """Seconds; 0 reads at once."""
+
+
+class RepairStore(SpreadOrder, frozen=True):
+    """Write the fleet's newer record into a store that came back older."""
+
+    record: ConfigRecord
+    expected: Revision
+
+
+class ConfigSpread:
+    """Holds the highest configuration seen and passes it on.
+
+    A few nodes per place watch the store. A node that takes a newer record sends it to a few
+    random peers as a delta, and each passes it on. Versions that travel with the membership
+    datagrams let any node that was missed ask for what it lacks.
+    """
+
+    def __init__(self, me: Member, log: LogSink, seed: int) -> None:
+        """Initialise a spread without configuration.
+
+        Args:
+            me: This node.
+            log: Where events go.
+            seed: Seed of the random choices.
+        """
+        self._me = me
+        self._log = log
+        self._random = Random(seed)
+        self._records: list[ConfigRecord] = []
+        self._members: dict[NodeId, Member] = {me.node: me}
+        self._versions: dict[NodeId, ConfigVersion] = {}
+        self._revision: Revision = ABSENT
+        self._watching = False
+        self._has_read = False
+        self._watch_due: float | None = None
+        self._retry_delay = RETRY_MIN_S
+        self._request_until = 0.0
+        self._cold_until: float | None = None
+
+    def held(self) -> ConfigRecord | None:
+        """Returns the record in force on this node."""
+        return self._records[-1] if self._records else None
+
+    def version(self) -> ConfigVersion:
+        """Returns the version in force, 0 for none."""
+        return self._records[-1].version if self._records else ConfigVersion(0)
+
+    def start(self, now: float) -> list[SpreadOrder]:
+        """Starts to look for a configuration, at the peers first.
+
+        Args:
+            now: Clock reading in seconds.
+        """
+        jitter = self._random.uniform(0.0, COLD_READ_JITTER_S)
+        self._cold_until = now + COLD_START_WAIT_S + jitter
+        return self.tick(now)
+
+    def is_watcher(self) -> bool:
+        """Whether this node is one of the few in its place that watch the store."""
+        here = [
+            member
+            for member in self._members.values()
+            if member.place == self._me.place and member.state is MemberState.ALIVE
+        ]
+        here.sort(key=lambda member: xxh64_intdigest(f"watch/{member.node}".encode()))
+        return self._me.node in [member.node for member in here[:WATCHERS_PER_PLACE]]
+
+    def update_members(self, members: tuple[Member, ...], now: float) -> list[SpreadOrder]:
+        """Takes the present view of the fleet."""
+        self._members = {member.node: member for member in members}
+        self._members.setdefault(self._me.node, self._me)
+        self._versions = {
+            node: version for node, version in self._versions.items() if node in self._members
+        }
+        return self.tick(now)
+
+    def on_version_heard(
+        self, node: NodeId, version: ConfigVersion, now: float
+    ) -> list[SpreadOrder]:
+        """Takes the version that a peer says it has in force."""
+        self._versions[node] = version
+        if version <= self.version():
+            return []
+        return self._request(node, now)
+
+    def on_store_reply(self, reply: StoreReply, now: float) -> list[SpreadOrder]:
+        """Takes the reply to an `ArmWatch`."""
+        self._watching = False
+        if isinstance(reply, Err):
+            delay = self._random.uniform(0.5, 1.0) * self._retry_delay
+            self._retry_delay = min(self._retry_delay * 2, RETRY_MAX_S)
+            self._watch_due = now + delay
+            return []
+        self._retry_delay = RETRY_MIN_S
+        self._has_read = True
+        self._cold_until = None
+        self._watch_due = now + self._random.uniform(0.0, 0.1)
+        return self._take_store_value(reply.ok_value)
+
+    def on_message(self, node: NodeId, message: ConfigMessage, now: float) -> list[SpreadOrder]:
+        """Takes a message of a peer.
+
+        Args:
+            node: Who sent it.
+            message: What it says.
+            now: Clock reading in seconds.
+        """
+        if isinstance(message, ConfigFull):
+            return self._adopt(message.record, node)
+        if isinstance(message, ConfigDelta):
+            return self._take_delta(node, message, now)
+        return self._answer(node, message)
+
+    def on_local_edit(self, record: ConfigRecord) -> list[SpreadOrder]:
+        """Takes a record that the store just accepted through this node."""
+        return self._adopt(record, self._me.node)
+
+    def tick(self, now: float) -> list[SpreadOrder]:
+        """Arms the watch when it is due on this node."""
+        if self._watching:
+            return []
+        if self._watch_due is not None and now < self._watch_due:
+            return []
+        if self._records:
+            self._cold_until = None
+        if self._cold_until is not None and now < self._cold_until:
+            return self._ask_best_peer(now)
+        watcher = self.is_watcher()
+        if self._cold_until is None and not watcher:
+            return []
+        self._watching = True
+        self._watch_due = None
+        wait = self._random.uniform(0.5, 1.0) * WATCH_WAIT_S
+        if not self._has_read or not watcher:
+            wait = 0.0
+        return [ArmWatch(after=self._revision, wait=wait)]
+
+    def next_due(self) -> float | None:
+        """Returns when `tick` should run next, or None while only messages matter."""
+        if self._watching:
+            return None
+        if self._watch_due is not None:
+            return self._watch_due
+        return self._cold_until
+
+    def _take_store_value(self, value: StoreValue) -> list[SpreadOrder]:
+        self._revision = value.revision
+        held = self.held()
+        if value.revision == ABSENT:
+            return self._repair(held, ConfigVersion(0), value.revision)
+        try:
+            record = decode_record(value.value)
+        except BadConfigRecordError as exc:
+            self._log.log(CONFIG_BAD_RECORD, error=str(exc))
+            return []
+        if held is not None and record.rank < held.rank:
+            return self._repair(held, record.version, value.revision)
+        return self._adopt(record, self._me.node)
+
+    def _repair(
+        self, held: ConfigRecord | None, found: ConfigVersion, revision: Revision
+    ) -> list[SpreadOrder]:
+        if held is None:
+            return []
+        self._log.log(CONFIG_LOWER_VERSION, found=found, held=held.version)
+        return [RepairStore(record=held, expected=revision)]
+
+    def _adopt(self, record: ConfigRecord, source: NodeId) -> list[SpreadOrder]:
+        held = self.held()
+        if held is not None:
+            if record.rank <= held.rank:
+                return []
+            if record.version == held.version:
+                self._log.log(
+                    CONFIG_SAME_VERSION,
+                    version=record.version,
+                    taken=record.edit_id,
+                    lost=held.edit_id,
+                )
+        self._records.append(record)
+        del self._records[:-KEPT_RECORDS]
+        self._request_until = 0.0
+        self._log.log(
+            CONFIG_VERSION_HELD, version=record.version, edit=record.edit_id, source=source
+        )
+        orders: list[SpreadOrder] = [ApplyText(record.version, record.edit_id, record.text)]
+        message: ConfigMessage = ConfigFull(record)
+        if held is not None:
+            message = make_delta(held, record)
+        for node in self._targets(source):
+            orders.append(SendPeer(node, message))
+        return orders
+
+    def _targets(self, source: NodeId) -> list[NodeId]:
+        """Picks the peers that a new record is sent to."""
+        version = self.version()
+        others = [
+            member.node
+            for member in self._members.values()
+            if member.state is not MemberState.DEAD
+            and member.node not in (self._me.node, source)
+            and self._versions.get(member.node, ConfigVersion(0)) < version
+        ]
+        return self._random.sample(others, min(FANOUT, len(others)))
+
+    def _take_delta(self, node: NodeId, delta: ConfigDelta, now: float) -> list[SpreadOrder]:
+        held = self.held()
+        rank = (delta.version, delta.edited_at, delta.edit_id)
+        if held is not None and rank <= held.rank:
+            return []
+        for base in reversed(self._records):
+            record = apply_delta(base, delta)
+            if record is not None:
+                return self._adopt(record, node)
+        return self._request(node, now)
+
+    def _request(self, node: NodeId, now: float) -> list[SpreadOrder]:
+        """Asks a peer for its record, unless an earlier request may still be answered."""
+        if now < self._request_until:
+            return []
+        self._request_until = now + REQUEST_TIMEOUT_S
+        held = self.held()
+        edit_id = held.edit_id if held is not None else NO_EDIT
+        return [SendPeer(node, ConfigRequest(self.version(), edit_id))]
+
+    def _ask_best_peer(self, now: float) -> list[SpreadOrder]:
+        best = max(self._versions, key=lambda node: self._versions[node], default=None)
+        if best is None or self._versions[best] <= self.version():
+            return []
+        return self._request(best, now)
+
+    def _answer(self, node: NodeId, request: ConfigRequest) -> list[SpreadOrder]:
+        held = self.held()
+        if held is None or held.version < request.have_version:
+            return []
+        if (held.version, held.edit_id) == (request.have_version, request.have_edit_id):
+            return []
+        for base in self._records[:-1]:
+            if (base.version, base.edit_id) == (request.have_version, request.have_edit_id):
+                return [SendPeer(node, make_delta(base, held))]
+        return [SendPeer(node, ConfigFull(held))]
--- /dev/null
+++ b/src/sequoiapulley/fleet/datagram_keys.py
@@ -0,0 +1,103 @@
+"""Shared keys that authenticate membership datagrams."""
+
+from __future__ import annotations
+
+from hashlib import sha256
+from hmac import compare_digest
+from hmac import digest as hmac_digest
+from pathlib import Path
+from typing import Final
+
+from sequoiapulley.fleet.log_events import KEY_FILE_CHANGED, KEY_FILE_UNREADABLE
+from sequoiapulley.observe.log_event import LogSink
+
+TAG_BYTES: Final = 16
+MIN_KEY_CHARS: Final = 16
+CHECK_PERIOD_S: Final = 5.0
+
+
+class BadKeyFileError(Exception):
+    """The key file holds no usable key."""
+
+
+class DatagramKeys:
+    """Keys of one file, a key a line: the first one signs, all of them verify.
+
+    The file is read again after it changed, so that keys are rotated without a restart.
+    """
+
+    def __init__(self, path: str | None, log: LogSink) -> None:
+        """Read the file for the first time.
+
+        Args:
+            path: The key file, or None to send datagrams unsigned.
+            log: Where events go.
+
+        Raises:
+            BadKeyFileError: If the file cannot be read or holds no usable key.
+        """
+        self._path = Path(path) if path is not None else None
+        self._log = log
+        self._stamp: tuple[int, int] | None = None
+        self._checked_at = float("-inf")
+        self._keys: tuple[bytes, ...] = ()
+        if self._path is None:
+            return
+        try:
+            self._stamp = _stamp(self._path)
+            self._keys = _read_keys(self._path)
+        except OSError as exc:
+            raise BadKeyFileError(f"cannot read key file {str(self._path)!r}: {exc}") from exc
+
+    def seal(self, payload: bytes, now: float) -> bytes:
+        """Returns the payload behind its tag."""
+        self._refresh(now)
+        if not self._keys:
+            return payload
+        return _tag(self._keys[0], payload) + payload
+
+    def open(self, sealed: bytes, now: float) -> bytes | None:
+        """Returns the payload, or None if no key verifies it."""
+        self._refresh(now)
+        if not self._keys:
+            return sealed
+        tag = sealed[:TAG_BYTES]
+        payload = sealed[TAG_BYTES:]
+        for key in self._keys:
+            if compare_digest(tag, _tag(key, payload)):
+                return payload
+        return None
+
+    def _refresh(self, now: float) -> None:
+        if self._path is None or now - self._checked_at < CHECK_PERIOD_S:
+            return
+        self._checked_at = now
+        try:
+            stamp = _stamp(self._path)
+            if stamp == self._stamp:
+                return
+            self._keys = _read_keys(self._path)
+        except (OSError, BadKeyFileError) as exc:
+            self._log.log(KEY_FILE_UNREADABLE, error=str(exc))
+            return
+        self._stamp = stamp
+        self._log.log(KEY_FILE_CHANGED, keys=len(self._keys))
+
+
+def _tag(key: bytes, payload: bytes) -> bytes:
+    return hmac_digest(key, payload, sha256)[:TAG_BYTES]
+
+
+def _stamp(path: Path) -> tuple[int, int]:
+    stat = path.stat()
+    return stat.st_mtime_ns, stat.st_size
+
+
+def _read_keys(path: Path) -> tuple[bytes, ...]:
+    lines = [line.strip() for line in path.read_text(encoding="utf-8").splitlines()]
+    keys = [line.encode() for line in lines if line and not line.startswith("#")]
+    if not keys:
+        raise BadKeyFileError(f"key file {str(path)!r} holds no key")
+    if any(len(key) < MIN_KEY_CHARS for key in keys):
+        raise BadKeyFileError(f"key file {str(path)!r} holds a key under {MIN_KEY_CHARS} chars")
+    return tuple(keys)
--- /dev/null
+++ b/src/sequoiapulley/fleet/home_map.py
@@ -0,0 +1,177 @@
+"""Assigns every instance to a short ranked list of home nodes."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import Final
+
+from msgspec import Struct
+from xxhash import xxh64_intdigest
+
+from sequoiapulley.fleet.member import Member, MemberState
+from sequoiapulley.ids import InstanceName, NodeId, PlaceName, RegionName, ServiceName
+from sequoiapulley.model.configuration import Configuration
+from sequoiapulley.model.service import Instance
+
+HOMES_PER_GROUP: Final = 3
+CANDIDATES_PER_GROUP: Final = 12
+MAX_LOAD_RATIO: Final = 1.25
+HOME_STATES: Final = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
+
+GroupKey = tuple[ServiceName, InstanceName]
+
+
+class _Candidate(Struct, frozen=True, order=True):
+    """A node's claim on a group; the smallest comes first."""
+
+    distance: int
+    """0 in a place of the upstreams, 1 in a region of theirs, 2 elsewhere."""
+    score: int
+    node: NodeId
+
+
+class _Group(Struct):
+    """One instance and the nodes that rank highest for it."""
+
+    seed: int
+    places: frozenset[PlaceName]
+    regions: frozenset[RegionName]
+    candidates: list[_Candidate]
+    """The nodes that rank highest, in order."""
+    complete: bool = True
+    """Whether `candidates` holds every member."""
+    homes: tuple[NodeId, ...] = ()
+
+
+class HomeMap:
+    """Ranked homes by rendezvous hashing with bounded load.
+
+    Two nodes with the same configuration and the same view of the fleet compute the same homes.
+    """
+
+    def __init__(self) -> None:
+        """Initialise a map without instances and members."""
+        self._groups: dict[GroupKey, _Group] = {}
+        self._members: dict[NodeId, Member] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        groups: dict[GroupKey, _Group] = {}
+        for service in configuration.services.values():
+            for instance in service.instances:
+                key = (service.name, instance.name)
+                groups[key] = self._make_group(key, instance, configuration)
+        self._groups = groups
+        self._assign()
+
+    def update_members(self, members: tuple[Member, ...]) -> None:
+        """Takes the present view of the fleet."""
+        usable = {member.node: member for member in members if member.state in HOME_STATES}
+        old = self._members
+        gone = {node for node in old if _moved(old[node], usable.get(node))}
+        added = [member for node, member in usable.items() if _moved(member, old.get(node))]
+        if not gone and not added:
+            return
+        self._members = usable
+        for group in self._groups.values():
+            self._adjust(group, gone, added)
+        self._assign()
+
+    def homes_of(self, service: ServiceName, instance: InstanceName) -> tuple[NodeId, ...]:
+        """Returns the homes of an instance, the preferred one first.
+
+        Args:
+            service: A service of the configuration.
+            instance: One of its instances.
+
+        Returns:
+            Up to three nodes; empty for an unknown instance or without live members.
+        """
+        group = self._groups.get((service, instance))
+        return group.homes if group is not None else ()
+
+    def instances_at(self, node: NodeId) -> tuple[GroupKey, ...]:
+        """Lists the instances whose preferred home is a node."""
+        return tuple(key for key, group in self._groups.items() if group.homes[:1] == (node,))
+
+    def _make_group(
+        self, key: GroupKey, instance: Instance, configuration: Configuration
+    ) -> _Group:
+        places = frozenset(upstream.place for upstream in instance.upstreams)
+        known = [configuration.places[place] for place in places if place in configuration.places]
+        group = _Group(
+            seed=xxh64_intdigest("/".join(key).encode()),
+            places=places,
+            regions=frozenset(place.region for place in known),
+            candidates=[],
+        )
+        self._rank_all(group)
+        return group
+
+    def _rank_all(self, group: _Group) -> None:
+        group.candidates = self._ranked(group)[:CANDIDATES_PER_GROUP]
+        group.complete = len(group.candidates) == len(self._members)
+
+    def _ranked(self, group: _Group) -> list[_Candidate]:
+        return sorted(_candidate(group, member) for member in self._members.values())
+
+    def _adjust(self, group: _Group, gone: set[NodeId], added: list[Member]) -> None:
+        """Updates the ranking of one group without hashing the nodes that stayed."""
+        kept = [candidate for candidate in group.candidates if candidate.node not in gone]
+        if not group.complete and len(kept) < CANDIDATES_PER_GROUP // 2:
+            self._rank_all(group)
+            return
+        worst = kept[-1] if kept else None
+        for member in added:
+            candidate = _candidate(group, member)
+            if not group.complete and worst is not None and candidate > worst:
+                continue
+            kept.append(candidate)
+        kept.sort()
+        group.candidates = kept[:CANDIDATES_PER_GROUP]
+        group.complete = len(group.candidates) == len(self._members)
+
+    def _assign(self) -> None:
+        """Gives each group its best candidate that is not above the load bound."""
+        if not self._members:
+            for group in self._groups.values():
+                group.homes = ()
+            return
+        bound = ceil(MAX_LOAD_RATIO * len(self._groups) / len(self._members))
+        loads: dict[NodeId, int] = dict.fromkeys(self._members, 0)
+        for group in sorted(self._groups.values(), key=lambda group: group.seed):
+            first = self._first_below(group.candidates, loads, bound)
+            if first is None:
+                first = self._first_below(self._ranked(group), loads, bound)
+            if first is None:
+                raise AssertionError("the load bound leaves no room")
+            loads[first] += 1
+            others = [node for node in self._best(group) if node != first]
+            group.homes = (first, *others[: HOMES_PER_GROUP - 1])
+
+    def _first_below(
+        self, candidates: list[_Candidate], loads: dict[NodeId, int], bound: int
+    ) -> NodeId | None:
+        for candidate in candidates:
+            if loads[candidate.node] < bound:
+                return candidate.node
+        return None
+
+    def _best(self, group: _Group) -> list[NodeId]:
+        return [candidate.node for candidate in group.candidates[:HOMES_PER_GROUP]]
+
+
+def _moved(member: Member, other: Member | None) -> bool:
+    """Whether a member is absent from the other view or stands in another place there."""
+    return other is None or other.place != member.place or other.region != member.region
+
+
+def _candidate(group: _Group, member: Member) -> _Candidate:
+    distance = 2
+    if member.region in group.regions:
+        distance = 1
+    if member.place in group.places:
+        distance = 0
+    return _Candidate(
+        distance=distance, score=xxh64_intdigest(member.node.encode(), group.seed), node=member.node
+    )
--- /dev/null
+++ b/src/sequoiapulley/fleet/udp_component.py
@@ -0,0 +1,238 @@
+"""The membership's socket, as a component of the event loop."""
+
+from __future__ import annotations
+
+from socket import AF_INET, SOCK_DGRAM, socket
+from typing import Any, Final
+
+from circuits import BaseComponent, Event, handler
+from circuits.core.pollers import BasePoller
+from circuits.core.utils import findcmp
+
+from sequoiapulley.fleet.datagram_keys import DatagramKeys
+from sequoiapulley.fleet.log_events import DATAGRAM_REFUSED, NO_KEY_FILE
+from sequoiapulley.fleet.member import Member, MemberState, NodeAddress
+from sequoiapulley.fleet.membership import Membership
+from sequoiapulley.fleet.orders import (
+    FleetOrder,
+    MemberChanged,
+    RumourHeard,
+    RumourKind,
+    SendDatagram,
+    VersionHeard,
+)
+from sequoiapulley.ids import ConfigVersion, NodeId
+from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.platform.vm_list import VmRecord
+from sequoiapulley.runtime import TimerHandle, TimerQueue
+
+MAX_RECEIVED_BYTES: Final = 2048
+MAX_DATAGRAMS_PER_WAKE: Final = 64
+REFUSAL_LOG_PERIOD_S: Final = 60.0
+CHANNEL: Final = "membership"
+
+
+def open_membership_socket(host: str, port: int) -> socket:
+    """Binds a non-blocking datagram socket.
+
+    Args:
+        host: IP address.
+        port: Port, 0 for a free one.
+
+    Returns:
+        The socket.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+    sock = socket(AF_INET, SOCK_DGRAM)
+    try:
+        sock.setblocking(False)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class MembershipComponent(BaseComponent):
+    """Owns the socket and the decisions of the membership.
+
+    Fires the nested events on its channel; `members`, `broadcast` and the like are plain calls on
+    the event loop's thread.
+    """
+
+    channel = CHANNEL
+
+    class MemberChangedEvent(Event):
+        """A member joined, changed its state or started again.
+
+        Args:
+            member: The member's new record.
+            previous_state: Its state before, or None for a new member.
+        """
+
+        name = "member_changed"
+
+        def __init__(self, member: Member, previous_state: MemberState | None) -> None:
+            super().__init__(member, previous_state)
+
+    class RumourHeardEvent(Event):
+        """A rumour of another node arrived."""
+
+        name = "rumour_heard"
+
+        def __init__(self, kind: RumourKind, body: bytes, origin: NodeId) -> None:
+            super().__init__(kind, body, origin)
+
+    class VersionHeardEvent(Event):
+        """A node told the configuration version in force on it."""
+
+        name = "version_heard"
+
+        def __init__(self, node: NodeId, version: ConfigVersion) -> None:
+            super().__init__(node, version)
+
+    def __init__(
+        self,
+        sock: socket,
+        membership: Membership,
+        keys: DatagramKeys,
+        timers: TimerQueue,
+        log: LogSink,
+        has_keys: bool = True,
+    ) -> None:
+        """Initialise the component.
+
+        Args:
+            sock: Socket of `open_membership_socket`; the component owns it from now on.
+            membership: The decisions.
+            keys: Authenticates the datagrams.
+            timers: Timers of the event loop.
+            log: Where events go.
+            has_keys: Whether `keys` has a key file; its lack is logged.
+        """
+        super().__init__(channel=CHANNEL)
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.datagrams_sent = 0
+        self.datagrams_received = 0
+        self.datagrams_refused = 0
+        self._sock = sock
+        self._membership = membership
+        self._keys = keys
+        self._timers = timers
+        self._log = log
+        self._timer: TimerHandle | None = None
+        self._poller: Any = None
+        self._refusal_logged_at = float("-inf")
+        if not has_keys:
+            log.log(NO_KEY_FILE, address=sock.getsockname()[0])
+
+    def members(self) -> tuple[Member, ...]:
+        """Returns the present view, this node first."""
+        return self._membership.members()
+
+    def broadcast(self, kind: RumourKind, body: bytes) -> None:
+        """Passes a short message to all nodes."""
+        now = self._timers.clock.now()
+        self._membership.broadcast(kind, body, now)
+        self._schedule()
+
+    def set_config_version(self, version: ConfigVersion) -> None:
+        """Notes the configuration version in force here."""
+        self._membership.set_config_version(version, self._timers.clock.now())
+
+    def take_vm_list(self, records: tuple[VmRecord, ...]) -> None:
+        """Takes the platform's list."""
+        self._execute(self._membership.on_vm_list(records, self._timers.clock.now()))
+
+    def leave(self) -> None:
+        """Announces the graceful shutdown of this node, which goes on to answer probes."""
+        self._execute(self._membership.leave(self._timers.clock.now()))
+
+    def close(self) -> None:
+        """Closes the socket and stops the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._poller is not None:
+            self._poller.discard(self._sock)
+        self._sock.close()
+
+    @handler("registered", "started", channel="*")
+    def _on_registered_or_started(self, _component: Any, _manager: Any = None) -> None:
+        if self._poller is not None:
+            return
+        self._poller = findcmp(self.root, BasePoller)
+        if self._poller is None:
+            return
+        self._poller.addReader(self, self._sock)
+        self._tick()
+
+    @handler("_read")
+    def _on_readable(self, _sock: Any) -> None:
+        now = self._timers.clock.now()
+        for _ in range(MAX_DATAGRAMS_PER_WAKE):
+            try:
+                sealed, address = self._sock.recvfrom(MAX_RECEIVED_BYTES)
+            except BlockingIOError:
+                break
+            except OSError:
+                # A refused datagram of ours, reported by the kernel on the next read.
+                continue
+            self._take(sealed, NodeAddress((address[0], address[1])), now)
+
+    def _take(self, sealed: bytes, address: NodeAddress, now: float) -> None:
+        self.datagrams_received += 1
+        self.bytes_received += len(sealed)
+        payload = self._keys.open(sealed, now)
+        if payload is None:
+            self.datagrams_refused += 1
+            self._log_refusal(address, now)
+            return
+        self._execute(self._membership.on_message(address, payload, now))
+
+    def _log_refusal(self, address: NodeAddress, now: float) -> None:
+        if now - self._refusal_logged_at < REFUSAL_LOG_PERIOD_S:
+            return
+        self._refusal_logged_at = now
+        self._log.log(DATAGRAM_REFUSED, sender=address[0], refused=self.datagrams_refused)
+
+    def _tick(self) -> None:
+        self._execute(self._membership.tick(self._timers.clock.now()))
+
+    def _execute(self, orders: list[FleetOrder]) -> None:
+        for order in orders:
+            if isinstance(order, SendDatagram):
+                self._send(order)
+            elif isinstance(order, MemberChanged):
+                self.fire(self.MemberChangedEvent(order.member, order.previous_state))
+            elif isinstance(order, RumourHeard):
+                self.fire(self.RumourHeardEvent(order.kind, order.body, order.origin))
+            elif isinstance(order, VersionHeard):
+                self.fire(self.VersionHeardEvent(order.node, order.version))
+        self._schedule()
+
+    def _send(self, order: SendDatagram) -> None:
+        sealed = self._keys.seal(order.payload, self._timers.clock.now())
+        try:
+            self._sock.sendto(sealed, order.address)
+        except OSError:
+            # Like a datagram lost on the way; the protocol tries again.
+            return
+        self.datagrams_sent += 1
+        self.bytes_sent += len(sealed)
+
+    def _schedule(self) -> None:
+        due = self._membership.next_due()
+        if due is None:
+            return
+        if self._timer is not None:
+            if self._timer.due <= due and not self._timer.cancelled:
+                return
+            self._timer.cancel()
+        self._timer = self._timers.call_at(due, self._run_timer)
+
+    def _run_timer(self) -> None:
+        self._timer = None
+        self._tick()
--- /dev/null
+++ b/src/sequoiapulley/link/frame_codec.py
@@ -0,0 +1,107 @@
+"""Frames: several messages encoded together as MessagePack."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+from msgspec import DecodeError, Raw, Struct, ValidationError
+from msgspec.msgpack import Decoder, Encoder
+
+from sequoiapulley.link.messages import LinkHello, StreamMessage
+
+MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+FRAME_TARGET_BYTES: Final = 256 * 1024
+MAX_FRAME_MESSAGES: Final = 512
+
+
+class BadFrameError(Exception):
+    """A frame is too large or is not a list of messages."""
+
+
+class DecodedFrame(Struct):
+    """The messages of one frame."""
+
+    messages: list[StreamMessage]
+    unknown: int = 0
+    """Messages of a kind this version does not know, skipped."""
+
+
+_ENCODER: Final = Encoder()
+_FRAME_DECODER: Final = Decoder(list[StreamMessage])
+_RAW_DECODER: Final = Decoder(list[Raw])
+_MESSAGE_DECODER: Final = Decoder(StreamMessage)
+_HELLO_DECODER: Final = Decoder(LinkHello)
+
+
+def encode_hello(hello: LinkHello) -> bytes:
+    """Returns the hello as the bytes of its own frame."""
+    return _ENCODER.encode(hello)
+
+
+def decode_hello(frame: bytes) -> LinkHello:
+    """Reads a hello.
+
+    Raises:
+        BadFrameError: If the frame is not a hello.
+    """
+    try:
+        return _HELLO_DECODER.decode(frame)
+    except DecodeError as exc:
+        raise BadFrameError(f"frame is not a hello: {exc}") from exc
+
+
+def encode_frames(messages: deque[StreamMessage]) -> list[bytes]:
+    """Empties a queue into as few frames as the size bounds allow."""
+    frames: list[bytes] = []
+    parts: list[Raw] = []
+    size = 0
+    while messages:
+        part = _ENCODER.encode(messages.popleft())
+        full = len(parts) == MAX_FRAME_MESSAGES or size + len(part) > FRAME_TARGET_BYTES
+        if parts and full:
+            frames.append(_ENCODER.encode(parts))
+            parts = []
+            size = 0
+        parts.append(Raw(part))
+        size += len(part)
+    if parts:
+        frames.append(_ENCODER.encode(parts))
+    return frames
+
+
+def decode_frame(frame: bytes) -> DecodedFrame:
+    """Reads a frame.
+
+    Args:
+        frame: MessagePack list of tagged messages.
+
+    Returns:
+        The known messages in order, and how many were of an unknown kind.
+
+    Raises:
+        BadFrameError: If the frame is too large or not a list.
+    """
+    if len(frame) > MAX_FRAME_BYTES:
+        raise BadFrameError(f"frame takes {len(frame)} bytes, limit {MAX_FRAME_BYTES}")
+    try:
+        return DecodedFrame(_FRAME_DECODER.decode(frame))
+    except ValidationError:
+        return _decode_one_by_one(frame)
+    except DecodeError as exc:
+        raise BadFrameError(f"frame cannot be decoded: {exc}") from exc
+
+
+def _decode_one_by_one(frame: bytes) -> DecodedFrame:
+    """Keeps the messages that this version knows."""
+    decoded = DecodedFrame([])
+    try:
+        parts = _RAW_DECODER.decode(frame)
+    except DecodeError as exc:
+        raise BadFrameError(f"frame cannot be decoded: {exc}") from exc
+    for part in parts:
+        try:
+            decoded.messages.append(_MESSAGE_DECODER.decode(part))
+        except DecodeError:
+            decoded.unknown += 1
+    return decoded
--- /dev/null
+++ b/src/sequoiapulley/link/log_events.py
@@ -0,0 +1,61 @@
+"""Log events of the link between nodes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sequoiapulley.observe.log_event import Severity, define_event
+
+LINK_UP: Final = define_event(6001, "link_up", Severity.INFO, "A stream to a node opened.")
+LINK_DOWN: Final = define_event(
+    6002,
+    "link_down",
+    Severity.INFO,
+    "The last stream to a node closed.",
+    "None while the node restarts; otherwise look for the node in the membership.",
+)
+LINK_REFUSED: Final = define_event(
+    6003,
+    "link_refused",
+    Severity.WARNING,
+    "A peer's hello names another customer, an unknown protocol version, or is not a hello.",
+    "Compare the settings and the versions of both nodes.",
+)
+LINK_PLAINTEXT: Final = define_event(
+    6004,
+    "link_plaintext",
+    Severity.WARNING,
+    "Streams between nodes are neither encrypted nor authenticated, as no TLS files are set.",
+    "Set them for any fleet that leaves loopback; see docs/operators/keys.md.",
+)
+LINK_FRAME_REFUSED: Final = define_event(
+    6005,
+    "link_frame_refused",
+    Severity.WARNING,
+    "A frame from a peer could not be decoded; it was dropped.",
+    "Compare the versions of both nodes.",
+)
+LINK_UNKNOWN_MESSAGE: Final = define_event(
+    6006,
+    "link_unknown_message",
+    Severity.INFO,
+    "A peer of another version sent a message of an unknown kind; it was skipped.",
+    "None during an upgrade.",
+)
+LINK_QUEUE_FULL: Final = define_event(
+    6007,
+    "link_queue_full",
+    Severity.WARNING,
+    "Messages to a node were refused, because its queue is full; logged once per stream.",
+    "The node or the way to it is too slow; look at its load.",
+)
+LINK_TLS_UNREADABLE: Final = define_event(
+    6008,
+    "link_tls_unreadable",
+    Severity.ERROR,
+    "A TLS file could not be read; what was read before stays in use.",
+    "Restore the file; see docs/operators/keys.md.",
+)
+LINK_TLS_CHANGED: Final = define_event(
+    6009, "link_tls_changed", Severity.INFO, "The TLS files changed and were read again."
+)
--- /dev/null
+++ b/src/sequoiapulley/link/messages.py
@@ -0,0 +1,53 @@
+"""What travels on a stream between two nodes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from msgspec import Struct
+
+from sequoiapulley.fleet.config_messages import ConfigDelta, ConfigFull, ConfigRequest
+from sequoiapulley.ids import CustomerName, Incarnation, NodeId
+from sequoiapulley.requests.messages import RunOrder, RunReport
+from sequoiapulley.search.messages import CancelSearch, GroupReply, GroupSearch
+
+PROTOCOL_VERSION: Final = 1
+OLDEST_VERSION: Final = 1
+
+
+class LinkHello(Struct, frozen=True, tag="hello"):
+    """The first message in each direction of a stream."""
+
+    customer: CustomerName
+    node: NodeId
+    incarnation: Incarnation
+    version: int = PROTOCOL_VERSION
+    """Protocol version the sender speaks."""
+    oldest: int = OLDEST_VERSION
+    """Oldest version the sender understands."""
+
+
+class LinkPing(Struct, frozen=True, tag="ping"):
+    """Asks the other end for a `LinkPong`, to tell a silent stream from an idle one."""
+
+    number: int
+
+
+class LinkPong(Struct, frozen=True, tag="pong"):
+    """Answers a `LinkPing`."""
+
+    number: int
+
+
+LinkMessage = (
+    GroupSearch
+    | GroupReply
+    | CancelSearch
+    | RunOrder
+    | RunReport
+    | ConfigFull
+    | ConfigDelta
+    | ConfigRequest
+)
+
+StreamMessage = LinkMessage | LinkPing | LinkPong
--- /dev/null
+++ b/src/sequoiapulley/link/peer_link.py
@@ -0,0 +1,244 @@
+"""Messages between nodes over one bidirectional grpc stream per pair."""
+
+from __future__ import annotations
+
+from asyncio import AbstractEventLoop, Task, get_running_loop, new_event_loop, set_event_loop
+from collections import deque
+from collections.abc import Callable
+from threading import Event as ThreadEvent
+from threading import Thread
+from typing import Final
+
+from msgspec import Struct
+
+from sequoiapulley.fleet.member import Member
+from sequoiapulley.ids import CustomerName, Incarnation, NodeId
+from sequoiapulley.link._transport import Peer, Transport
+from sequoiapulley.link.log_events import LINK_PLAINTEXT
+from sequoiapulley.link.messages import LinkHello, LinkMessage
+from sequoiapulley.link.tls_files import TlsFiles, TlsSource
+from sequoiapulley.observe.log_event import LogSink
+
+MAX_QUEUED_MESSAGES: Final = 8192
+START_TIMEOUT_S: Final = 10.0
+STOP_MARGIN_S: Final = 5.0
+
+
+class LinkIdentity(Struct, frozen=True):
+    """Who this node is towards its peers, fixed from start to stop."""
+
+    customer: CustomerName
+    node: NodeId
+    incarnation: Incarnation
+
+
+class LinkHandlers(Struct, frozen=True):
+    """Calls on the event loop's thread."""
+
+    on_message: Callable[[NodeId, Incarnation, LinkMessage], None]
+    on_unsent: Callable[[NodeId, LinkMessage], None]
+    """A message that `send` accepted and that never left this process."""
+    on_peer_lost: Callable[[NodeId], None]
+    """No stream to the node is left; whatever it had not answered may or may not have run."""
+
+
+class LinkCounters(Struct):
+    """Totals since the start."""
+
+    messages_sent: int = 0
+    messages_received: int = 0
+    frames_sent: int = 0
+    frames_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    unknown_messages: int = 0
+    refused_frames: int = 0
+    refused_peers: int = 0
+
+
+class PeerLinkStartError(Exception):
+    """The link's port could not be bound."""
+
+
+class PeerLink:
+    """Sends and receives messages; grpc runs in one thread of its own.
+
+    `send` and the handlers run on the thread of the event loop. Messages cross between the threads
+    through one queue in each direction, with one wake-up for all that wait there.
+    """
+
+    def __init__(
+        self,
+        identity: LinkIdentity,
+        address: tuple[str, int],
+        fire: Callable[[Callable[[], None]], None],
+        handlers: LinkHandlers,
+        log: LogSink,
+        tls: TlsFiles | None = None,
+    ) -> None:
+        """Initialise a link that is not started.
+
+        Args:
+            identity: Who this node is.
+            address: IP address and port to listen on; port 0 takes a free one.
+            fire: Runs a function soon on the event loop's thread; safe in any thread.
+            handlers: What to call there.
+            log: Where events go.
+            tls: Files for mutual TLS, or None for plaintext.
+
+        Raises:
+            OSError: If a TLS file cannot be read.
+        """
+        self.counters = LinkCounters()
+        self._address = address
+        self._fire = fire
+        self._handlers = handlers
+        self._log = log
+        self._peers: dict[NodeId, Peer] = {}
+        self._dirty: deque[Peer] = deque()
+        self._flush_pending = False
+        self._inbound: deque[Callable[[], None]] = deque()
+        self._drain_pending = False
+        source = TlsSource(tls, log) if tls is not None else None
+        hello = LinkHello(identity.customer, identity.node, identity.incarnation)
+        self._transport = Transport(hello, self, log, source)
+        self._loop: AbstractEventLoop | None = None
+        self._thread: Thread | None = None
+        self._ready = ThreadEvent()
+        self._port: int | None = None
+        self._stop_task: Task[None] | None = None
+
+    def start(self) -> int:
+        """Binds the port and starts to serve.
+
+        Returns:
+            The port.
+
+        Raises:
+            PeerLinkStartError: If the port could not be bound.
+        """
+        if not self._transport.has_tls:
+            self._log.log(LINK_PLAINTEXT, address=self._address[0])
+        self._thread = Thread(target=self._run, name="peer-link", daemon=True)
+        self._thread.start()
+        self._ready.wait(START_TIMEOUT_S)
+        if self._port is None:
+            host, port = self._address
+            raise PeerLinkStartError(f"cannot bind the link to {host}:{port}")
+        return self._port
+
+    def stop(self, grace: float) -> None:
+        """Sends what is queued, closes every stream and ends the thread.
+
+        Args:
+            grace: Seconds that open streams get to finish.
+        """
+        if self._thread is None or self._loop is None:
+            return
+        self._loop.call_soon_threadsafe(self._begin_stop, grace)
+        self._thread.join(grace + STOP_MARGIN_S)
+        self._thread = None
+
+    def update_members(self, members: tuple[Member, ...]) -> None:
+        """Takes the addresses of the nodes."""
+        for member in members:
+            peer = self._peer(member.node)
+            peer.address = (member.host, member.link_port)
+
+    def send(self, node: NodeId, message: LinkMessage) -> bool:
+        """Queues a message for a node; the stream is opened if there is none.
+
+        Args:
+            node: A node named by `update_members`, or one with an open stream.
+            message: What to send.
+
+        Returns:
+            False if the message will not be sent: the node is not known, its queue is full, or
+            the last attempt to connect failed a moment ago.
+        """
+        peer = self._peers.get(node)
+        if peer is None or not peer.accepts(MAX_QUEUED_MESSAGES):
+            return False
+        loop = self._loop
+        if loop is None or loop.is_closed():
+            return False
+        peer.queue.append(message)
+        self._dirty.append(peer)
+        if not self._flush_pending:
+            self._flush_pending = True
+            loop.call_soon_threadsafe(self._flush)
+        return True
+
+    def has_stream(self, node: NodeId) -> bool:
+        """Whether a stream to the node is open."""
+        peer = self._peers.get(node)
+        return peer is not None and bool(peer.streams)
+
+    def _peer(self, node: NodeId) -> Peer:
+        return self._peers.setdefault(node, Peer(node))
+
+    def _run(self) -> None:
+        loop = new_event_loop()
+        set_event_loop(loop)
+        self._loop = loop
+        try:
+            self._port = loop.run_until_complete(self._transport.start(self._address))
+        except (OSError, RuntimeError):
+            self._ready.set()
+            loop.close()
+            return
+        self._ready.set()
+        loop.run_forever()
+        loop.close()
+
+    def _begin_stop(self, grace: float) -> None:
+        loop = get_running_loop()
+        self._stop_task = loop.create_task(self._transport.stop(grace, list(self._peers.values())))
+        self._stop_task.add_done_callback(lambda _task: loop.stop())
+
+    def _flush(self) -> None:
+        self._flush_pending = False
+        while self._dirty:
+            self._transport.wake(self._dirty.popleft())
+
+    # The transport calls the following on its own thread.
+
+    def peer_of(self, node: NodeId) -> Peer:
+        """Returns the state of a node, which is made if it is not known."""
+        return self._peer(node)
+
+    def queue_length(self) -> int:
+        """Returns how many calls wait for the event loop's thread."""
+        return len(self._inbound)
+
+    def received(self, node: NodeId, incarnation: Incarnation, messages: list[LinkMessage]) -> None:
+        """Hands messages to the event loop's thread."""
+        self.counters.messages_received += len(messages)
+        on_message = self._handlers.on_message
+
+        def deliver() -> None:
+            for message in messages:
+                on_message(node, incarnation, message)
+
+        self._hand_over(deliver)
+
+    def lost(self, node: NodeId, unsent: list[LinkMessage]) -> None:
+        """Reports a node without a stream to the event loop's thread."""
+
+        def deliver() -> None:
+            for message in unsent:
+                self._handlers.on_unsent(node, message)
+            self._handlers.on_peer_lost(node)
+
+        self._hand_over(deliver)
+
+    def _hand_over(self, deliver: Callable[[], None]) -> None:
+        self._inbound.append(deliver)
+        if not self._drain_pending:
+            self._drain_pending = True
+            self._fire(self._drain)
+
+    def _drain(self) -> None:
+        self._drain_pending = False
+        while self._inbound:
+            self._inbound.popleft()()
--- /dev/null
+++ b/src/sequoiapulley/link/tls_files.py
@@ -0,0 +1,98 @@
+"""TLS files of the link, read again whenever they change."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from threading import Lock
+from typing import Any, Final
+
+import grpc
+from msgspec import Struct
+
+from sequoiapulley.link.log_events import LINK_TLS_CHANGED, LINK_TLS_UNREADABLE
+from sequoiapulley.observe.log_event import LogSink
+
+DEFAULT_SERVER_NAME: Final = "sequoiapulley"
+
+
+class TlsFiles(Struct, frozen=True):
+    """PEM files for mutual TLS between the nodes of one customer."""
+
+    authority: str
+    """Certificates of the authorities that peers must be signed by."""
+    certificate: str
+    key: str
+    server_name: str = DEFAULT_SERVER_NAME
+    """Name that every node's certificate carries, since nodes are addressed by IP."""
+
+
+class TlsMaterial(Struct, frozen=True):
+    """Contents of the files."""
+
+    authority: bytes
+    certificate: bytes
+    key: bytes
+
+
+class TlsSource:
+    """Current contents of the files; keeps the last good ones when a read fails."""
+
+    def __init__(self, files: TlsFiles, log: LogSink) -> None:
+        """Read the files for the first time.
+
+        Args:
+            files: Where they are.
+            log: Where events go.
+
+        Raises:
+            OSError: If a file cannot be read.
+        """
+        self.files = files
+        self._log = log
+        self._lock = Lock()
+        self._stamp = self._read_stamp()
+        self._material = self._read()
+
+    def material(self) -> TlsMaterial:
+        """Returns the contents, after another read if a file changed; safe in any thread."""
+        with self._lock:
+            try:
+                stamp = self._read_stamp()
+                if stamp != self._stamp:
+                    self._material = self._read()
+                    self._stamp = stamp
+                    self._log.log(LINK_TLS_CHANGED, certificate=self.files.certificate)
+            except OSError as exc:
+                self._log.log(LINK_TLS_UNREADABLE, error=str(exc))
+            return self._material
+
+    def channel_credentials(self) -> Any:
+        """Returns credentials for a new outgoing stream."""
+        material = self.material()
+        return grpc.ssl_channel_credentials(material.authority, material.key, material.certificate)
+
+    def server_credentials(self) -> Any:
+        """Returns credentials that follow the files at each new incoming connection."""
+        return grpc.dynamic_ssl_server_credentials(
+            self._server_configuration(),
+            self._server_configuration,
+            require_client_authentication=True,
+        )
+
+    def _server_configuration(self) -> Any:
+        material = self.material()
+        return grpc.ssl_server_certificate_configuration(
+            [(material.key, material.certificate)], material.authority
+        )
+
+    def _read_stamp(self) -> tuple[tuple[int, int], ...]:
+        paths = (self.files.authority, self.files.certificate, self.files.key)
+        stats = [Path(path).stat() for path in paths]
+        return tuple((stat.st_mtime_ns, stat.st_size) for stat in stats)
+
+    def _read(self) -> TlsMaterial:
+        return TlsMaterial(
+            authority=Path(self.files.authority).read_bytes(),
+            certificate=Path(self.files.certificate).read_bytes(),
+            key=Path(self.files.key).read_bytes(),
+        )
--- /dev/null
+++ b/tests/fake_store.py
@@ -0,0 +1,109 @@
+"""A store in memory whose calls can fail, be late or lose their reply."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from sequoiapulley.ids import LeaseId, Revision
+from sequoiapulley.platform.store import (
+    ABSENT,
+    LeaseReply,
+    StoreError,
+    StoreErrorKind,
+    StoreReply,
+    StoreValue,
+)
+
+
+class FakeStore:
+    """Answers at once; `faults` is consulted before each call."""
+
+    def __init__(self) -> None:
+        """Make an empty store."""
+        self.values: dict[str, StoreValue] = {}
+        self.revision = 0
+        self.calls = 0
+        self.down = False
+        self.lose: list[bool] = []
+        """Whether the reply to each of the next calls is lost after the effect."""
+        self.before_put: Callable[[], None] | None = None
+        self.watches: list[tuple[str, Revision, Callable[[StoreReply], None]]] = []
+
+    def read(self, key: str) -> StoreValue:
+        """Returns the value of a key."""
+        return self.values.get(key, StoreValue(key, b"", ABSENT))
+
+    def get(self, key: str, done: Callable[[StoreReply], None]) -> None:
+        """Reads a key."""
+        self._answer(done, lambda: Ok(self.read(key)))
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: Revision,
+        done: Callable[[StoreReply], None],
+        lease: LeaseId | None = None,
+    ) -> None:
+        """Writes a key by compare-and-swap."""
+        if self.before_put is not None:
+            race, self.before_put = self.before_put, None
+            race()
+        self._answer(done, lambda: self._swap(key, value, expected))
+
+    def delete(self, key: str, expected: Revision, done: Callable[[StoreReply], None]) -> None:
+        """Is not needed here."""
+        raise NotImplementedError
+
+    def grant_lease(self, ttl: float, done: Callable[[LeaseReply], None]) -> None:
+        """Is not needed here."""
+        raise NotImplementedError
+
+    def watch(
+        self, key: str, after: Revision, wait: float, done: Callable[[StoreReply], None]
+    ) -> None:
+        """Answers at once if there is news or nothing to wait for, else keeps the watch."""
+        if self.down or wait == 0 or self.read(key).revision > after:
+            self._answer(done, lambda: Ok(self.read(key)))
+            return
+        self.calls += 1
+        self.watches.append((key, after, done))
+
+    def end_watch(self, done: Callable[[StoreReply], None]) -> None:
+        """Answers one watch, if it still waits."""
+        for watch in self.watches:
+            if watch[2] is done:
+                self.watches.remove(watch)
+                done(_unavailable() if self.down else Ok(self.read(watch[0])))
+                return
+
+    def settle_watches(self) -> None:
+        """Answers the watches, as after a change, the end of their wait, or an outage."""
+        waiting, self.watches = self.watches, []
+        for key, _after, done in waiting:
+            done(_unavailable() if self.down else Ok(self.read(key)))
+
+    def _swap(self, key: str, value: bytes, expected: Revision) -> StoreReply:
+        current = self.read(key)
+        if current.revision != expected:
+            return Err(StoreError(StoreErrorKind.CONFLICT, "other revision", current))
+        self.revision += 1
+        self.values[key] = StoreValue(key, value, Revision(self.revision))
+        return Ok(self.values[key])
+
+    def _answer(self, done: Callable[[StoreReply], None], call: Callable[[], StoreReply]) -> None:
+        self.calls += 1
+        if self.down:
+            done(_unavailable())
+            return
+        reply = call()
+        if self.lose and self.lose.pop(0):
+            done(Err(StoreError(StoreErrorKind.NO_REPLY, "reply lost")))
+            return
+        done(reply)
+
+
+def _unavailable() -> StoreReply:
+    return Err(StoreError(StoreErrorKind.UNAVAILABLE, "store is down"))
--- /dev/null
+++ b/tests/fleet_net.py
@@ -0,0 +1,147 @@
+"""A small in-memory network between membership nodes on a paused clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from sequoiapulley.fleet.member import Member, MemberState, NodeAddress
+from sequoiapulley.fleet.membership import Membership
+from sequoiapulley.fleet.orders import FleetOrder, MemberChanged, RumourHeard, SendDatagram
+from sequoiapulley.ids import CustomerName, Incarnation, NodeId, PlaceName, RegionName
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.platform.vm_list import VmRecord, VmState
+
+PLACES = ("burnaby-a", "nanaimo-a", "kelowna-a")
+REGIONS = ("lower-mainland", "vancouver-island", "interior")
+STEP_S = 0.05
+
+
+def make_member(number: int, incarnation: int = 1, place: int | None = None) -> Member:
+    """Makes the record of node `n<number>`, in a place by turns."""
+    where = number % len(PLACES) if place is None else place
+    return Member(
+        node=NodeId(f"n{number}"),
+        incarnation=Incarnation(incarnation),
+        place=PlaceName(PLACES[where]),
+        region=RegionName(REGIONS[where]),
+        host=f"10.0.{number // 250}.{number % 250 + 1}",
+        membership_port=7001,
+        link_port=7002,
+        callers_port=7003,
+        operators_port=7004,
+    )
+
+
+def list_vms(members: list[Member]) -> tuple[VmRecord, ...]:
+    """Makes the platform's list of some nodes."""
+    return tuple(
+        VmRecord(m.node, m.host, m.membership_port, m.place, VmState.LIVE) for m in members
+    )
+
+
+class FleetNet:
+    """Delivers datagrams with delay, loss and cuts; nodes can be stopped and paused."""
+
+    def __init__(self, size: int, seed: int = 1, loss: float = 0.0, joined: bool = True) -> None:
+        """Make `size` nodes that know each other by the platform's list."""
+        self.now = 1000.0
+        self.random = Random(seed)
+        self.loss = loss
+        self.duplicates = 0.0
+        self.delay = (0.0005, 0.02)
+        self.cut: Callable[[NodeId, NodeId], bool] = lambda _a, _b: False
+        self.nodes: dict[NodeId, Membership] = {}
+        self.stopped: set[NodeId] = set()
+        self.paused: set[NodeId] = set()
+        self.events: list[tuple[float, NodeId, FleetOrder]] = []
+        self.sent: list[tuple[float, NodeId, int]] = []
+        self._order = count()
+        self._flying: list[tuple[float, int, NodeId, NodeAddress, NodeAddress, bytes]] = []
+        members = [make_member(number) for number in range(size)]
+        for member in members:
+            self.add(member, list_vms(members) if joined else ())
+
+    def add(self, member: Member, listed: tuple[VmRecord, ...]) -> Membership:
+        """Starts a node."""
+        node = Membership(member, MemoryLog(), self.random.randrange(2**32), CustomerName("c"))
+        self.nodes[member.node] = node
+        self.execute(member.node, node.on_vm_list(listed, self.now))
+        self.execute(member.node, node.tick(self.now))
+        return node
+
+    def execute(self, node: NodeId, orders: list[FleetOrder]) -> None:
+        """Sends what a node ordered and records the rest."""
+        for order in orders:
+            if not isinstance(order, SendDatagram):
+                self.events.append((self.now, node, order))
+                continue
+            self.sent.append((self.now, node, len(order.payload)))
+            copies = 2 if self.random.random() < self.duplicates else 1
+            for _ in range(copies):
+                if self.random.random() < self.loss:
+                    continue
+                due = self.now + self.random.uniform(*self.delay)
+                source = self.nodes[node].me.address
+                item = (due, next(self._order), node, source, order.address, order.payload)
+                heappush(self._flying, item)
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(self.now + STEP_S, end)
+            while self._flying and self._flying[0][0] <= self.now:
+                _due, _order, sender, source, address, payload = heappop(self._flying)
+                self._deliver(sender, source, address, payload)
+            for name, node in list(self.nodes.items()):
+                due = node.next_due()
+                if name in self.stopped or name in self.paused or due is None or due > self.now:
+                    continue
+                self.execute(name, node.tick(self.now))
+
+    def _deliver(
+        self, sender: NodeId, source: NodeAddress, address: NodeAddress, payload: bytes
+    ) -> None:
+        for name, node in list(self.nodes.items()):
+            if node.me.address != address or name in self.stopped or name in self.paused:
+                continue
+            if self.cut(sender, name):
+                continue
+            self.execute(name, node.on_message(source, payload, self.now))
+
+    def running(self) -> list[NodeId]:
+        """Lists the nodes that run."""
+        return [node for node in self.nodes if node not in self.stopped | self.paused]
+
+    def view(self, node: NodeId) -> dict[NodeId, MemberState]:
+        """Returns what a node believes of all it knows."""
+        return {member.node: member.state for member in self.nodes[node].members()}
+
+    def alive_in(self, node: NodeId) -> set[NodeId]:
+        """Returns the nodes that a node believes alive."""
+        view = self.view(node)
+        return {name for name, state in view.items() if state is MemberState.ALIVE}
+
+    def agreed(self) -> bool:
+        """Whether every running node believes exactly the running nodes alive."""
+        running = set(self.running())
+        return all(self.alive_in(node) == running for node in running)
+
+    def changes(self, state: MemberState) -> list[tuple[float, NodeId, NodeId]]:
+        """Lists when which node began to hold a state of which other."""
+        return [
+            (when, at, order.member.node)
+            for when, at, order in self.events
+            if isinstance(order, MemberChanged) and order.member.state is state
+        ]
+
+    def rumours(self) -> list[tuple[float, NodeId, bytes]]:
+        """Lists the rumours heard."""
+        return [
+            (when, at, order.body)
+            for when, at, order in self.events
+            if isinstance(order, RumourHeard)
+        ]
--- /dev/null
+++ b/tests/test_homes_and_entries.py
@@ -0,0 +1,171 @@
+"""Tests of home assignment and of the addresses given to callers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from sequoiapulley.fleet.entry_directory import EntryDirectory
+from sequoiapulley.fleet.home_map import HomeMap
+from sequoiapulley.fleet.member import Member, MemberState
+from sequoiapulley.ids import (
+    CallerId,
+    ConfigVersion,
+    ContractName,
+    CustomerName,
+    InstanceName,
+    NodeId,
+    PlaceName,
+    ServiceName,
+    UpstreamName,
+)
+from sequoiapulley.model import Configuration, Contract, Instance, Place, Service, Upstream
+from tests.fleet_net import PLACES, REGIONS, make_member
+
+
+def make_configuration(instances: int) -> Configuration:
+    """Makes one service whose instances have two upstreams in neighbouring places."""
+    made = []
+    for number in range(instances):
+        upstreams = tuple(
+            Upstream(
+                UpstreamName(f"u{number}-{copy}"),
+                PlaceName(PLACES[(number + copy) % 3]),
+                "10.1.0.1",
+                80,
+            )
+            for copy in range(2)
+        )
+        made.append(Instance(InstanceName(f"i{number}"), upstreams))
+    contract = Contract(ContractName("k"), 2, 60, 6.0)
+    service = Service(ServiceName("s"), contract.name, tuple(made))
+    return Configuration(
+        version=ConfigVersion(1),
+        customer=CustomerName("c"),
+        places={PlaceName(p): Place(p, r) for p, r in zip(PLACES, REGIONS, strict=True)},
+        contracts={contract.name: contract},
+        services={service.name: service},
+    )
+
+
+def make_map(members: list[Member], instances: int = 50) -> HomeMap:
+    """Makes a configured map."""
+    homes = HomeMap()
+    homes.configure(make_configuration(instances))
+    homes.update_members(tuple(members))
+    return homes
+
+
+def assigned(homes: HomeMap, instances: int = 50) -> list[NodeId]:
+    """Lists the preferred home of every instance."""
+    return [homes.homes_of(ServiceName("s"), InstanceName(f"i{n}"))[0] for n in range(instances)]
+
+
+class HomeMapTest(TestCase):
+    """Assignments over views that change."""
+
+    def test_load_is_bounded_and_near_the_upstreams(self) -> None:
+        members = [make_member(n) for n in range(15)]
+        homes = make_map(members, 50)
+        loads = Counter(assigned(homes))
+        self.assertLessEqual(max(loads.values()), 5)
+        far = 0
+        for number, home in enumerate(assigned(homes)):
+            place = next(m.place for m in members if m.node == home)
+            far += place not in (PLACES[number % 3], PLACES[(number + 1) % 3])
+        self.assertLessEqual(far, 2)
+
+    def test_loss_of_a_node_moves_little_more_than_its_own_groups(self) -> None:
+        members = [make_member(n) for n in range(30)]
+        before = assigned(make_map(members, 400), 400)
+        for lost in range(30):
+            rest = [m for m in members if m.node != f"n{lost}"]
+            after = assigned(make_map(rest, 400), 400)
+            own = before.count(NodeId(f"n{lost}"))
+            moved = sum(a != b for a, b in zip(before, after, strict=True))
+            self.assertLessEqual(moved, 2 * own, lost)
+
+    @given(st.lists(st.sets(st.integers(0, 19), min_size=1), min_size=1, max_size=6))
+    def test_changes_one_by_one_lead_where_a_fresh_map_leads(self, views: list[set[int]]) -> None:
+        homes = make_map([], 30)
+        for view in views:
+            members = [make_member(n) for n in sorted(view)]
+            homes.update_members(tuple(members))
+            fresh = make_map(members, 30)
+            for number in range(30):
+                key = (ServiceName("s"), InstanceName(f"i{number}"))
+                self.assertEqual(homes.homes_of(*key), fresh.homes_of(*key))
+
+    def test_leaving_and_dead_nodes_are_no_homes_but_suspects_are(self) -> None:
+        members = [make_member(n) for n in range(4)]
+        members[0] = replace(members[0], state=MemberState.LEAVING)
+        members[1] = replace(members[1], state=MemberState.DEAD)
+        members[2] = replace(members[2], state=MemberState.SUSPECT)
+        self.assertEqual(set(assigned(make_map(members))), {"n2", "n3"})
+
+    def test_unknown_instance_and_empty_fleet_have_no_home(self) -> None:
+        self.assertEqual(make_map([]).homes_of(ServiceName("s"), InstanceName("i1")), ())
+        self.assertEqual(make_map([]).homes_of(ServiceName("x"), InstanceName("i1")), ())
+
+
+class EntryDirectoryTest(TestCase):
+    """Addresses for callers."""
+
+    def make_directories(self, count: int = 15) -> list[EntryDirectory]:
+        members = tuple(make_member(n) for n in range(count))
+        directories = [EntryDirectory(member.node) for member in members]
+        for directory in directories:
+            directory.update_members(members)
+        return directories
+
+    def test_callers_are_balanced_whichever_nodes_they_ask(self) -> None:
+        for seed in range(20):
+            for asked in (1, 3, 15):
+                random = Random(seed)
+                directories = self.make_directories()
+                loads: Counter[NodeId] = Counter()
+                for number in range(300):
+                    place = random.choice([None, *map(PlaceName, PLACES)])
+                    directory = random.choice(directories[:asked])
+                    answer = directory.answer(CallerId(f"c{number}"), place, 1000.0)
+                    loads[answer.addresses[0].node] += 1
+                self.assertLessEqual(max(loads.values()), 1.25 * 20, (seed, asked, loads))
+
+    def test_addresses_are_near_first_and_in_different_places(self) -> None:
+        directory = self.make_directories()[0]
+        answer = directory.answer(CallerId("a"), PlaceName(PLACES[1]), 1000.0)
+        places = [address.place for address in answer.addresses]
+        self.assertEqual(places[0], PLACES[1])
+        self.assertEqual(set(places), set(PLACES))
+
+    def test_all_callers_in_one_place_do_not_drown_its_nodes(self) -> None:
+        directory = self.make_directories()[0]
+        loads: Counter[NodeId] = Counter()
+        for number in range(300):
+            answer = directory.answer(CallerId(f"c{number}"), PlaceName(PLACES[0]), 1000.0)
+            loads[answer.addresses[0].node] += 1
+        self.assertLessEqual(max(loads.values()), 25)
+
+    def test_caller_keeps_its_node_until_that_leaves(self) -> None:
+        directory = self.make_directories()[0]
+        first = directory.answer(CallerId("a"), None, 1000.0).addresses[0].node
+        for number in range(20):
+            directory.answer(CallerId(f"c{number}"), None, 1001.0)
+        self.assertEqual(directory.answer(CallerId("a"), None, 1020.0).addresses[0].node, first)
+        members = [make_member(n) for n in range(15)]
+        members = [replace(m, state=MemberState.LEAVING) if m.node == first else m for m in members]
+        directory.update_members(tuple(members))
+        nodes = [a.node for a in directory.answer(CallerId("a"), None, 1021.0).addresses]
+        self.assertNotIn(first, nodes)
+
+    def test_callers_that_went_away_stop_to_count(self) -> None:
+        directory = self.make_directories(2)[0]
+        first = directory.answer(CallerId("a"), None, 1000.0).addresses[0].node
+        self.assertNotEqual(directory.answer(CallerId("b"), None, 1001.0).addresses[0].node, first)
+        self.assertEqual(directory.answer(CallerId("d"), None, 1100.0).addresses[0].node, first)
+        self.assertEqual(EntryDirectory(NodeId("x")).answer(CallerId("a"), None, 0).addresses, ())
--- /dev/null
+++ b/tests/test_peer_link.py
@@ -0,0 +1,232 @@
+"""Wire-level tests of the link between nodes, over real sockets on loopback."""
+
+from __future__ import annotations
+
+from collections import deque
+from queue import Queue
+from socket import create_connection, create_server
+from threading import Thread
+from typing import Any
+from unittest import TestCase
+
+import grpc
+from msgspec import Raw, Struct
+from msgspec.msgpack import encode
+
+from sequoiapulley.fleet.config_messages import ConfigRequest
+from sequoiapulley.ids import ConfigVersion, CustomerName, EditId, Incarnation, NodeId
+from sequoiapulley.link.frame_codec import (
+    FRAME_TARGET_BYTES,
+    BadFrameError,
+    decode_frame,
+    encode_frames,
+    encode_hello,
+)
+from sequoiapulley.link.messages import LinkHello
+from sequoiapulley.link.peer_link import LinkHandlers, LinkIdentity, PeerLink, PeerLinkStartError
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.search.messages import CancelSearch
+from tests.fleet_net import make_member
+
+PATIENCE_S = 10.0
+
+
+class LinkEnd:
+    """A started link and what it reported; `fire` runs at once in grpc's thread."""
+
+    def __init__(self, number: int, customer: str = "cedarline", **options: Any) -> None:
+        """Start the link on a free port."""
+        self.number = number
+        self.node = NodeId(f"n{number}")
+        self.messages: Queue[Any] = Queue()
+        self.lost: Queue[NodeId] = Queue()
+        self.unsent: list[Any] = []
+        self.log = MemoryLog()
+        handlers = LinkHandlers(
+            on_message=lambda node, inc, message: self.messages.put((node, inc, message)),
+            on_unsent=lambda _node, message: self.unsent.append(message),
+            on_peer_lost=self.lost.put,
+        )
+        identity = LinkIdentity(CustomerName(customer), self.node, Incarnation(5))
+        self.link = PeerLink(
+            identity, ("127.0.0.1", 0), lambda call: call(), handlers, self.log, **options
+        )
+        self.port = self.link.start()
+
+    def knows(self, *others: LinkEnd) -> None:
+        """Tells the link where others listen."""
+        members = []
+        for other in others:
+            member = make_member(other.number)
+            members.append(
+                type(member)(
+                    node=other.node,
+                    incarnation=member.incarnation,
+                    place=member.place,
+                    region=member.region,
+                    host="127.0.0.1",
+                    membership_port=0,
+                    link_port=other.port,
+                    callers_port=0,
+                    operators_port=0,
+                )
+            )
+        self.link.update_members(tuple(members))
+
+
+class PeerLinkTest(TestCase):
+    """Two ends on loopback."""
+
+    def start(self, number: int, **options: Any) -> LinkEnd:
+        end = LinkEnd(number, **options)
+        self.addCleanup(end.link.stop, 0.2)
+        return end
+
+    def test_messages_arrive_in_order_and_answers_use_the_same_stream(self) -> None:
+        one, two = self.start(1), self.start(2)
+        one.knows(two)
+        for number in range(500):
+            self.assertTrue(one.link.send(two.node, CancelSearch(number)))
+        seen = [two.messages.get(timeout=PATIENCE_S) for _ in range(500)]
+        self.assertEqual(seen, [(one.node, 5, CancelSearch(n)) for n in range(500)])
+        self.assertTrue(two.link.send(one.node, CancelSearch(7)))
+        self.assertEqual(one.messages.get(timeout=PATIENCE_S), (two.node, 5, CancelSearch(7)))
+        self.assertLess(one.link.counters.frames_sent, 500)
+
+    def test_lost_peer_is_reported_and_unsent_messages_come_back(self) -> None:
+        one, two = self.start(1), self.start(2)
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(1))
+        two.messages.get(timeout=PATIENCE_S)
+        two.link.stop(0.1)
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        self.assertTrue(one.link.send(two.node, CancelSearch(2)))
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        self.assertEqual(one.unsent, [CancelSearch(2)])
+        self.assertFalse(one.link.send(NodeId("stranger"), CancelSearch(3)))
+
+    def test_node_of_another_customer_is_refused(self) -> None:
+        one, two = self.start(1), self.start(2, customer="senderos")
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(1))
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        self.assertEqual(two.link.counters.refused_peers, 1)
+        self.assertTrue(two.messages.empty())
+
+    def test_another_node_at_the_address_gets_nothing(self) -> None:
+        one, two = self.start(1), self.start(2)
+        one.knows(two)
+        two.node = NodeId("n9")
+        one.knows(two)
+        one.link.send(NodeId("n9"), CancelSearch(1))
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), "n9")
+        self.assertEqual(one.unsent, [CancelSearch(1)])
+
+    def test_silent_stream_is_given_up_and_a_new_one_works(self) -> None:
+        two = self.start(2)
+        relay = SilencingRelay(two.port)
+        self.addCleanup(relay.close)
+        one = self.start(1)
+        real_port, two.port = two.port, relay.port
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(1))
+        two.messages.get(timeout=PATIENCE_S)
+        relay.silent = True
+        one.link.send(two.node, CancelSearch(2))
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        two.port = real_port
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(3))
+        self.assertEqual(two.messages.get(timeout=PATIENCE_S)[2], CancelSearch(3))
+
+    def test_taken_port_is_an_error(self) -> None:
+        with create_server(("127.0.0.1", 0)) as taken:
+            port = taken.getsockname()[1]
+            identity = LinkIdentity(CustomerName("c"), NodeId("x"), Incarnation(1))
+            handlers = LinkHandlers(lambda *_: None, lambda *_: None, lambda *_: None)
+            link = PeerLink(identity, ("127.0.0.1", port), lambda f: f(), handlers, MemoryLog())
+            with self.assertRaisesRegex(PeerLinkStartError, f"127.0.0.1:{port}"):
+                link.start()
+
+    def test_hello_of_an_unknown_protocol_version_is_refused(self) -> None:
+        two = self.start(2)
+        for version, oldest, admitted in ((0, 0, False), (9, 9, False), (9, 1, True)):
+            hello = LinkHello(CustomerName("cedarline"), NodeId("v"), Incarnation(1))
+            frame = encode_hello(type(hello)(hello.customer, hello.node, 1, version, oldest))
+            self.assertEqual(self.greet(two.port, frame), admitted, (version, oldest))
+        self.assertFalse(self.greet(two.port, b"\xff\x00garbage"))
+
+    def greet(self, port: int, frame: bytes) -> bool:
+        """Whether a raw grpc client's first frame is answered by a hello."""
+        with grpc.insecure_channel(f"127.0.0.1:{port}") as channel:
+            method = channel.stream_stream("/sequoiapulley.Link/Exchange")
+            try:
+                return bool(next(iter(method(iter([frame]), timeout=PATIENCE_S))))
+            except grpc.RpcError:
+                return False
+
+
+class SilencingRelay:
+    """Passes bytes between a client and a port until it is told to be silent."""
+
+    def __init__(self, target: int) -> None:
+        """Listen on a free port."""
+        self.silent = False
+        self._target = target
+        self._server = create_server(("127.0.0.1", 0))
+        self.port = self._server.getsockname()[1]
+        self._sockets: list[Any] = [self._server]
+        Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        """Closes every socket."""
+        for sock in self._sockets:
+            sock.close()
+
+    def _accept(self) -> None:
+        try:
+            client, _address = self._server.accept()
+        except OSError:
+            return
+        upstream = create_connection(("127.0.0.1", self._target))
+        self._sockets += [client, upstream]
+        Thread(target=self._copy, args=(client, upstream), daemon=True).start()
+        Thread(target=self._copy, args=(upstream, client), daemon=True).start()
+
+    def _copy(self, source: Any, target: Any) -> None:
+        try:
+            while data := source.recv(65536):
+                if not self.silent:
+                    target.sendall(data)
+        except OSError:
+            return
+
+
+class FrameCodecTest(TestCase):
+    """Frames of newer and broken peers."""
+
+    def test_unknown_kinds_are_counted_and_skipped(self) -> None:
+        class Novelty(Struct, tag="novelty"):
+            size: int
+
+        frame = encode([Raw(encode(Novelty(1))), Raw(encode(CancelSearch(4)))])
+        decoded = decode_frame(frame)
+        self.assertEqual((decoded.messages, decoded.unknown), ([CancelSearch(4)], 1))
+
+    def test_newer_fields_are_ignored(self) -> None:
+        class Newer(Struct, tag="cancel_search"):
+            search_id: int
+            why: str
+
+        self.assertEqual(decode_frame(encode([Newer(4, "late")])).messages, [CancelSearch(4)])
+
+    def test_truncated_and_oversized_frames_are_errors(self) -> None:
+        frame = encode([CancelSearch(4)])
+        for broken in (frame[:-1], b"", b"\xc1", bytes(5_000_000)):
+            with self.assertRaises(BadFrameError):
+                decode_frame(broken)
+
+    def test_frames_are_bounded(self) -> None:
+        big = ConfigRequest(ConfigVersion(1), EditId("x" * (FRAME_TARGET_BYTES // 2)))
+        frames = encode_frames(deque([big, big, big, CancelSearch(1)]))
+        self.assertEqual([len(decode_frame(frame).messages) for frame in frames], [1, 1, 2])
