--- /dev/null
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -0,0 +1,272 @@
+"""The upstreams' wire contract: paths, headers, JSON bodies and the meaning of a status.
+
+Nothing else knows how upstreams speak; docs/CONTRACTS.md describes the same for operators.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Final, Protocol
+
+from msgspec import DecodeError, Raw, Struct
+from msgspec.json import Decoder, Encoder
+
+from sequoiapulley.ids import ExchangeId, ShardId
+from sequoiapulley.model.snapshot import Snapshot
+from sequoiapulley.search.messages import Hit
+from sequoiapulley.upstream.messages import (
+    ReplyKind,
+    SendExchange,
+    SubRun,
+    SubSearch,
+    UpstreamReply,
+)
+
+SEARCH_PATH: Final = "/search"
+RUN_PATH: Final = "/run"
+JSON_HEADERS: Final = (("content-type", "application/json"),)
+IDEMPOTENCY_HEADER: Final = "idempotency-key"
+DRAINING_HEADER: Final = "x-draining"
+LOAD_HEADER: Final = "x-load"
+MS_PER_S: Final = 1000.0
+
+_KIND_OF_STATUS: Final[Mapping[int, ReplyKind]] = {
+    200: ReplyKind.OK,
+    409: ReplyKind.WRONG_SNAPSHOT,
+    429: ReplyKind.SHED,
+    503: ReplyKind.DRAINING,
+    504: ReplyKind.EXPIRED,
+}
+
+
+class ContractError(ValueError):
+    """A reply's body that breaks the contract."""
+
+
+class _SearchBody(Struct):
+    """Body of a search."""
+
+    request_id: int
+    service: str
+    instance: str
+    query: str
+    limit: int
+    snapshot: str | None
+    time_left_ms: float
+
+
+class _RunBody(Struct):
+    """Body of a non-idempotent request."""
+
+    request_id: int
+    service: str
+    instance: str
+    request: Raw
+    time_left_ms: float
+
+
+class _Envelope(Struct):
+    """What every reply carries; the rest of the body is skipped."""
+
+    request_id: int
+    snapshot: str | None = None
+    available: tuple[str, ...] = ()
+
+
+class _WireHit(Struct):
+    """One hit as upstreams send it."""
+
+    id: str
+    score: float
+    fields: dict[str, str] = {}
+
+
+class _HitsBody(Struct):
+    """Body of a search's reply, without the envelope."""
+
+    shard: str
+    hits: list[_WireHit]
+
+
+class _RunReplyBody(Struct):
+    """Body of the reply to a non-idempotent request, without the envelope."""
+
+    result: Raw
+
+
+_ENCODER: Final = Encoder()
+_ENVELOPE: Final = Decoder(_Envelope)
+_HITS: Final = Decoder(_HitsBody)
+_RUN_REPLY: Final = Decoder(_RunReplyBody)
+
+
+def encode_search(exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
+    """Encodes the body of a search for `SEARCH_PATH`, sent with `JSON_HEADERS`.
+
+    Args:
+        exchange_id: The id that the reply must carry.
+        sub: The sub-search.
+        now: Clock reading in seconds.
+
+    Returns:
+        A JSON body.
+    """
+    snapshot = None if sub.snapshot is None else str(sub.snapshot)
+    target = sub.target
+    time_left = round(max(0.0, sub.deadline - now) * MS_PER_S, 3)
+    return _ENCODER.encode(
+        _SearchBody(
+            exchange_id,
+            target.service,
+            target.instance,
+            sub.query,
+            sub.limit,
+            snapshot,
+            time_left,
+        )
+    )
+
+
+def encode_run(exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
+    """Encodes the body of a non-idempotent request for `RUN_PATH`, sent with `run_headers`.
+
+    Args:
+        exchange_id: The id that the reply must carry.
+        sub: The request; its body is JSON text.
+        now: Clock reading in seconds.
+
+    Returns:
+        A JSON body.
+    """
+    time_left = round(max(0.0, sub.deadline - now) * MS_PER_S, 3)
+    request = Raw(sub.body.encode())
+    return _ENCODER.encode(_RunBody(exchange_id, sub.service, sub.instance, request, time_left))
+
+
+def run_headers(sub: SubRun) -> tuple[tuple[str, str], ...]:
+    """Returns the headers of a non-idempotent request, with its idempotency key."""
+    return (*JSON_HEADERS, (IDEMPOTENCY_HEADER, sub.key))
+
+
+def decode_search_body(body: bytes, shard: ShardId) -> tuple[Hit, ...]:
+    """Decodes the hits of a reply that `HttpContract` found to be OK.
+
+    Args:
+        body: `UpstreamReply.body`.
+        shard: The shard that was asked for.
+
+    Returns:
+        The hits in the upstream's order.
+
+    Raises:
+        ContractError: If the body does not decode or is another shard's.
+    """
+    try:
+        reply = _HITS.decode(body)
+    except (DecodeError, UnicodeDecodeError) as exc:
+        raise ContractError(f"search reply does not decode: {exc}") from exc
+    if reply.shard != shard:
+        raise ContractError(f"reply of shard {reply.shard!r} where {shard!r} was asked")
+    return tuple(Hit(hit.id, hit.score, shard, hit.fields) for hit in reply.hits)
+
+
+def decode_run_body(body: bytes) -> str:
+    """Decodes the result of a non-idempotent request.
+
+    Args:
+        body: `UpstreamReply.body` of an OK reply.
+
+    Returns:
+        JSON text.
+
+    Raises:
+        ContractError: If the body does not decode.
+    """
+    try:
+        return bytes(_RUN_REPLY.decode(body).result).decode()
+    except (DecodeError, UnicodeDecodeError) as exc:
+        raise ContractError(f"run reply does not decode: {exc}") from exc
+
+
+class UpstreamContract(Protocol):
+    """How requests and replies look on an upstream's wire."""
+
+    def encode(self, order: SendExchange, host: str, port: int) -> bytes:
+        """Encodes a whole request."""
+
+    def decode(
+        self,
+        exchange_id: ExchangeId,
+        status: int,
+        header: Callable[[bytes], bytes | None],
+        body: bytes,
+    ) -> UpstreamReply:
+        """Decodes a whole reply; one that breaks the contract is `MALFORMED`."""
+
+
+class HttpContract:
+    """The contract over HTTP/1.1 with JSON bodies."""
+
+    def encode(self, order: SendExchange, host: str, port: int) -> bytes:
+        """Encodes a whole request.
+
+        Args:
+            order: The request; its headers and path are trusted, they come from this module.
+            host: IP address of the upstream.
+            port: TCP port of the upstream.
+
+        Returns:
+            The request's bytes.
+        """
+        head = f"POST {order.path} HTTP/1.1\r\nhost: {host}:{port}\r\n"
+        for name, value in order.headers:
+            head += f"{name}: {value}\r\n"
+        return f"{head}content-length: {len(order.body)}\r\n\r\n".encode("latin-1") + order.body
+
+    def decode(
+        self,
+        exchange_id: ExchangeId,
+        status: int,
+        header: Callable[[bytes], bytes | None],
+        body: bytes,
+    ) -> UpstreamReply:
+        """Decodes a whole reply.
+
+        Args:
+            exchange_id: The id that the request carried.
+            status: HTTP status.
+            header: Looks a header up by its lower-case name.
+            body: The whole body.
+
+        Returns:
+            The reply; `MALFORMED` if it does not decode or carries another id.
+        """
+        kind = _KIND_OF_STATUS.get(status, ReplyKind.ERROR)
+        try:
+            envelope = _ENVELOPE.decode(body)
+            snapshot = Snapshot.parse(envelope.snapshot) if envelope.snapshot else None
+            available = tuple(Snapshot.parse(text) for text in envelope.available)
+        except (ValueError, UnicodeDecodeError):
+            failed = ReplyKind.ERROR if kind is ReplyKind.ERROR else ReplyKind.MALFORMED
+            return UpstreamReply(failed)
+        if envelope.request_id != exchange_id:
+            return UpstreamReply(ReplyKind.MALFORMED)
+        return UpstreamReply(
+            kind,
+            snapshot,
+            available,
+            body,
+            kind is ReplyKind.DRAINING or header(DRAINING_HEADER.encode()) == b"1",
+            _parse_load(header(LOAD_HEADER.encode())),
+        )
+
+
+def _parse_load(value: bytes | None) -> float | None:
+    """Reads a reported load, or None when there is none or it is not a number from 0 to 1."""
+    if value is None:
+        return None
+    try:
+        load = float(value)
+    except ValueError:
+        return None
+    return load if 0.0 <= load <= 1.0 else None
