--- /dev/null
+++ b/src/sequoiapulley/platform/http_vm_list.py
@@ -0,0 +1,61 @@
+"""The platform's list of VMs over HTTP; its wire contract lives here alone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from msgspec import DecodeError, Struct
+from msgspec.json import decode
+from result import Err, Ok
+
+from sequoiapulley.platform.vm_list import VmListReply, VmRecord
+from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+
+LIST_PATH: Final = "/v1/vms"
+CALL_TIMEOUT_S: Final = 2.0
+STATUS_OK: Final = 200
+
+
+class _ListBody(Struct):
+    """Body of the list."""
+
+    vms: tuple[VmRecord, ...]
+
+
+class HttpVmList:
+    """Implements `VmList`."""
+
+    def __init__(self, client: HttpClient, host: str, port: int) -> None:
+        """Initialise the adapter.
+
+        Args:
+            client: Sends the calls.
+            host: IP address of the list's server.
+            port: TCP port of the list's server.
+        """
+        self._client = client
+        self._host = host
+        self._port = port
+
+    def fetch(self, done: Callable[[VmListReply], None]) -> None:
+        """Fetches the list."""
+
+        def on_done(result: HttpResult) -> None:
+            done(_decode_list(result))
+
+        call = HttpCall(self._host, self._port, "GET", LIST_PATH, timeout=CALL_TIMEOUT_S)
+        self._client.request(call, on_done)
+
+
+def _decode_list(result: HttpResult) -> VmListReply:
+    """Turns the outcome of a call into the list or a message."""
+    if isinstance(result, Err):
+        return Err(f"VM list: {result.err_value.detail}")
+    reply = result.ok_value
+    if reply.status != STATUS_OK:
+        return Err(f"VM list: status {reply.status}")
+    try:
+        return Ok(decode(reply.body, type=_ListBody).vms)
+    except DecodeError as exc:
+        return Err(f"VM list does not decode: {exc}")
--- a/src/sequoiapulley/upstream/http_contract.py
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Mapping
 from typing import Final, Protocol
+from urllib.parse import quote
 
 from msgspec import DecodeError, Raw, Struct
 from msgspec.json import Decoder, Encoder
@@ -144,8 +145,8 @@
 
 
 def run_headers(sub: SubRun) -> tuple[tuple[str, str], ...]:
-    """Returns the headers of a non-idempotent request, with its idempotency key."""
-    return (*JSON_HEADERS, (IDEMPOTENCY_HEADER, sub.key))
+    """Returns the headers of a non-idempotent request, with its key percent-encoded."""
+    return (*JSON_HEADERS, (IDEMPOTENCY_HEADER, quote(sub.key, safe="")))
 
 
 def decode_search_body(body: bytes, shard: ShardId) -> tuple[Hit, ...]:
--- a/src/sequoiapulley/upstream/messages.py
+++ b/src/sequoiapulley/upstream/messages.py
@@ -89,6 +89,9 @@
     """The connection closed or was reset with the request in flight."""
     CONNECT_FAILED = "connect_failed"
     """No connection could be opened; no byte left."""
+    DISCARDED = "discarded"
+    """The client gave the connection up as silent to make room for a fresh one; the request
+    may have run, and neither it nor the upstream is to blame."""
 
 
 class Action(Struct, frozen=True, tag=True):
--- /dev/null
+++ b/src/sequoiapulley/wire/http_client.py
@@ -0,0 +1,285 @@
+"""HTTP client of the platform adapters: few servers, few calls, connections reused."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import Final
+
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from sequoiapulley.runtime import Clock, TimerHandle, TimerQueue
+from sequoiapulley.wire.http_connection import (
+    CloseReason,
+    ConnectionState,
+    HttpConnection,
+    ReplyBounds,
+)
+from sequoiapulley.wire.reactor import Reactor
+from sequoiapulley.wire.reply_parser import ParsedReply
+
+CONNECTIONS_PER_SERVER: Final = 8
+MAX_IDLE_S: Final = 20.0
+"""An idle connection older than this is not used again."""
+
+
+class HttpCall(Struct, frozen=True):
+    """One request."""
+
+    host: str
+    """IP address."""
+    port: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    timeout: float = 2.0
+    """Longest wait for the whole reply, in seconds, queueing included."""
+
+
+class HttpReply(Struct, frozen=True):
+    """One whole reply."""
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    """Names in lower case."""
+    body: bytes
+
+
+class HttpFailureKind(Enum):
+    """How a call failed."""
+
+    CONNECT = "connect"
+    TIMEOUT = "timeout"
+    CLOSED = "closed"
+    """The connection closed before the whole reply."""
+    BAD_REPLY = "bad_reply"
+    """The reply broke HTTP or the bounds."""
+
+
+class HttpFailure(Struct, frozen=True):
+    """A call without a reply."""
+
+    kind: HttpFailureKind
+    sent: bool
+    """Whether any byte left, so that the request may have taken effect."""
+    detail: str
+
+
+HttpResult = Result[HttpReply, HttpFailure]
+
+_KIND_OF_REASON: Final = {
+    CloseReason.CONNECT_FAILED: HttpFailureKind.CONNECT,
+    CloseReason.PEER_CLOSED: HttpFailureKind.CLOSED,
+    CloseReason.TRUNCATED: HttpFailureKind.CLOSED,
+    CloseReason.MALFORMED: HttpFailureKind.BAD_REPLY,
+    CloseReason.TOO_LARGE: HttpFailureKind.BAD_REPLY,
+    CloseReason.LOCAL: HttpFailureKind.CLOSED,
+}
+
+
+class _Exchange:
+    """One call on its way."""
+
+    __slots__ = ("call", "conn", "done", "timer")
+
+    def __init__(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+        """Initialise a call that waits for a connection."""
+        self.call = call
+        self.done: Callable[[HttpResult], None] | None = done
+        self.conn: HttpConnection | None = None
+        self.timer: TimerHandle | None = None
+
+    def finish(self, outcome: HttpResult) -> None:
+        """Calls back, once."""
+        done, self.done = self.done, None
+        if self.timer is not None:
+            self.timer.cancel()
+        if done is not None:
+            done(outcome)
+
+
+class _Server:
+    """Connections and waiting calls of one address."""
+
+    def __init__(self) -> None:
+        """Initialise without connections."""
+        self.idle: list[HttpConnection] = []
+        self.open: set[HttpConnection] = set()
+        self.waiting: deque[_Exchange] = deque()
+
+
+class HttpClient:
+    """Sends calls and reports each outcome once, never from inside `request`."""
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        clock: Clock,
+        timers: TimerQueue,
+        bounds: ReplyBounds | None = None,
+    ) -> None:
+        """Initialise without connections.
+
+        Args:
+            reactor: Owner of the sockets.
+            clock: Source of time.
+            timers: Timers of the same event loop.
+            bounds: Largest reply that is read.
+        """
+        self._reactor = reactor
+        self._clock = clock
+        self._timers = timers
+        self._bounds = bounds or ReplyBounds()
+        self._servers: dict[tuple[str, int], _Server] = {}
+
+    def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+        """Sends one request.
+
+        Args:
+            call: The request; its path and headers hold no line breaks.
+            done: Called once with the reply or the failure.
+        """
+        exchange = _Exchange(call, done)
+        exchange.timer = self._timers.call_later(call.timeout, lambda: self._expire(exchange))
+        server = self._servers.setdefault((call.host, call.port), _Server())
+        server.waiting.append(exchange)
+        self._pump(server, call.host, call.port)
+
+    def close(self) -> None:
+        """Closes every connection; calls in flight are not called back."""
+        for server in self._servers.values():
+            for conn in server.open:
+                conn.close()
+        self._servers.clear()
+
+    def on_open(self, conn: HttpConnection) -> None:
+        """Uses a new connection."""
+        server, host, port = self._place(conn)
+        server.idle.append(conn)
+        self._pump(server, host, port)
+
+    def on_reply(self, conn: HttpConnection, reply: ParsedReply) -> None:
+        """Finishes the call of a connection."""
+        server, host, port = self._place(conn)
+        exchange = _exchange_of(conn)
+        _detach(conn)
+        if conn.state is ConnectionState.IDLE:
+            server.idle.append(conn)
+        else:
+            server.open.discard(conn)
+        if exchange is not None:
+            exchange.finish(Ok(HttpReply(reply.status, reply.headers, reply.body)))
+        self._pump(server, host, port)
+
+    def on_closed(self, conn: HttpConnection, reason: CloseReason) -> None:
+        """Fails the call of a connection, or one that waits for it to open."""
+        server, host, port = self._place(conn)
+        server.open.discard(conn)
+        if conn in server.idle:
+            server.idle.remove(conn)
+        exchange = _exchange_of(conn)
+        if exchange is None and reason is CloseReason.CONNECT_FAILED and server.waiting:
+            exchange = server.waiting.popleft()
+        if exchange is not None:
+            kind = _KIND_OF_REASON[reason]
+            detail = f"{host}:{port}: {reason.value}"
+            exchange.finish(Err(HttpFailure(kind, conn.bytes_left, detail)))
+        self._pump(server, host, port)
+
+    def _pump(self, server: _Server, host: str, port: int) -> None:
+        """Sends waiting calls while connections allow."""
+        while server.waiting:
+            conn = self._take_idle(server)
+            if conn is None:
+                break
+            exchange = server.waiting.popleft()
+            exchange.conn = conn
+            conn.tag = (host, port, exchange)
+            conn.send(_encode(exchange.call))
+        opening = sum(1 for conn in server.open if conn.state is ConnectionState.CONNECTING)
+        room = CONNECTIONS_PER_SERVER - len(server.open)
+        for _ in range(min(room, len(server.waiting) - opening)):
+            self._connect(server, host, port)
+
+    def _take_idle(self, server: _Server) -> HttpConnection | None:
+        """Takes the idle connection used last, dropping those idle for too long."""
+        while server.idle:
+            conn = server.idle.pop()
+            if self._clock.now() - conn.last_used <= MAX_IDLE_S:
+                return conn
+            server.open.discard(conn)
+            conn.close()
+        return None
+
+    def _connect(self, server: _Server, host: str, port: int) -> None:
+        """Opens one more connection; an immediate failure fails one waiting call, later."""
+        try:
+            conn = HttpConnection(self._reactor, host, port, self, self._bounds)
+        except OSError as exc:
+            exchange = server.waiting.popleft()
+            failure = HttpFailure(HttpFailureKind.CONNECT, False, f"{host}:{port}: {exc}")
+            self._timers.call_later(0.0, lambda: exchange.finish(Err(failure)))
+            return
+        conn.tag = (host, port, None)
+        server.open.add(conn)
+
+    def _expire(self, exchange: _Exchange) -> None:
+        """Gives a call up at its timeout."""
+        call = exchange.call
+        server = self._servers.get((call.host, call.port))
+        conn = exchange.conn
+        sent = False
+        if conn is not None:
+            sent = conn.bytes_left
+            conn.close()
+            if server is not None:
+                server.open.discard(conn)
+                _drop_idle(server)
+        elif server is not None and exchange in server.waiting:
+            server.waiting.remove(exchange)
+        detail = f"{call.host}:{call.port}: no reply within {call.timeout} s"
+        exchange.finish(Err(HttpFailure(HttpFailureKind.TIMEOUT, sent, detail)))
+        if server is not None:
+            self._pump(server, call.host, call.port)
+
+    def _place(self, conn: HttpConnection) -> tuple[_Server, str, int]:
+        """Returns the server of a connection and its address."""
+        host, port, _ = _tag(conn)
+        return self._servers.setdefault((host, port), _Server()), host, port
+
+
+def _drop_idle(server: _Server) -> None:
+    """Closes idle connections, which may have gone silent like the one that timed out."""
+    for conn in server.idle:
+        server.open.discard(conn)
+        conn.close()
+    server.idle.clear()
+
+
+def _tag(conn: HttpConnection) -> tuple[str, int, _Exchange | None]:
+    """Returns the address and exchange of a connection."""
+    tag = conn.tag
+    assert isinstance(tag, tuple)
+    return tag
+
+
+def _exchange_of(conn: HttpConnection) -> _Exchange | None:
+    """Returns the exchange in flight on a connection, if any."""
+    return _tag(conn)[2]
+
+
+def _detach(conn: HttpConnection) -> None:
+    """Marks a connection as carrying no exchange."""
+    host, port, _ = _tag(conn)
+    conn.tag = (host, port, None)
+
+
+def _encode(call: HttpCall) -> bytes:
+    """Encodes a whole request."""
+    lines = [f"{call.method} {call.path} HTTP/1.1", f"host: {call.host}:{call.port}"]
+    lines.extend(f"{name}: {value}" for name, value in call.headers)
+    lines.append(f"content-length: {len(call.body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + call.body
--- /dev/null
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -0,0 +1,265 @@
+"""A non-blocking HTTP/1.1 client connection with one exchange at a time."""
+
+from __future__ import annotations
+
+from enum import Enum
+from socket import (
+    AF_INET,
+    AF_INET6,
+    IPPROTO_TCP,
+    SO_ERROR,
+    SO_KEEPALIVE,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+    TCP_USER_TIMEOUT,
+    socket,
+)
+from typing import Final, Protocol
+
+from msgspec import Struct
+
+from sequoiapulley.wire.reactor import BROKEN, READABLE, WRITABLE, Reactor
+from sequoiapulley.wire.reply_parser import ParsedReply, ReplyError, ReplyParser
+
+RECEIVE_BYTES: Final = 65_536
+KEEPALIVE_IDLE_S: Final = 5
+KEEPALIVE_INTERVAL_S: Final = 2
+KEEPALIVE_PROBES: Final = 3
+USER_TIMEOUT_MS: Final = 10_000
+
+
+class ConnectionState(Enum):
+    """Life of a connection."""
+
+    CONNECTING = "connecting"
+    IDLE = "idle"
+    BUSY = "busy"
+    CLOSED = "closed"
+
+
+class CloseReason(Enum):
+    """Why a connection closed."""
+
+    CONNECT_FAILED = "connect_failed"
+    PEER_CLOSED = "peer_closed"
+    """End of stream or reset by the peer or the network."""
+    TRUNCATED = "truncated"
+    """The stream ended inside a reply."""
+    MALFORMED = "malformed"
+    """The peer broke HTTP, or sent what nobody asked for."""
+    TOO_LARGE = "too_large"
+    """A reply exceeded the bounds."""
+    LOCAL = "local"
+    """This process closed it."""
+
+
+class ReplyBounds(Struct, frozen=True):
+    """Largest reply that is read."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+
+
+class ConnectionOwner(Protocol):
+    """Receives what happens on a connection, never from inside a call it made."""
+
+    def on_open(self, conn: HttpConnection) -> None:
+        """Handles a finished connect; the connection is idle."""
+
+    def on_reply(self, conn: HttpConnection, reply: ParsedReply) -> None:
+        """Handles a whole reply; the connection is idle or about to close."""
+
+    def on_closed(self, conn: HttpConnection, reason: CloseReason) -> None:
+        """Handles a close that the owner did not ask for."""
+
+
+class HttpConnection:
+    """One TCP connection to one server."""
+
+    __slots__ = (
+        "_fd",
+        "_out",
+        "_owner",
+        "_parser",
+        "_reactor",
+        "_sock",
+        "bytes_left",
+        "last_used",
+        "opened_at",
+        "replies",
+        "sent_at",
+        "state",
+        "tag",
+    )
+
+    def __init__(
+        self,
+        reactor: Reactor,
+        host: str,
+        port: int,
+        owner: ConnectionOwner,
+        bounds: ReplyBounds,
+    ) -> None:
+        """Start to connect.
+
+        Args:
+            reactor: Watches the socket.
+            host: IP address.
+            port: TCP port.
+            owner: Receiver of what happens.
+            bounds: Largest reply that is read.
+
+        Raises:
+            OSError: If the connect fails at once; nothing is left open.
+        """
+        self._reactor = reactor
+        self._owner = owner
+        self._parser = ReplyParser(bounds.header_bytes, bounds.body_bytes)
+        self._out = b""
+        self.state = ConnectionState.CONNECTING
+        self.bytes_left = False
+        """Whether any byte of the present exchange left this process."""
+        self.replies = 0
+        """Whole replies received."""
+        self.opened_at = reactor.clock.now()
+        """Clock reading at which the connect began."""
+        self.sent_at = self.opened_at
+        """Clock reading at which the present or last exchange began."""
+        self.last_used = self.opened_at
+        """Clock reading of the last reply, or of the connect."""
+        self.tag: object = None
+        """Free for the owner's use."""
+        self._sock = _open_socket(host, port)
+        self._fd = self._sock.fileno()
+        reactor.register(self._fd, WRITABLE, self)
+
+    @property
+    def reply_begun(self) -> bool:
+        """Whether a part of the awaited reply has arrived."""
+        return self._parser.in_message
+
+    def send(self, data: bytes) -> None:
+        """Sends a whole request on an idle connection.
+
+        A failure is reported by `on_closed`, after the return.
+
+        Args:
+            data: The request's bytes.
+
+        Raises:
+            RuntimeError: If the connection is not idle.
+        """
+        if self.state is not ConnectionState.IDLE:
+            raise RuntimeError(f"cannot send on a connection that is {self.state.value}")
+        self.state = ConnectionState.BUSY
+        self.bytes_left = False
+        self.sent_at = self._reactor.clock.now()
+        self._write(data)
+
+    def close(self) -> None:
+        """Closes the connection; the owner hears nothing more of it."""
+        if self.state is ConnectionState.CLOSED:
+            return
+        self.state = ConnectionState.CLOSED
+        self._reactor.unregister(self._fd)
+        self._sock.close()
+
+    def on_ready(self, events: int) -> None:
+        """Handles readiness of the socket."""
+        if self.state is ConnectionState.CONNECTING:
+            self._finish_connect(events)
+            return
+        if events & (READABLE | BROKEN):
+            self._read()
+        if events & WRITABLE and self._out and self.state is ConnectionState.BUSY:
+            self._write(self._out)
+
+    def _finish_connect(self, events: int) -> None:
+        """Turns a connecting socket idle, or reports the failure."""
+        failed = self._sock.getsockopt(SOL_SOCKET, SO_ERROR)
+        if failed or events & BROKEN:
+            self._fail(CloseReason.CONNECT_FAILED)
+            return
+        self.state = ConnectionState.IDLE
+        self.last_used = self._reactor.clock.now()
+        self._reactor.modify(self._fd, READABLE)
+        self._owner.on_open(self)
+
+    def _write(self, data: bytes) -> None:
+        """Writes what the socket takes and keeps the rest."""
+        waited = bool(self._out)
+        try:
+            sent = self._sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            # The socket is broken; the reactor reports it at the next poll.
+            sent = 0
+        if sent:
+            self.bytes_left = True
+        self._out = data[sent:]
+        if waited is not bool(self._out):
+            self._reactor.modify(self._fd, READABLE | WRITABLE if self._out else READABLE)
+
+    def _read(self) -> None:
+        """Reads what has arrived and reports whole replies."""
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            truncated = self._parser.in_message
+            self._fail(CloseReason.TRUNCATED if truncated else CloseReason.PEER_CLOSED)
+            return
+        if self.state is ConnectionState.IDLE:
+            self._fail(CloseReason.MALFORMED)
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Feeds the parser and reports a whole reply."""
+        try:
+            reply = self._parser.feed(data)
+        except ReplyError as exc:
+            self._fail(CloseReason.TOO_LARGE if exc.too_large else CloseReason.MALFORMED)
+            return
+        if reply is None:
+            return
+        self.replies += 1
+        self.last_used = self._reactor.clock.now()
+        if self._out or not reply.keep_alive:
+            self.close()
+        else:
+            self.state = ConnectionState.IDLE
+        self._owner.on_reply(self, reply)
+
+    def _fail(self, reason: CloseReason) -> None:
+        """Closes the connection and tells the owner."""
+        self.close()
+        self._owner.on_closed(self, reason)
+
+
+def _open_socket(host: str, port: int) -> socket:
+    """Opens a non-blocking socket and starts its connect."""
+    sock = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+        sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES)
+        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        sock.connect((host, port))
+    except BlockingIOError:
+        return sock
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/src/sequoiapulley/wire/reactor_component.py
@@ -0,0 +1,69 @@
+"""Drives the reactor and the timers from the circuits manager."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from circuits import BaseComponent, handler
+from circuits.core.pollers import BasePoller, EPoll
+from circuits.core.utils import findcmp
+
+from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.wire.reactor import Reactor
+
+
+class ReactorComponent(BaseComponent):
+    """Polls the reactor when its epoll object is readable, and runs due timers.
+
+    A wake-up costs one circuits event, however many sockets are ready. An application that also
+    has circuits sockets registers an `EPoll` on its root first, so that both share it.
+    """
+
+    channel = "reactor"
+
+    def __init__(self, reactor: Reactor, timers: TimerQueue) -> None:
+        """Initialise the component.
+
+        Args:
+            reactor: Owner of the client sockets.
+            timers: Timers of the process.
+        """
+        super().__init__(channel=self.channel)
+        self._reactor = reactor
+        self._timers = timers
+        self._poller: BasePoller | None = None
+
+    @handler("started", channel="*")
+    def _on_started(self, *_args: Any) -> None:
+        """Watches the reactor's descriptor."""
+        if self._poller is not None:
+            return
+        self._poller = self._find_poller()
+        self._poller.addReader(self, self._reactor.fileno())
+
+    @handler("stopped", channel="*")
+    def _on_stopped(self, *_args: Any) -> None:
+        """Stops watching the reactor's descriptor."""
+        if self._poller is None:
+            return
+        self._poller.discard(self._reactor.fileno())
+        self._poller = None
+
+    @handler("_read", channel="reactor")
+    def _on_readable(self, _fd: int) -> None:
+        """Serves every ready socket."""
+        self._reactor.poll()
+
+    @handler("generate_events", channel="*")
+    def _on_generate_events(self, event: Any) -> None:
+        """Runs due timers and bounds the manager's wait by the next one."""
+        self._timers.run_due()
+        due = self._timers.next_due()
+        if due is None:
+            return
+        event.reduce_time_left(max(0.0, due - self._timers.clock.now()))
+
+    def _find_poller(self) -> BasePoller:
+        """Returns the manager's poller, registering an EPoll if there is none."""
+        poller = findcmp(self.root, BasePoller)
+        return EPoll().register(self.root) if poller is None else poller
--- /dev/null
+++ b/tests/test_upstream_transport.py
@@ -0,0 +1,95 @@
+"""Tests of the upstream transport against stand-in upstreams over real sockets."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.ids import ExchangeId, ShardId
+from sequoiapulley.model import Snapshot
+from sequoiapulley.upstream.http_contract import decode_search_body
+from sequoiapulley.upstream.messages import CancelExchange, LossKind, ReplyKind
+from standins.upstream_spec import UpstreamSpec
+from standins.upstreams import UpstreamsStandIn
+from tests.wire_support import UPSTREAM, Loop, Recorder
+
+
+class UpstreamTransportTest(TestCase):
+    """Each exchange has one outcome, and it is the true one."""
+
+    def setUp(self) -> None:
+        spec = UpstreamSpec("u", "i", "s", slots=2, connections=8, open_ms=0.0)
+        self.upstreams = UpstreamsStandIn([spec])
+        self.upstreams.start()
+        self.addCleanup(self.upstreams.stop)
+        self.loop = Loop()
+        self.recorder = Recorder(self.loop, self.upstreams.ports["u"])
+
+    def test_reuses_connections_within_the_allowance(self) -> None:
+        for number in range(40):
+            self.recorder.send(number)
+        self.recorder.until_outcomes(40)
+        self.assertEqual({reply.kind for reply in self.recorder.replies.values()}, {ReplyKind.OK})
+        counters = self.upstreams.counters("u")
+        self.assertEqual(counters.run, 40)
+        self.assertLessEqual(counters.peak_connections, 4)
+        self.assertEqual(counters.connections_opened, 4)
+
+    def test_reply_carries_snapshot_and_hits(self) -> None:
+        self.upstreams.set_faults("u", snapshots=["1.1", "1.2"])
+        self.recorder.send(1)
+        self.recorder.until_outcomes(1)
+        reply = self.recorder.replies[1]
+        self.assertEqual(reply.snapshot, Snapshot(1, 2))
+        self.assertEqual(reply.available, (Snapshot(1, 1), Snapshot(1, 2)))
+        self.assertEqual(len(decode_search_body(reply.body, ShardId("i"))), 2)
+
+    def test_each_refusal_has_its_kind(self) -> None:
+        cases = (
+            ({"draining": True}, ReplyKind.DRAINING),
+            ({"shed_share": 1.0}, ReplyKind.SHED),
+            ({"error_share": 1.0}, ReplyKind.ERROR),
+            ({"crossed_share": 1.0}, ReplyKind.MALFORMED),
+            ({"truncate_share": 1.0}, ReplyKind.MALFORMED),
+        )
+        for number, (faults, kind) in enumerate(cases):
+            self.upstreams.set_faults("u", **faults)
+            self.recorder.send(number)
+            self.recorder.until_outcomes(number + 1)
+            self.assertEqual(self.recorder.replies[number].kind, kind)
+            self.upstreams.set_faults("u", **{name: type(v)() for name, v in faults.items()})
+
+    def test_lost_connection_is_told_from_one_never_opened(self) -> None:
+        self.upstreams.set_faults("u", drop_share=1.0)
+        self.recorder.send(1)
+        self.recorder.until_outcomes(1)
+        self.upstreams.set_faults("u", down=True)
+        self.loop.until(lambda: self.recorder.transport.counts().connections == 0)
+        self.recorder.send(2)
+        self.recorder.until_outcomes(2)
+        self.assertEqual(self.recorder.losses[1], LossKind.CONNECTION_LOST)
+        self.assertEqual(self.recorder.losses[2], LossKind.CONNECT_FAILED)
+
+    def test_cancel_stops_the_upstream(self) -> None:
+        self.upstreams.set_faults("u", latency_ms=60_000.0)
+        self.recorder.send(1)
+        self.loop.until(lambda: self.upstreams.counters("u").running == 1)
+        self.recorder.transport.execute(CancelExchange(ExchangeId(1), UPSTREAM))
+        self.loop.until(lambda: self.upstreams.counters("u").cancelled == 1)
+        self.assertEqual(self.upstreams.counters("u").running, 0)
+        self.assertEqual(self.recorder.outcomes, 0)
+
+    def test_fresh_connection_replaces_silent_ones(self) -> None:
+        self.recorder.send(1)
+        self.recorder.send(2)
+        self.recorder.until_outcomes(2)
+        self.assertEqual(self.upstreams.silence("u"), 2)
+        self.recorder.send(3)
+        self.loop.until(lambda: True)
+        self.recorder.send(4, fresh=True)
+        self.recorder.until_outcomes(3)
+        self.assertEqual(self.recorder.replies[4].kind, ReplyKind.OK)
+        self.recorder.transport.execute(CancelExchange(ExchangeId(3), UPSTREAM))
+        self.recorder.send(5)
+        self.recorder.until_outcomes(4)
+        self.assertEqual(self.recorder.replies[5].kind, ReplyKind.OK)
+        self.assertEqual(self.recorder.losses, {})
