--- /dev/null
+++ b/src/sequoiapulley/daemon/request_task.py
@@ -0,0 +1,119 @@
+"""Carries out the decisions about non-idempotent requests, as an entry and as a home."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from circuits import BaseComponent, handler
+
+from sequoiapulley.daemon.postbox import Postbox
+from sequoiapulley.daemon.upstream_task import UpstreamTask
+from sequoiapulley.ids import Incarnation, NodeId, RequestId
+from sequoiapulley.link.messages import LinkMessage
+from sequoiapulley.model import Configuration
+from sequoiapulley.requests.coordinator import RequestCoordinator
+from sequoiapulley.requests.messages import KeyedRequest, RequestOutcome, RunOrder, RunReport
+from sequoiapulley.requests.orders import RunServiceOrder, SendRunReport, SubmitRun
+from sequoiapulley.requests.run_service import RunService
+from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
+from sequoiapulley.upstream.messages import FinishRun
+
+
+class RequestTask(BaseComponent):
+    """Owns the requests that this node answers and the orders that it runs for others."""
+
+    channel = "node"
+
+    def __init__(
+        self,
+        clock: Clock,
+        timers: TimerQueue,
+        postbox: Postbox,
+        upstreams: UpstreamTask,
+        make_coordinator: Callable[[Callable[[RequestOutcome], None]], RequestCoordinator],
+        runs: RunService,
+    ) -> None:
+        """Initialise without requests.
+
+        Args:
+            clock: Clock of the process.
+            timers: Timers of the process.
+            postbox: The way to nodes.
+            upstreams: Where runs go.
+            make_coordinator: Builds the entry's decisions around the function that takes outcomes.
+            runs: The home's decisions.
+        """
+        super().__init__()
+        self._clock = clock
+        self._postbox = postbox
+        self._upstreams = upstreams
+        self._runs = runs
+        self._waiting: dict[RequestId, Callable[[RequestOutcome], None]] = {}
+        self._coordinator = make_coordinator(self._finish)
+        self._wake_up = WakeUp(timers, self._coordinator.next_due, self._tick)
+        upstreams.on_run_finished = self._on_run_finished
+
+    def start(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
+        """Starts a request.
+
+        Args:
+            request: The request.
+            done: Called once with the outcome.
+        """
+        self._waiting[request.request_id] = done
+        self._coordinator.start(request)
+        self._wake_up.rearm()
+
+    def in_flight(self) -> int:
+        """Returns the number of requests and served orders without an outcome."""
+        return self._coordinator.in_flight() + self._runs.in_flight()
+
+    @handler("ConfigurationApplied")
+    def _on_configuration_applied(self, configuration: Configuration) -> None:
+        """Takes a configuration."""
+        self._coordinator.configure(configuration)
+
+    @handler("MessageArrived")
+    def _on_message_arrived(self, node: NodeId, _: Incarnation, message: LinkMessage) -> None:
+        """Takes the messages of the request path."""
+        if isinstance(message, RunOrder):
+            self._perform(self._runs.on_run_order(node, message, self._clock.now()))
+        elif isinstance(message, RunReport):
+            self._coordinator.on_report(node, message)
+            self._wake_up.rearm()
+
+    @handler("MessageUnsent")
+    def _on_message_unsent(self, node: NodeId, message: LinkMessage) -> None:
+        """Tells the entry that an order never left."""
+        if isinstance(message, RunOrder):
+            self._coordinator.on_unsent(node, message)
+            self._wake_up.rearm()
+
+    @handler("NodeLost")
+    def _on_node_lost(self, node: NodeId) -> None:
+        """Settles the requests that waited for a node."""
+        self._coordinator.on_node_lost(node)
+        self._wake_up.rearm()
+
+    def _on_run_finished(self, action: FinishRun) -> None:
+        """Takes the outcome of a run."""
+        now = self._clock.now()
+        self._perform(self._runs.on_run_finished(action.sub_id, action.report, now))
+
+    def _finish(self, outcome: RequestOutcome) -> None:
+        """Gives the caller its outcome."""
+        done = self._waiting.pop(outcome.request_id, None)
+        if done is not None:
+            done(outcome)
+
+    def _tick(self) -> None:
+        """Lets the entry's decisions do what is due."""
+        self._coordinator.tick()
+
+    def _perform(self, orders: Iterable[RunServiceOrder]) -> None:
+        """Carries out the home's orders."""
+        for order in orders:
+            if isinstance(order, SubmitRun):
+                self._upstreams.submit_run(order.run)
+            elif isinstance(order, SendRunReport):
+                self._postbox.send(order.node, order.message)
--- /dev/null
+++ b/src/sequoiapulley/daemon/upstream_task.py
@@ -0,0 +1,122 @@
+"""Carries out the dispatcher's decisions on the upstream connections of this node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from circuits import BaseComponent, handler
+
+from sequoiapulley.daemon.node_events import StrikeSeen
+from sequoiapulley.ids import ExchangeId, UpstreamName
+from sequoiapulley.model import Configuration
+from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
+from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.messages import (
+    Action,
+    CancelExchange,
+    CloseUpstream,
+    FinishRun,
+    FinishSearch,
+    LossKind,
+    NewStrike,
+    SendExchange,
+    SubRun,
+    SubSearch,
+    UpstreamReply,
+)
+from sequoiapulley.upstream.transport import UpstreamTransport
+from sequoiapulley.wire.reactor import Reactor
+
+
+class UpstreamTask(BaseComponent):
+    """Owns the dispatcher and the transport."""
+
+    channel = "node"
+
+    def __init__(
+        self, clock: Clock, timers: TimerQueue, reactor: Reactor, dispatcher: Dispatcher
+    ) -> None:
+        """Initialise without upstreams.
+
+        Args:
+            clock: Clock of the process.
+            timers: Timers of the process.
+            reactor: Owner of the client sockets.
+            dispatcher: The decisions.
+        """
+        super().__init__()
+        self._clock = clock
+        self._dispatcher = dispatcher
+        self._transport = UpstreamTransport(reactor, clock, timers, self._on_reply, self._on_lost)
+        self._wake_up = WakeUp(timers, dispatcher.next_due, self._tick)
+        self.on_search_finished: Callable[[FinishSearch], None] = _ignore
+        self.on_run_finished: Callable[[FinishRun], None] = _ignore
+        self._performers: dict[type[Action], Callable[[Any], None]] = {
+            SendExchange: self._transport.execute,
+            CancelExchange: self._transport.execute,
+            CloseUpstream: self._transport.execute,
+            FinishSearch: lambda action: self.on_search_finished(action),
+            FinishRun: lambda action: self.on_run_finished(action),
+            NewStrike: lambda action: self.fire(StrikeSeen(action)),
+        }
+
+    def configure(
+        self,
+        configuration: Configuration,
+        connections: Callable[[UpstreamName], int],
+        slots: Callable[[UpstreamName], int],
+    ) -> None:
+        """Takes a configuration and this node's share of each upstream's limits."""
+        now = self._clock.now()
+        self._transport.configure(configuration, connections)
+        self._perform(self._dispatcher.configure(configuration, now, connections, slots))
+
+    def submit_search(self, sub: SubSearch) -> None:
+        """Accepts one shard's part of a search."""
+        self._perform(self._dispatcher.submit_search(sub, self._clock.now()))
+
+    def submit_run(self, sub: SubRun) -> None:
+        """Accepts one non-idempotent request."""
+        self._perform(self._dispatcher.submit_run(sub, self._clock.now()))
+
+    def cancel(self, sub_id: int) -> None:
+        """Drops work that nobody waits for."""
+        self._perform(self._dispatcher.cancel(sub_id, self._clock.now()))
+
+    @property
+    def dispatcher(self) -> Dispatcher:
+        """The decisions, for reports of load and health."""
+        return self._dispatcher
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carries out actions that a report of load or health led to."""
+        self._perform(actions)
+
+    @handler("StrikeHeard")
+    def _on_strike_heard(self, strike: NewStrike) -> None:
+        """Takes a strike that another node saw."""
+        now = self._clock.now()
+        self._perform(self._dispatcher.on_strike(strike.fingerprint, strike.upstream, now))
+
+    def _on_reply(self, exchange_id: ExchangeId, reply: UpstreamReply) -> None:
+        """Takes a reply from the transport."""
+        self._perform(self._dispatcher.on_reply(exchange_id, reply, self._clock.now()))
+
+    def _on_lost(self, exchange_id: ExchangeId, loss: LossKind) -> None:
+        """Takes a loss from the transport."""
+        self._perform(self._dispatcher.on_lost(exchange_id, loss, self._clock.now()))
+
+    def _tick(self) -> None:
+        """Lets the dispatcher do what is due."""
+        self._perform(self._dispatcher.tick(self._clock.now()))
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        """Carries out actions in order and sets the next timer."""
+        for action in actions:
+            self._performers[type(action)](action)
+        self._wake_up.rearm()
+
+
+def _ignore(_action: Action) -> None:
+    """Stands in until the outcome's receiver is set."""
