--- /dev/null
+++ b/src/sequoiapulley/requests/coordinator.py
@@ -0,0 +1,424 @@
+"""The entry's decisions for non-idempotent requests: claim the key, run once, keep the outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from secrets import randbits
+from typing import Final
+
+from msgspec.structs import replace
+
+from sequoiapulley.ids import Incarnation, InstanceName, NodeId, Revision, ServiceName
+from sequoiapulley.model.configuration import Configuration
+from sequoiapulley.observe import LogSink
+from sequoiapulley.platform.store import Store, StoreReply
+from sequoiapulley.requests.attempt import Attempt, AttemptState
+from sequoiapulley.requests.claim_acquirer import (
+    ClaimAcquirer,
+    ClaimFailed,
+    ClaimHeld,
+    ClaimResult,
+    ClaimUnreadable,
+    ClaimWon,
+)
+from sequoiapulley.requests.claim_record import (
+    MAX_OUTCOME_BYTES,
+    ClaimRecord,
+    ClaimState,
+    body_digest,
+    claim_key,
+    encode_claim,
+)
+from sequoiapulley.requests.claim_settler import ClaimSettler
+from sequoiapulley.requests.log_events import (
+    CLAIM_EXPIRED,
+    CLAIM_UNAVAILABLE,
+    CLAIM_UNREADABLE,
+    RUN_UNKNOWN,
+)
+from sequoiapulley.requests.messages import (
+    KeyedRequest,
+    RefusalReason,
+    RequestOutcome,
+    RunOrder,
+    RunReport,
+    RunState,
+)
+from sequoiapulley.requests.outcome_memory import OutcomeMemory
+from sequoiapulley.requests.refusals import retry_after_ms
+from sequoiapulley.requests.retention_lease import RetentionLease
+from sequoiapulley.runtime import Clock
+from sequoiapulley.search.home_resolver import HomeResolver
+
+MAX_ATTEMPTS: Final = 4096
+HOP_MARGIN_S: Final = 0.002
+MIN_RUN_S: Final = 0.005
+LATE_REPORT_S: Final = 30.0
+CLAIM_GRACE_S: Final = 30.0
+MAX_CLAIM_AGE_S: Final = 300.0
+ID_RANDOM_BITS: Final = 31
+ID_COUNTER_BITS: Final = 32
+
+
+class RequestCoordinator:
+    """Runs the non-idempotent requests that callers bring to this node, each at most once."""
+
+    def __init__(
+        self,
+        store: Store,
+        node: NodeId,
+        incarnation: Incarnation,
+        homes: HomeResolver,
+        clock: Clock,
+        send: Callable[[NodeId, RunOrder], bool],
+        finish: Callable[[RequestOutcome], None],
+        log: LogSink,
+    ) -> None:
+        """Initialise without a configuration.
+
+        Args:
+            store: The platform's store.
+            node: This node.
+            incarnation: Rises with every start of this node.
+            homes: Ranks the homes of an instance.
+            clock: Source of time.
+            send: Sends an order to a node at most once; False if it provably did not leave.
+            finish: Gives the caller its outcome.
+            log: Where events go.
+        """
+        self._store = store
+        self._node = node
+        self._incarnation = incarnation
+        self._homes = homes
+        self._clock = clock
+        self._send = send
+        self._finish = finish
+        self._log = log
+        self._lease = RetentionLease(store, clock)
+        self._settler = ClaimSettler(store, clock.now, self._lease.current, log)
+        self._memory = OutcomeMemory()
+        # A random start keeps reports to an earlier incarnation of this node apart.
+        self._run_ids = count(randbits(ID_RANDOM_BITS) << ID_COUNTER_BITS)
+        self._instances: dict[ServiceName, tuple[InstanceName, ...]] = {}
+        self._attempts: dict[int, Attempt] = {}
+        self._by_key: dict[str, Attempt] = {}
+        self._timers: list[tuple[float, int]] = []
+        self._stopping = False
+
+    def configure(self, configuration: Configuration) -> None:
+        """Takes a new configuration."""
+        self._instances = {
+            service.name: tuple(instance.name for instance in service.instances)
+            for service in configuration.services.values()
+        }
+
+    def start(self, request: KeyedRequest) -> None:
+        """Starts a request, or gives its repeat the first outcome."""
+        key = claim_key(request.service, request.key)
+        record = self._new_record(request)
+        known = self._memory.get(key)
+        if known is not None:
+            self._answer_held(request, record, known)
+            return
+        earlier = self._by_key.get(key)
+        if earlier is not None:
+            self._answer_held(request, record, earlier.record)
+            return
+        reason = self._refusal_of(request)
+        if reason is not None:
+            self._refuse(request, reason, key_checked=False)
+            return
+        run_id = next(self._run_ids)
+        record = replace(record, claim_id=f"{record.claim_id}/{run_id}")
+        attempt = Attempt(request, run_id, key, record, self._clock.wall())
+        self._attempts[run_id] = attempt
+        self._by_key[key] = attempt
+        heappush(self._timers, (request.deadline - MIN_RUN_S, run_id))
+        heappush(self._timers, (request.deadline, run_id))
+        ClaimAcquirer(
+            self._store, key, record, lambda result: self._on_claim(attempt, result)
+        ).start()
+
+    def on_report(self, node: NodeId, report: RunReport) -> None:
+        """Takes a home's report; one that answers no order of this node is dropped.
+
+        Args:
+            node: The sender.
+            report: What became of the order.
+        """
+        attempt = self._attempts.get(report.run_id)
+        if attempt is None or attempt.home != node:
+            return
+        if attempt.state not in (AttemptState.RUNNING, AttemptState.LATE):
+            return
+        if report.state is RunState.DONE:
+            self._record_done(attempt, report.body)
+            return
+        if report.state is RunState.NOT_RUN and attempt.state is AttemptState.RUNNING:
+            self._answer_not_run(attempt, report.reason or RefusalReason.REFUSED_BY_UPSTREAM)
+            self._release(attempt)
+            return
+        self._record_unknown(attempt, report.reason)
+
+    def on_node_lost(self, node: NodeId) -> None:
+        """Records the outcome of every order at a lost node as unknown."""
+        for attempt in list(self._attempts.values()):
+            if attempt.home != node:
+                continue
+            if attempt.state in (AttemptState.RUNNING, AttemptState.LATE):
+                self._record_unknown(attempt, RefusalReason.HOME_UNREACHABLE)
+
+    def begin_shutdown(self) -> None:
+        """Refuses new requests from now on; those in flight go on."""
+        self._stopping = True
+
+    def tick(self) -> None:
+        """Does what is due: answers at the deadline, repeated writes, closing of late orders."""
+        now = self._clock.now()
+        while self._timers and self._timers[0][0] <= now:
+            attempt = self._attempts.get(heappop(self._timers)[1])
+            if attempt is not None:
+                self._on_timer(attempt, now)
+        self._settler.tick()
+
+    def next_due(self) -> float | None:
+        """Returns the clock reading of the next tick that has work, or None."""
+        while self._timers and self._timers[0][1] not in self._attempts:
+            heappop(self._timers)
+        due = self._settler.next_due()
+        if not self._timers:
+            return due
+        first = self._timers[0][0]
+        return first if due is None else min(first, due)
+
+    def in_flight(self) -> int:
+        """Returns the number of requests whose caller has no outcome yet."""
+        return sum(not attempt.answered for attempt in self._attempts.values())
+
+    def unsettled(self) -> int:
+        """Returns the number of outcomes not yet known to be in the store."""
+        return self._settler.pending()
+
+    def _new_record(self, request: KeyedRequest) -> ClaimRecord:
+        time_left = max(0.0, request.deadline - self._clock.now())
+        return ClaimRecord(
+            claim_id=f"{self._node}/{self._incarnation}",
+            node=self._node,
+            incarnation=self._incarnation,
+            caller=request.caller,
+            digest=body_digest(request),
+            state=ClaimState.CLAIMED,
+            expires=self._clock.wall() + time_left + LATE_REPORT_S + CLAIM_GRACE_S,
+        )
+
+    def _refusal_of(self, request: KeyedRequest) -> RefusalReason | None:
+        if self._stopping:
+            return RefusalReason.SHUTTING_DOWN
+        if len(self._attempts) >= MAX_ATTEMPTS:
+            return RefusalReason.OVERLOAD
+        if not self._instances.get(request.service):
+            return RefusalReason.NO_REPLICA
+        if request.deadline - self._clock.now() <= MIN_RUN_S + HOP_MARGIN_S:
+            return RefusalReason.DEADLINE
+        return None
+
+    def _on_claim(self, attempt: Attempt, result: ClaimResult) -> None:
+        if attempt.state is AttemptState.ABANDONED:
+            self._close_abandoned(attempt, result)
+            return
+        if isinstance(result, ClaimWon):
+            attempt.revision = result.revision
+            self._run(attempt)
+            return
+        if isinstance(result, ClaimHeld):
+            self._close(attempt)
+            self._on_held(attempt, result)
+            return
+        if isinstance(result, ClaimUnreadable):
+            self._log.log(CLAIM_UNREADABLE, key=attempt.key)
+            self._close(attempt)
+            self._answer(attempt, RunState.UNKNOWN, RefusalReason.STORE_UNAVAILABLE)
+            return
+        self._log.log(CLAIM_UNAVAILABLE, key=attempt.key)
+        self._answer_not_run(attempt, RefusalReason.STORE_UNAVAILABLE)
+        self._close_abandoned(attempt, result)
+
+    def _close_abandoned(self, attempt: Attempt, result: ClaimResult) -> None:
+        if isinstance(result, ClaimWon):
+            attempt.revision = result.revision
+            self._release(attempt)
+            return
+        if isinstance(result, ClaimFailed) and result.may_exist:
+            self._release(attempt)
+            return
+        self._close(attempt)
+
+    def _on_held(self, attempt: Attempt, held: ClaimHeld) -> None:
+        record = held.record
+        ours = record.node == self._node and record.incarnation < self._incarnation
+        lapsed = ours or self._clock.wall() > record.expires
+        same = record.digest == attempt.record.digest and record.caller == attempt.record.caller
+        if record.state is not ClaimState.CLAIMED or not lapsed or not same:
+            self._answer_held(attempt.request, attempt.record, record)
+            return
+        # Recording `unknown` is safe at any time: it never lets the key run again.
+        unknown = replace(record, state=ClaimState.UNKNOWN)
+        self._log.log(CLAIM_EXPIRED, key=attempt.key, holder=record.node)
+        self._store.put(
+            attempt.key,
+            encode_claim(unknown),
+            held.revision,
+            lambda reply: self._on_expired(attempt, unknown, reply),
+            self._lease.current(),
+        )
+
+    def _on_expired(self, attempt: Attempt, unknown: ClaimRecord, reply: StoreReply) -> None:
+        if reply.is_ok():
+            self._answer_held(attempt.request, attempt.record, unknown)
+            return
+        self._answer(attempt, RunState.UNKNOWN, RefusalReason.IN_PROGRESS)
+
+    def _run(self, attempt: Attempt) -> None:
+        request = attempt.request
+        time_left = request.deadline - self._clock.now() - HOP_MARGIN_S
+        # The monotonic clock may have stood still while the machine was suspended.
+        age = self._clock.wall() - attempt.started_wall
+        if time_left < MIN_RUN_S or age > MAX_CLAIM_AGE_S:
+            self._answer_not_run(attempt, RefusalReason.DEADLINE)
+            self._release(attempt)
+            return
+        instances = self._instances.get(request.service, ())
+        if not instances:
+            self._answer_not_run(attempt, RefusalReason.NO_REPLICA)
+            self._release(attempt)
+            return
+        instance = instances[int(attempt.key[-8:], 16) % len(instances)]
+        order = RunOrder(
+            run_id=attempt.run_id,
+            caller=request.caller,
+            service=request.service,
+            instance=instance,
+            body=request.body,
+            fingerprint=request.fingerprint,
+            key=request.key,
+            time_left=time_left,
+            incarnation=self._incarnation,
+        )
+        attempt.state = AttemptState.RUNNING
+        for home in self._homes.homes_of(request.service, instance):
+            attempt.home = home
+            if self._send(home, order):
+                return
+        attempt.home = None
+        self._answer_not_run(attempt, RefusalReason.HOME_UNREACHABLE)
+        self._release(attempt)
+
+    def _on_timer(self, attempt: Attempt, now: float) -> None:
+        if attempt.state is AttemptState.CLAIMING:
+            self._answer_not_run(attempt, RefusalReason.STORE_UNAVAILABLE)
+            attempt.state = AttemptState.ABANDONED
+            return
+        if now < attempt.request.deadline:
+            return
+        if attempt.state is AttemptState.RUNNING:
+            self._log.log(RUN_UNKNOWN, key=attempt.key, home=attempt.home)
+            self._answer(attempt, RunState.UNKNOWN, RefusalReason.DEADLINE)
+            attempt.state = AttemptState.LATE
+            attempt.closes_at = now + LATE_REPORT_S
+            heappush(self._timers, (attempt.closes_at, attempt.run_id))
+            return
+        if attempt.state is AttemptState.RECORDING:
+            self._answer(attempt, RunState.DONE, None, attempt.answer)
+            return
+        if attempt.state is AttemptState.LATE and now >= attempt.closes_at:
+            self._record_unknown(attempt, RefusalReason.DEADLINE)
+
+    def _record_done(self, attempt: Attempt, body: str) -> None:
+        kept = len(body.encode()) <= MAX_OUTCOME_BYTES
+        attempt.state = AttemptState.RECORDING
+        attempt.answer = body
+        attempt.record = replace(
+            attempt.record,
+            state=ClaimState.DONE,
+            body=body if kept else "",
+            body_omitted=not kept,
+        )
+        self._memory.put(attempt.key, attempt.record)
+        self._settler.settle(
+            attempt.key, attempt.record, attempt.revision, lambda: self._on_recorded(attempt)
+        )
+
+    def _on_recorded(self, attempt: Attempt) -> None:
+        self._answer(attempt, RunState.DONE, None, attempt.answer)
+        self._close(attempt)
+
+    def _record_unknown(self, attempt: Attempt, reason: RefusalReason | None) -> None:
+        self._log.log(RUN_UNKNOWN, key=attempt.key, home=attempt.home)
+        attempt.record = replace(attempt.record, state=ClaimState.UNKNOWN, reason=reason)
+        self._memory.put(attempt.key, attempt.record)
+        self._answer(attempt, RunState.UNKNOWN, reason)
+        self._settle(attempt, attempt.revision)
+
+    def _release(self, attempt: Attempt) -> None:
+        attempt.record = replace(attempt.record, state=ClaimState.RELEASED)
+        self._settle(attempt, attempt.revision)
+
+    def _settle(self, attempt: Attempt, revision: Revision | None) -> None:
+        self._close(attempt)
+        self._settler.settle(attempt.key, attempt.record, revision)
+
+    def _close(self, attempt: Attempt) -> None:
+        attempt.state = AttemptState.CLOSED
+        self._attempts.pop(attempt.run_id, None)
+        if self._by_key.get(attempt.key) is attempt:
+            del self._by_key[attempt.key]
+
+    def _answer_held(self, request: KeyedRequest, asked: ClaimRecord, held: ClaimRecord) -> None:
+        if held.digest != asked.digest or held.caller != asked.caller:
+            self._refuse(request, RefusalReason.KEY_REUSED)
+            return
+        outcome = RequestOutcome(request.request_id, RunState.UNKNOWN, held.reason, repeated=True)
+        if held.state is ClaimState.DONE:
+            outcome = replace(outcome, state=RunState.DONE, reason=None, body=held.body)
+        elif held.state is ClaimState.CLAIMED:
+            # The earlier attempt may be running, so this is not a "not run".
+            reason = RefusalReason.IN_PROGRESS
+            outcome = replace(outcome, reason=reason, retry_after_ms=retry_after_ms(reason))
+        self._finish(outcome)
+
+    def _refuse(
+        self, request: KeyedRequest, reason: RefusalReason, key_checked: bool = True
+    ) -> None:
+        self._finish(
+            RequestOutcome(
+                request.request_id,
+                RunState.NOT_RUN,
+                reason,
+                retry_after_ms=retry_after_ms(reason),
+                key_checked=key_checked,
+            )
+        )
+
+    def _answer_not_run(self, attempt: Attempt, reason: RefusalReason) -> None:
+        if not attempt.answered:
+            attempt.answered = True
+            self._refuse(attempt.request, reason, key_checked=attempt.revision is not None)
+
+    def _answer(
+        self, attempt: Attempt, state: RunState, reason: RefusalReason | None, body: str = ""
+    ) -> None:
+        if attempt.answered:
+            return
+        attempt.answered = True
+        may_repeat = reason in (RefusalReason.IN_PROGRESS, RefusalReason.DEADLINE)
+        self._finish(
+            RequestOutcome(
+                attempt.request.request_id,
+                state,
+                reason,
+                body,
+                retry_after_ms=retry_after_ms(reason) if may_repeat else None,
+            )
+        )
--- a/src/sequoiapulley/requests/messages.py
+++ b/src/sequoiapulley/requests/messages.py
@@ -10,6 +10,7 @@
     CallerId,
     Fingerprint,
     IdempotencyKey,
+    Incarnation,
     InstanceName,
     RequestId,
     ServiceName,
@@ -72,6 +73,8 @@
     key: IdempotencyKey
     time_left: float
     """Seconds until the deadline, measured when the message was sent."""
+    incarnation: Incarnation = Incarnation(0)
+    """Incarnation of the sending node; a home refuses orders of an earlier one."""
 
 
 class RunReport(Struct, frozen=True, tag="run_report"):
@@ -95,3 +98,6 @@
     """Whether this is the stored outcome of an earlier request with the same key."""
     retry_after_ms: int | None = None
     """When a caller may ask again with the same key, if that makes sense."""
+    key_checked: bool = True
+    """Whether the key was looked up; if not, `not_run` speaks of this attempt alone, and an
+    earlier one with the same key may have run."""
--- /dev/null
+++ b/src/sequoiapulley/search/home_service.py
@@ -0,0 +1,185 @@
+"""The home's decisions for searches: one sub-search per shard, replies in batches."""
+
+from __future__ import annotations
+
+from heapq import heappop, heappush
+from itertools import count
+from typing import Final
+
+from msgspec import Struct
+
+from sequoiapulley.ids import NodeId
+from sequoiapulley.observe import LogSink
+from sequoiapulley.search.log_events import GROUP_REFUSED
+from sequoiapulley.search.messages import (
+    CancelSearch,
+    GroupReply,
+    GroupSearch,
+    LackReason,
+    ShardReply,
+    ShardTarget,
+)
+from sequoiapulley.search.orders import CancelSub, HomeOrder, SendGroupReply, SubmitSub
+from sequoiapulley.upstream.messages import SubSearch
+
+MAX_SUBS: Final = 65_536
+BATCH_DELAY_S: Final = 0.001
+SUB_MARGIN_S: Final = 0.001
+
+
+class _HomeGroup(Struct):
+    """One group search that an entry waits for."""
+
+    sender: NodeId
+    search_id: int
+    deadline: float
+    subs: dict[int, ShardTarget]
+    """Sub-searches without an outcome, by sub id."""
+    ready: list[ShardReply] = []
+    """Outcomes not yet sent."""
+
+
+_GroupKey = tuple[NodeId, int]
+
+
+class HomeService:
+    """Serves the group searches that entries send to this node."""
+
+    def __init__(self, log: LogSink) -> None:
+        """Initialise without any group.
+
+        Args:
+            log: Where events go.
+        """
+        self._log = log
+        self._ids = count(1)
+        self._groups: dict[_GroupKey, _HomeGroup] = {}
+        self._group_of: dict[int, _HomeGroup] = {}
+        self._timers: list[tuple[float, _GroupKey]] = []
+
+    def on_group_search(self, sender: NodeId, message: GroupSearch, now: float) -> list[HomeOrder]:
+        """Submits one sub-search for each shard.
+
+        Args:
+            sender: The entry.
+            message: Its group search; one that is already in flight is ignored.
+            now: Clock reading in seconds.
+
+        Returns:
+            The sub-searches, or a reply that refuses all shards.
+        """
+        key = (sender, message.search_id)
+        if key in self._groups:
+            return []
+        if len(self._group_of) + len(message.targets) > MAX_SUBS:
+            self._log.log(GROUP_REFUSED, sender=sender, shards=len(message.targets))
+            return [_refuse(sender, message, LackReason.OVERLOAD)]
+        if message.time_left <= SUB_MARGIN_S:
+            return [_refuse(sender, message, LackReason.DEADLINE)]
+        deadline = now + message.time_left
+        group = _HomeGroup(sender, message.search_id, deadline, {})
+        self._groups[key] = group
+        heappush(self._timers, (deadline, key))
+        return [self._submit(group, message, target) for target in message.targets]
+
+    def on_sub_finished(self, sub_id: int, reply: ShardReply, now: float) -> list[HomeOrder]:
+        """Files the outcome of a sub-search.
+
+        Args:
+            sub_id: The sub-search; an unknown one is ignored.
+            reply: Its outcome.
+            now: Clock reading in seconds.
+
+        Returns:
+            The batch, if the group is complete.
+        """
+        group = self._group_of.pop(sub_id, None)
+        if group is None:
+            return []
+        target = group.subs.pop(sub_id)
+        if reply.shard != target.shard:
+            reply = ShardReply(target.shard, reason=LackReason.TRUNCATED)
+        if not group.ready:
+            heappush(self._timers, (now + BATCH_DELAY_S, (group.sender, group.search_id)))
+        group.ready.append(reply)
+        return [] if group.subs else self._flush(group)
+
+    def on_cancel(self, sender: NodeId, message: CancelSearch, now: float) -> list[HomeOrder]:
+        """Withdraws what is left of a group search."""
+        group = self._groups.get((sender, message.search_id))
+        return [] if group is None else self._drop(group)
+
+    def on_node_lost(self, node: NodeId, now: float) -> list[HomeOrder]:
+        """Withdraws every group search of a lost entry."""
+        orders: list[HomeOrder] = []
+        for group in [group for group in self._groups.values() if group.sender == node]:
+            orders += self._drop(group)
+        return orders
+
+    def tick(self, now: float) -> list[HomeOrder]:
+        """Sends the batches that are due and closes the groups whose time is over."""
+        orders: list[HomeOrder] = []
+        while self._timers and self._timers[0][0] <= now:
+            group = self._groups.get(heappop(self._timers)[1])
+            if group is None:
+                continue
+            if now >= group.deadline:
+                orders += self._expire(group)
+                continue
+            orders += self._flush(group)
+        return orders
+
+    def next_due(self) -> float | None:
+        """Returns the clock reading of the next tick that has work, or None."""
+        while self._timers and self._timers[0][1] not in self._groups:
+            heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
+
+    def in_flight(self) -> int:
+        """Returns the number of sub-searches without an outcome."""
+        return len(self._group_of)
+
+    def _submit(self, group: _HomeGroup, message: GroupSearch, target: ShardTarget) -> HomeOrder:
+        sub_id = next(self._ids)
+        group.subs[sub_id] = target
+        self._group_of[sub_id] = group
+        sub = SubSearch(
+            sub_id=sub_id,
+            target=target,
+            caller=message.caller,
+            query=message.query,
+            limit=message.limit,
+            fingerprint=message.fingerprint,
+            snapshot=message.snapshot,
+            deadline=group.deadline - SUB_MARGIN_S,
+        )
+        return SubmitSub(sub)
+
+    def _flush(self, group: _HomeGroup) -> list[HomeOrder]:
+        if not group.subs:
+            del self._groups[(group.sender, group.search_id)]
+        if not group.ready:
+            return []
+        reply = GroupReply(group.search_id, tuple(group.ready))
+        group.ready = []
+        return [SendGroupReply(group.sender, reply)]
+
+    def _expire(self, group: _HomeGroup) -> list[HomeOrder]:
+        late = list(group.subs.values())
+        orders = self._drop(group)
+        replies = [ShardReply(target.shard, reason=LackReason.DEADLINE) for target in late]
+        reply = GroupReply(group.search_id, tuple(group.ready + replies))
+        return [*orders, SendGroupReply(group.sender, reply)]
+
+    def _drop(self, group: _HomeGroup) -> list[HomeOrder]:
+        del self._groups[(group.sender, group.search_id)]
+        orders: list[HomeOrder] = []
+        for sub_id in group.subs:
+            del self._group_of[sub_id]
+            orders.append(CancelSub(sub_id))
+        return orders
+
+
+def _refuse(sender: NodeId, message: GroupSearch, reason: LackReason) -> HomeOrder:
+    replies = tuple(ShardReply(target.shard, reason=reason) for target in message.targets)
+    return SendGroupReply(sender, GroupReply(message.search_id, replies))
--- /dev/null
+++ b/tests/test_home_service.py
@@ -0,0 +1,96 @@
+"""Tests of the home's search decisions."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.ids import CallerId, Fingerprint, InstanceName, NodeId, ShardId
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.search.home_service import HomeService
+from sequoiapulley.search.messages import (
+    CancelSearch,
+    GroupSearch,
+    LackReason,
+    ShardReply,
+    ShardTarget,
+)
+from sequoiapulley.search.orders import CancelSub, HomeOrder, SendGroupReply, SubmitSub
+from tests.search_fixtures import DESK, OLD, make_reply
+
+ENTRY = NodeId("entry")
+START = 1_000.0
+
+
+def make_group(search_id: int = 1, time_left: float = 0.05) -> GroupSearch:
+    targets = tuple(ShardTarget(ShardId(s), DESK, InstanceName(s)) for s in ("d0", "d1"))
+    caller = CallerId("caller")
+    return GroupSearch(search_id, caller, "q", 10, Fingerprint("f"), OLD, time_left, targets)
+
+
+def replies(orders: list[HomeOrder]) -> list[ShardReply]:
+    found: list[ShardReply] = []
+    for order in orders:
+        if isinstance(order, SendGroupReply):
+            found += order.message.replies
+    return found
+
+
+class HomeServiceTest(TestCase):
+    """Every shard of a group is replied to once, in time."""
+
+    def setUp(self) -> None:
+        self.home = HomeService(MemoryLog())
+
+    def submit(self, search_id: int = 1) -> list[int]:
+        orders = self.home.on_group_search(ENTRY, make_group(search_id), START)
+        return [order.sub.sub_id for order in orders if isinstance(order, SubmitSub)]
+
+    def test_submits_within_the_time_left_and_replies_in_one_batch(self) -> None:
+        orders = self.home.on_group_search(ENTRY, make_group(), START)
+        subs = [order.sub for order in orders if isinstance(order, SubmitSub)]
+        self.assertTrue(all(sub.deadline < START + 0.05 for sub in subs))
+        self.assertEqual(self.home.on_sub_finished(subs[0].sub_id, make_reply("d0"), START), [])
+        done = self.home.on_sub_finished(subs[1].sub_id, make_reply("d1"), START)
+        self.assertEqual(replies(done), [make_reply("d0"), make_reply("d1")])
+        self.assertEqual((self.home.in_flight(), self.home.next_due()), (0, None))
+
+    def test_sends_what_is_ready_without_waiting_for_stragglers(self) -> None:
+        first, second = self.submit()
+        self.home.on_sub_finished(first, make_reply("d0"), START)
+        due = self.home.next_due()
+        assert due is not None
+        self.assertLess(due, START + 0.01)
+        self.assertEqual(replies(self.home.tick(due)), [make_reply("d0")])
+        done = self.home.on_sub_finished(second, make_reply("d1"), START + 0.02)
+        self.assertEqual(replies(done), [make_reply("d1")])
+
+    def test_deadline_lists_the_rest_and_withdraws_it(self) -> None:
+        first, second = self.submit()
+        self.home.on_sub_finished(first, make_reply("d0"), START + 0.0495)
+        orders = self.home.tick(START + 0.05)
+        late = ShardReply(ShardId("d1"), reason=LackReason.DEADLINE)
+        self.assertEqual(replies(orders), [make_reply("d0"), late])
+        self.assertIn(CancelSub(second), orders)
+        self.assertEqual(self.home.on_sub_finished(second, make_reply("d1"), START + 0.06), [])
+
+    def test_reply_for_another_shard_counts_as_lacking(self) -> None:
+        first, second = self.submit()
+        self.home.on_sub_finished(first, make_reply("d1"), START)
+        done = self.home.on_sub_finished(second, make_reply("d1"), START)
+        self.assertEqual(replies(done)[0], ShardReply(ShardId("d0"), reason=LackReason.TRUNCATED))
+
+    def test_cancel_and_lost_entry_withdraw_everything(self) -> None:
+        first = self.submit(1)
+        orders = self.home.on_cancel(ENTRY, CancelSearch(1), START)
+        self.assertEqual(orders, [CancelSub(sub_id) for sub_id in first])
+        second = self.submit(2)
+        self.assertEqual(self.home.on_cancel(NodeId("stranger"), CancelSearch(2), START), [])
+        orders = self.home.on_node_lost(ENTRY, START)
+        self.assertEqual(orders, [CancelSub(sub_id) for sub_id in second])
+        self.assertEqual(self.home.in_flight(), 0)
+
+    def test_repeated_and_expired_groups_submit_nothing(self) -> None:
+        self.submit()
+        self.assertEqual(self.submit(), [])
+        orders = self.home.on_group_search(ENTRY, make_group(2, 0.0), START)
+        self.assertEqual({reply.reason for reply in replies(orders)}, {LackReason.DEADLINE})
--- /dev/null
+++ b/tests/test_search_coordinator.py
@@ -0,0 +1,212 @@
+"""Tests of the entry's search decisions."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.ids import InstanceName, RequestId, ShardId
+from sequoiapulley.model import Snapshot
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.search.coordinator import SearchCoordinator
+from sequoiapulley.search.messages import (
+    GroupReply,
+    Lacking,
+    LackReason,
+    SearchAnswer,
+    SearchRequest,
+    ShardReply,
+)
+from sequoiapulley.search.orders import FinishSearchRequest, SearchOrder, SendCancel, SendGroup
+from tests.search_fixtures import (
+    HOME_A,
+    HOME_B,
+    NEW,
+    OLD,
+    FixedHomes,
+    make_configuration,
+    make_reply,
+    make_search,
+)
+
+START = 1_000.0
+SHARDS = ("d0", "d1", "l0", "l1")
+
+
+def sends(orders: list[SearchOrder]) -> list[SendGroup]:
+    return [order for order in orders if isinstance(order, SendGroup)]
+
+
+def answers(orders: list[SearchOrder]) -> list[SearchAnswer]:
+    return [order.answer for order in orders if isinstance(order, FinishSearchRequest)]
+
+
+class SearchCoordinatorTest(TestCase):
+    """One answer per search, at one snapshot, true about its shards."""
+
+    def setUp(self) -> None:
+        self.homes = FixedHomes(HOME_A, HOME_B)
+        self.log = MemoryLog()
+        self.coordinator = SearchCoordinator(self.homes, self.log, first_id=1)
+        self.coordinator.configure(make_configuration(), START)
+
+    def teach(self, *available: Snapshot) -> None:
+        """Runs one search so that the snapshots of all shards are known."""
+        first = sends(self.coordinator.start(make_search("teach"), START))[0]
+        self.answer(first, *(make_reply(shard, OLD, *available) for shard in SHARDS))
+
+    def answer(
+        self, sent: SendGroup, *replies: ShardReply, now: float = START
+    ) -> list[SearchOrder]:
+        reply = GroupReply(sent.message.search_id, replies)
+        return self.coordinator.on_group_reply(sent.node, reply, now)
+
+    def start(self, request: SearchRequest | None = None) -> list[SendGroup]:
+        return sends(self.coordinator.start(request or make_search(), START))
+
+    def test_asks_each_home_once_and_merges_all_shards(self) -> None:
+        self.teach(OLD)
+        self.homes.of_instance[InstanceName("l1")] = (HOME_B,)
+        groups = self.start()
+        self.assertEqual([group.node for group in groups], [HOME_A, HOME_B])
+        self.assertEqual(groups[0].message.snapshot, OLD)
+        self.assertLess(groups[0].message.time_left, 0.06)
+        self.assertEqual(self.answer(groups[1], make_reply("l1", score=9.0)), [])
+        found = self.answer(groups[0], *(make_reply(shard) for shard in SHARDS[:3]))
+        answer = answers(found)[0]
+        self.assertEqual(answer.covered, SHARDS)
+        self.assertEqual([hit.shard for hit in answer.hits], ["l1", "d0", "d1", "l0"])
+        self.assertEqual((answer.snapshot, answer.complete, answer.lacking), (OLD, True, ()))
+        self.assertEqual((self.coordinator.in_flight(), self.coordinator.next_due()), (0, None))
+
+    def test_deadline_answers_with_every_missing_shard_and_cancels(self) -> None:
+        self.teach(OLD)
+        group = self.start(make_search(min_coverage=1.0))[0]
+        self.answer(group, make_reply("d0"), ShardReply(ShardId("l0"), reason=LackReason.OVERLOAD))
+        due = self.coordinator.next_due()
+        assert due is not None
+        self.assertLess(due, 1_000.06)
+        orders = self.coordinator.tick(due)
+        answer = answers(orders)[0]
+        self.assertEqual(answer.covered, ("d0",))
+        expected = [
+            ("d1", LackReason.DEADLINE),
+            ("l0", LackReason.OVERLOAD),
+            ("l1", LackReason.DEADLINE),
+        ]
+        self.assertEqual([(each.shard, each.reason) for each in answer.lacking], expected)
+        self.assertFalse(answer.complete)
+        self.assertEqual([type(order) for order in orders], [SendCancel, FinishSearchRequest])
+        self.assertEqual(self.answer(group, make_reply("d1")), [])
+
+    def test_crossed_duplicate_and_foreign_replies_are_dropped(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        other = self.start(make_search("other"))[0]
+        replies = tuple(make_reply(shard, score=5.0) for shard in SHARDS)
+        wrong_node = GroupReply(group.message.search_id, replies)
+        self.assertEqual(self.coordinator.on_group_reply(HOME_B, wrong_node, START), [])
+        self.answer(group, make_reply("d0", score=1.0), make_reply("d0", score=2.0))
+        self.answer(group, make_reply("elsewhere"))
+        self.assertEqual(answers(self.answer(other, *replies))[0].request_id, "other")
+        rest = (make_reply(shard) for shard in SHARDS[1:])
+        answer = answers(self.answer(group, *rest))[0]
+        self.assertEqual([hit.score for hit in answer.hits], [1.0] * 4)
+
+    def test_reply_from_another_snapshot_is_not_merged(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        rest = (make_reply(shard) for shard in SHARDS[1:])
+        answer = answers(self.answer(group, make_reply("d0", NEW), *rest, now=START + 0.05))[0]
+        self.assertEqual(answer.lacking, (Lacking(ShardId("d0"), LackReason.SNAPSHOT),))
+        self.assertNotIn("d0-hit", [hit.id for hit in answer.hits])
+
+    def test_first_search_pins_one_snapshot_and_asks_again_for_the_others(self) -> None:
+        group = self.start()[0]
+        self.assertIsNone(group.message.snapshot)
+        replies = [make_reply(shard, OLD, OLD, NEW) for shard in SHARDS[:3]]
+        orders = self.answer(group, *replies, make_reply("l1", NEW, OLD, NEW))
+        again = sends(orders)[0].message
+        self.assertEqual(
+            (again.snapshot, [t.shard for t in again.targets]), (NEW, ["d0", "d1", "l0"])
+        )
+        answer = answers(
+            self.answer(sends(orders)[0], *(make_reply(shard, NEW) for shard in SHARDS[:3]))
+        )[0]
+        self.assertEqual((answer.snapshot, answer.covered), (NEW, SHARDS))
+
+    def test_without_time_to_ask_again_the_most_held_snapshot_is_pinned(self) -> None:
+        group = self.start()[0]
+        late = START + 0.058
+        replies = [make_reply(shard, OLD, OLD, NEW) for shard in SHARDS[:3]]
+        orders = self.answer(group, *replies, make_reply("l1", NEW, OLD, NEW), now=late)
+        answer = answers(orders)[0]
+        self.assertEqual((answer.snapshot, answer.covered), (OLD, SHARDS[:3]))
+
+    def test_reruns_once_at_the_newer_snapshot(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        moved = [
+            ShardReply(ShardId(shard), reason=LackReason.SNAPSHOT, available=(NEW,))
+            for shard in SHARDS
+        ]
+        orders = self.answer(group, *moved)
+        rerun = sends(orders)[0]
+        self.assertEqual((rerun.message.snapshot, len(rerun.message.targets)), (NEW, 4))
+        self.assertEqual(self.answer(group, make_reply("d0")), [])
+        again = [
+            ShardReply(ShardId(shard), reason=LackReason.SNAPSHOT, available=(Snapshot(1, 9),))
+            for shard in SHARDS
+        ]
+        answer = answers(self.answer(rerun, *again))[0]
+        self.assertEqual({each.reason for each in answer.lacking}, {LackReason.SNAPSHOT})
+
+    def test_rerun_that_covers_less_gives_way_to_the_first_attempt(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        self.answer(group, make_reply("d0", OLD, OLD, NEW), make_reply("d1", OLD, OLD, NEW))
+        moved = [
+            ShardReply(ShardId(shard), reason=LackReason.SNAPSHOT, available=(NEW,))
+            for shard in ("l0", "l1")
+        ]
+        rerun = sends(self.answer(group, *moved))[0]
+        self.answer(rerun, make_reply("d0", NEW))
+        answer = answers(self.coordinator.tick(1_000.06))[0]
+        self.assertEqual((answer.snapshot, answer.covered), (OLD, ("d0", "d1")))
+        self.assertEqual(len(answer.lacking), 2)
+
+    def test_lost_home_is_replaced_by_the_next_then_listed(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        self.answer(group, make_reply("d0"))
+        orders = self.coordinator.on_node_lost(HOME_A, START + 0.01)
+        second = sends(orders)[0]
+        self.assertEqual(second.node, HOME_B)
+        self.assertEqual([t.shard for t in second.message.targets], ["d1", "l0", "l1"])
+        self.assertLess(second.message.time_left, group.message.time_left)
+        answer = answers(self.coordinator.on_node_lost(HOME_B, START + 0.02))[0]
+        self.assertEqual({each.reason for each in answer.lacking}, {LackReason.HOME_UNREACHABLE})
+        self.assertEqual(answer.covered, ("d0",))
+
+    def test_early_answer_needs_the_minimum_coverage(self) -> None:
+        self.teach(OLD)
+        group = self.start(make_search(min_coverage=0.5, early_at=START + 0.02))[0]
+        self.answer(group, make_reply("d0"))
+        self.assertEqual(self.coordinator.tick(START + 0.02), [])
+        orders = self.answer(group, make_reply("d1"), now=START + 0.03)
+        answer = answers(orders)[0]
+        self.assertEqual((answer.coverage, answer.complete), (0.5, True))
+
+    def test_caller_that_leaves_cancels_its_groups(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        orders = self.coordinator.cancel(RequestId("search-1"), START)
+        self.assertEqual([type(order) for order in orders], [SendCancel])
+        self.assertEqual(self.answer(group, make_reply("d0")), [])
+        self.assertEqual(self.coordinator.in_flight(), 0)
+
+    def test_no_home_and_unknown_service_are_answered_at_once(self) -> None:
+        self.homes.homes = ()
+        answer = answers(self.coordinator.start(make_search(), START))[0]
+        self.assertEqual(len(answer.lacking), 4)
+        self.coordinator.configure(make_configuration(0, 0), START)
+        self.assertTrue(answers(self.coordinator.start(make_search(), START))[0].complete)
