--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -1,8 +1,9 @@
-"""A store in memory whose calls can fail, be late or lose their reply."""
+"""A store in memory whose calls wait until a test lets them through, with or without a fault."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
+from enum import Enum
 
 from result import Err, Ok
 
@@ -16,28 +17,43 @@
     StoreValue,
 )
 
+_Effect = Callable[[], StoreReply]
+
+
+class Fault(Enum):
+    """What happens to one call."""
+
+    NONE = "none"
+    LOST_AFTER_EFFECT = "lost_after_effect"
+    LOST_BEFORE_EFFECT = "lost_before_effect"
+    LOST_THEN_EFFECT = "lost_then_effect"
+    """The reply is lost first; the write takes effect later."""
+    UNAVAILABLE = "unavailable"
+
+
+class StoreCall:
+    """One call that waits."""
+
+    def __init__(self, name: str, effect: _Effect, done: Callable[[StoreReply], None]) -> None:
+        self.name = name
+        self.effect = effect
+        self.done = done
+
 
 class FakeStore:
-    """Answers at once; `faults` is consulted before each call."""
+    """The platform's store, one call at a time."""
 
     def __init__(self) -> None:
-        """Make an empty store."""
         self.values: dict[str, StoreValue] = {}
-        self.revision = 0
-        self.calls = 0
-        self.down = False
-        self.lose: list[bool] = []
-        """Whether the reply to each of the next calls is lost after the effect."""
-        self.before_put: Callable[[], None] | None = None
-        self.watches: list[tuple[str, Revision, Callable[[StoreReply], None]]] = []
-
-    def read(self, key: str) -> StoreValue:
-        """Returns the value of a key."""
-        return self.values.get(key, StoreValue(key, b"", ABSENT))
+        self.calls: list[StoreCall] = []
+        self.delayed: list[_Effect] = []
+        self.leases: dict[str, LeaseId | None] = {}
+        self.writes = 0
+        self._revision = 0
 
     def get(self, key: str, done: Callable[[StoreReply], None]) -> None:
         """Reads a key."""
-        self._answer(done, lambda: Ok(self.read(key)))
+        self.calls.append(StoreCall("get", lambda: Ok(self._read(key)), done))
 
     def put(
         self,
@@ -47,63 +63,61 @@
         done: Callable[[StoreReply], None],
         lease: LeaseId | None = None,
     ) -> None:
-        """Writes a key by compare-and-swap."""
-        if self.before_put is not None:
-            race, self.before_put = self.before_put, None
-            race()
-        self._answer(done, lambda: self._swap(key, value, expected))
+        """Writes a key if its revision is `expected`."""
 
-    def delete(self, key: str, expected: Revision, done: Callable[[StoreReply], None]) -> None:
-        """Is not needed here."""
-        raise NotImplementedError
+        def effect() -> StoreReply:
+            current = self._read(key)
+            if current.revision != expected:
+                return Err(StoreError(StoreErrorKind.CONFLICT, "revision", current))
+            self._revision += 1
+            self.writes += 1
+            self.values[key] = StoreValue(key, value, Revision(self._revision))
+            self.leases[key] = lease
+            return Ok(self.values[key])
 
-    def grant_lease(self, ttl: float, done: Callable[[LeaseReply], None]) -> None:
-        """Is not needed here."""
+        self.calls.append(StoreCall("put", effect, done))
+
+    def delete(self, key: str, expected: Revision, done: Callable[[StoreReply], None]) -> None:
+        """Not needed by the requests."""
         raise NotImplementedError
 
     def watch(
         self, key: str, after: Revision, wait: float, done: Callable[[StoreReply], None]
     ) -> None:
-        """Answers at once if there is news or nothing to wait for, else keeps the watch."""
-        if self.down or wait == 0 or self.read(key).revision > after:
-            self._answer(done, lambda: Ok(self.read(key)))
+        """Not needed by the requests."""
+        raise NotImplementedError
+
+    def grant_lease(self, ttl: float, done: Callable[[LeaseReply], None]) -> None:
+        """Grants a lease at once."""
+        done(Ok(LeaseId("lease-1")))
+
+    def step(self, index: int = 0, fault: Fault = Fault.NONE) -> None:
+        """Lets one waiting call through."""
+        call = self.calls.pop(index)
+        lost = Err(StoreError(StoreErrorKind.NO_REPLY, "timeout"))
+        if fault is Fault.UNAVAILABLE:
+            call.done(Err(StoreError(StoreErrorKind.UNAVAILABLE, "down")))
             return
-        self.calls += 1
-        self.watches.append((key, after, done))
-
-    def end_watch(self, done: Callable[[StoreReply], None]) -> None:
-        """Answers one watch, if it still waits."""
-        for watch in self.watches:
-            if watch[2] is done:
-                self.watches.remove(watch)
-                done(_unavailable() if self.down else Ok(self.read(watch[0])))
-                return
-
-    def settle_watches(self) -> None:
-        """Answers the watches, as after a change, the end of their wait, or an outage."""
-        waiting, self.watches = self.watches, []
-        for key, _after, done in waiting:
-            done(_unavailable() if self.down else Ok(self.read(key)))
-
-    def _swap(self, key: str, value: bytes, expected: Revision) -> StoreReply:
-        current = self.read(key)
-        if current.revision != expected:
-            return Err(StoreError(StoreErrorKind.CONFLICT, "other revision", current))
-        self.revision += 1
-        self.values[key] = StoreValue(key, value, Revision(self.revision))
-        return Ok(self.values[key])
-
-    def _answer(self, done: Callable[[StoreReply], None], call: Callable[[], StoreReply]) -> None:
-        self.calls += 1
-        if self.down:
-            done(_unavailable())
+        if fault is Fault.LOST_BEFORE_EFFECT:
+            call.done(lost)
             return
-        reply = call()
-        if self.lose and self.lose.pop(0):
-            done(Err(StoreError(StoreErrorKind.NO_REPLY, "reply lost")))
+        if fault is Fault.LOST_THEN_EFFECT:
+            self.delayed.append(call.effect)
+            call.done(lost)
             return
-        done(reply)
+        reply = call.effect()
+        call.done(lost if fault is Fault.LOST_AFTER_EFFECT else reply)
 
+    def settle(self, fault: Fault = Fault.NONE) -> None:
+        """Lets every waiting call through, also those that follow."""
+        while self.calls:
+            self.step(fault=fault)
 
-def _unavailable() -> StoreReply:
-    return Err(StoreError(StoreErrorKind.UNAVAILABLE, "store is down"))
+    def take_delayed(self) -> None:
+        """Lets the writes take effect whose replies were lost before."""
+        for effect in self.delayed:
+            effect()
+        self.delayed.clear()
+
+    def _read(self, key: str) -> StoreValue:
+        return self.values.get(key, StoreValue(key, b"", ABSENT))
--- a/tests/test_config_editor.py
+++ b/tests/test_config_editor.py
@@ -13,14 +13,14 @@
 from sequoiapulley.ids import ConfigVersion, EditId
 from sequoiapulley.platform.store import StoreError, StoreErrorKind
 from sequoiapulley.runtime import PausedClock
-from tests.fake_store import FakeStore
+from tests.watch_store import WatchStore
 
 
 class ConfigEditorTest(TestCase):
     """One store, several editors."""
 
     def setUp(self) -> None:
-        self.store = FakeStore()
+        self.store = WatchStore()
         self.held: ConfigRecord | None = None
         self.editor = ConfigEditor(self.store, PausedClock(), lambda: self.held)
 
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -24,8 +24,8 @@
 from sequoiapulley.ids import ConfigVersion, EditId, NodeId
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
-from tests.fake_store import FakeStore
 from tests.fleet_net import make_member
+from tests.watch_store import WatchStore
 
 
 def make_record(version: int, text: str = "text", edit: str | None = None) -> ConfigRecord:
@@ -41,7 +41,7 @@
         self.clock = PausedClock()
         self.timers = TimerQueue(self.clock)
         self.random = Random(seed)
-        self.store = FakeStore()
+        self.store = WatchStore()
         self.loss = 0.0
         self.stopped: set[NodeId] = set()
         self.applied: dict[NodeId, list[ConfigVersion]] = {}
