--- a/src/sequoiapulley/daemon/config_task.py
+++ b/src/sequoiapulley/daemon/config_task.py
@@ -74,7 +74,7 @@
         self.on_version: Callable[[ConfigVersion], None] = lambda _version: None
         self._performers: dict[type[SpreadOrder], Callable[[Any], None]] = {
             ApplyText: self._apply,
-            SendPeer: lambda order: postbox.send(order.node, order.message),
+            SendPeer: self._send_peer,
             ArmWatch: self._arm_watch,
             RepairStore: self._repair,
         }
@@ -142,6 +142,10 @@
         self.fire(ConfigurationApplied(result.ok_value))
         self.on_version(order.version)
 
+    def _send_peer(self, order: SendPeer) -> None:
+        """Sends a message of the spread; its loss is covered by anti-entropy."""
+        self._postbox.send(order.node, order.message)
+
     def _arm_watch(self, order: ArmWatch) -> None:
         """Watches the key, or reads it at once."""
         if order.wait > 0:
--- /dev/null
+++ b/src/sequoiapulley/daemon/operators_backend.py
@@ -0,0 +1,194 @@
+"""What the operators' port needs of the node."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from aioprometheus import REGISTRY, render
+from msgspec import Struct
+from result import Err, Ok
+
+from sequoiapulley.daemon.callers_backend import NodeCallersBackend
+from sequoiapulley.daemon.config_task import ConfigTask
+from sequoiapulley.daemon.fleet_task import FleetTask
+from sequoiapulley.daemon.request_task import RequestTask
+from sequoiapulley.daemon.search_task import SearchTask
+from sequoiapulley.entry.operators_messages import (
+    ConfigView,
+    EditAccepted,
+    EditFindings,
+    EditOutcome,
+    EditRefused,
+    EditRequest,
+    EditUnavailable,
+    EventsView,
+    HistoryEntry,
+    HistoryView,
+    MemberView,
+    ReadyView,
+    StatusView,
+)
+from sequoiapulley.fleet.config_editor import EditConflict, EditReply
+from sequoiapulley.fleet.config_record import ConfigRecord
+from sequoiapulley.fleet.member import Member
+from sequoiapulley.ids import CallerId, ConfigVersion, EditId, PlaceName
+from sequoiapulley.observe.burn_messages import BurnShard
+from sequoiapulley.platform.store import StoreErrorKind
+from sequoiapulley.runtime import Clock
+from sequoiapulley.settings.daemon_settings import DaemonSettings
+from sequoiapulley.settings.text import parse_text
+
+EDIT_FILE: Final = "edit"
+
+
+class NodeOperatorsBackend:
+    """Connects the operators' port with the tasks of the node."""
+
+    def __init__(
+        self,
+        cfg: DaemonSettings,
+        clock: Clock,
+        config: ConfigTask,
+        fleet: FleetTask,
+        searches: SearchTask,
+        requests: RequestTask,
+        callers: NodeCallersBackend,
+        homes: Callable[[], int],
+    ) -> None:
+        """Initialise the backend.
+
+        Args:
+            cfg: Settings of the daemon.
+            clock: Clock of the process.
+            config: Configuration in force.
+            fleet: View of the fleet.
+            searches: Searches in flight.
+            requests: Non-idempotent requests in flight.
+            callers: Chooses entry addresses.
+            homes: Counts the upstreams whose preferred home is this node.
+        """
+        self._cfg = cfg
+        self._clock = clock
+        self._started_at = clock.now()
+        self._config = config
+        self._fleet = fleet
+        self._searches = searches
+        self._requests = requests
+        self._callers = callers
+        self._homes = homes
+        self.leaving = False
+
+    def config(self) -> ConfigView:
+        """Returns the configuration in force on this node."""
+        record = self._config.record()
+        if record is None:
+            return ConfigView(ConfigVersion(0), EditId(""), "", 0.0, "")
+        return _config_view(record)
+
+    def edit(self, req: EditRequest, done: Callable[[EditOutcome], None]) -> None:
+        """Checks an edit and writes it to the store."""
+        checked = parse_text(req.text, ConfigVersion(req.base_version + 1), EDIT_FILE)
+        if isinstance(checked, Err):
+            done(EditFindings(checked.err_value))
+            return
+        self._config.edit(
+            req.base_version,
+            req.edit_id,
+            req.author,
+            req.text,
+            lambda reply: done(_edit_outcome(reply)),
+        )
+
+    def history(self, done: Callable[[HistoryView | None], None]) -> None:
+        """Reads the accepted edits; None while the store cannot be read."""
+        if not self._config.store_reachable:
+            done(None)
+            return
+        self._config.history(lambda records: done(_history_view(records)))
+
+    def status(self) -> StatusView:
+        """Returns the state of this node and its view of the others."""
+        return StatusView(
+            node=self._cfg.node,
+            customer=self._cfg.customer,
+            version=self._version_in_force(),
+            uptime_s=self._clock.now() - self._started_at,
+            members=tuple(_member_view(member) for member in self._fleet.members()),
+            in_flight=self._searches.in_flight() + self._requests.in_flight(),
+            homes=self._homes(),
+            store_reachable=self._config.store_reachable,
+            callers_address=str(self._cfg.callers),
+        )
+
+    def entries(self, caller: str, place: str) -> Struct:
+        """Returns the addresses that a caller should use."""
+        return self._callers.entries(CallerId(caller), PlaceName(place) if place else None)
+
+    def events(self, after: int) -> EventsView:
+        """Returns the kept log events after a sequence number."""
+        return EventsView(self._cfg.node, (), 0)
+
+    def burn(self) -> BurnShard:
+        """Returns this node's part of the burn report."""
+        uptime = self._clock.now() - self._started_at
+        return BurnShard(self._cfg.node, self._clock.wall(), uptime, ())
+
+    def ready(self) -> ReadyView:
+        """Returns whether this node should receive callers."""
+        reasons = []
+        if self._config.configuration is None:
+            reasons.append("no configuration is in force")
+        if self.leaving:
+            reasons.append("the node is leaving")
+        return ReadyView(not reasons, tuple(reasons))
+
+    def metrics(self) -> bytes:
+        """Returns the metrics in the Prometheus text format."""
+        body, _headers = render(REGISTRY, [])
+        return bytes(body)
+
+    def _version_in_force(self) -> ConfigVersion:
+        """Returns the version that passed this node's check, 0 for none."""
+        configuration = self._config.configuration
+        return configuration.version if configuration is not None else ConfigVersion(0)
+
+
+def _config_view(record: ConfigRecord) -> ConfigView:
+    """Builds the wire form of a record."""
+    return ConfigView(
+        record.version, record.edit_id, record.author, record.edited_at, record.text
+    )
+
+
+def _history_view(records: tuple[ConfigRecord, ...]) -> HistoryView:
+    """Builds the wire form of the accepted edits."""
+    return HistoryView(
+        tuple(
+            HistoryEntry(record.version, record.edit_id, record.author, record.edited_at)
+            for record in records
+        )
+    )
+
+
+def _member_view(member: Member) -> MemberView:
+    """Builds the wire form of a member."""
+    return MemberView(
+        node=member.node,
+        state=member.state.value,
+        place=member.place,
+        region=member.region,
+        address=f"{member.host}:{member.operators_port}",
+        config_version=member.config_version,
+    )
+
+
+def _edit_outcome(reply: EditReply) -> EditOutcome:
+    """Builds the wire form of an edit's outcome."""
+    if isinstance(reply, Ok):
+        return EditAccepted(reply.ok_value.version)
+    error = reply.err_value
+    if isinstance(error, EditConflict):
+        return EditRefused(_config_view(error.current))
+    known = error.kind is not StoreErrorKind.NO_REPLY
+    return EditUnavailable(known, error.detail)
--- a/src/sequoiapulley/daemon/request_task.py
+++ b/src/sequoiapulley/daemon/request_task.py
@@ -12,7 +12,14 @@
 from sequoiapulley.link.messages import LinkMessage
 from sequoiapulley.model import Configuration
 from sequoiapulley.requests.coordinator import RequestCoordinator
-from sequoiapulley.requests.messages import KeyedRequest, RequestOutcome, RunOrder, RunReport
+from sequoiapulley.requests.messages import (
+    KeyedRequest,
+    RefusalReason,
+    RequestOutcome,
+    RunOrder,
+    RunReport,
+    RunState,
+)
 from sequoiapulley.requests.orders import RunServiceOrder, SendRunReport, SubmitRun
 from sequoiapulley.requests.run_service import RunService
 from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
@@ -86,7 +93,8 @@
     def _on_message_unsent(self, node: NodeId, message: LinkMessage) -> None:
         """Tells the entry that an order never left."""
         if isinstance(message, RunOrder):
-            self._coordinator.on_unsent(node, message)
+            report = RunReport(message.run_id, RunState.NOT_RUN, RefusalReason.HOME_UNREACHABLE)
+            self._coordinator.on_report(node, report)
             self._wake_up.rearm()
 
     @handler("NodeLost")
--- a/src/sequoiapulley/settings/daemon_settings.py
+++ b/src/sequoiapulley/settings/daemon_settings.py
@@ -13,6 +13,10 @@
 from sequoiapulley.settings.finding import Finding
 from sequoiapulley.settings.section import LARGEST_PORT, Section
 
+DEFAULT_ENTRY_LIFETIME_S: Final = 30.0
+MIN_ENTRY_LIFETIME_S: Final = 1.0
+MAX_ENTRY_LIFETIME_S: Final = 600.0
+
 _LISTENERS: Final = ("callers", "operators", "link", "membership")
 _SERVERS: Final = ("store", "vm_list")
 
@@ -68,6 +72,8 @@
     tls: TlsFiles | None = None
     """Files of mutual TLS on `link`; None for plain text."""
     log: LogSettings = LogSettings()
+    entry_lifetime_s: float = DEFAULT_ENTRY_LIFETIME_S
+    """How long callers may keep an entry address, and a leaving node serves on, in seconds."""
 
 
 def load_settings(path: str | Path) -> Result[DaemonSettings, tuple[Finding, ...]]:
@@ -119,6 +125,12 @@
         membership_key_file=root.text("membership_key_file", "") or None,
         tls=_read_tls(root.section("tls")),
         log=_read_log(root.section("log")),
+        entry_lifetime_s=root.number(
+            "entry_lifetime_s",
+            MIN_ENTRY_LIFETIME_S,
+            MAX_ENTRY_LIFETIME_S,
+            DEFAULT_ENTRY_LIFETIME_S,
+        ),
         **endpoints,
     )
     root.finish()
--- /dev/null
+++ b/src/sequoiapulley/upstream/http_codec.py
@@ -0,0 +1,51 @@
+"""The dispatcher's codec for the upstreams' HTTP contract."""
+
+from __future__ import annotations
+
+from sequoiapulley.ids import ExchangeId, ShardId
+from sequoiapulley.search.messages import Hit
+from sequoiapulley.upstream.http_contract import (
+    JSON_HEADERS,
+    decode_run_body,
+    decode_search_body,
+    encode_run,
+    encode_search,
+    run_headers,
+)
+from sequoiapulley.upstream.messages import SubRun, SubSearch
+
+
+class HttpExchangeCodec:
+    """Encodes requests and decodes the bodies of replies."""
+
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
+        """Returns the body that searches one shard."""
+        return encode_search(exchange_id, sub, now)
+
+    def search_headers(self) -> tuple[tuple[str, str], ...]:
+        """Returns the headers of a search."""
+        return JSON_HEADERS
+
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
+        """Returns the body that runs non-idempotent work."""
+        return encode_run(exchange_id, sub, now)
+
+    def run_headers(self, sub: SubRun) -> tuple[tuple[str, str], ...]:
+        """Returns the headers of non-idempotent work, its key among them."""
+        return run_headers(sub)
+
+    def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
+        """Decodes the hits of a reply.
+
+        Raises:
+            ContractError: If the body does not decode or is another shard's.
+        """
+        return decode_search_body(body, shard)
+
+    def decode_run(self, body: bytes) -> str:
+        """Decodes the result of non-idempotent work as JSON text.
+
+        Raises:
+            ContractError: If the body does not decode.
+        """
+        return decode_run_body(body)
--- /dev/null
+++ b/tests/test_local_fleet.py
@@ -0,0 +1,172 @@
+"""One test of five real processes on loopback: edits, kills, an outage, orders, restarts."""
+
+from __future__ import annotations
+
+from http.client import HTTPException
+from threading import Event, Thread
+from typing import Any
+from unittest import TestCase
+
+from msgspec import json
+
+from standins.demo import Caller
+from standins.local_fleet import LocalFleet, LocalNode, http_json, local_fleet, terminate, wait_until
+
+NODES = 5
+SERVICE = "desk"
+SHARDS = frozenset({"desk-1", "desk-2", "ledger-1"})
+
+
+def make_text(extra: str = "") -> str:
+    """Writes a text with three instances of two upstreams each, and an optional comment."""
+    places = {"p1": {"region": "r1"}, "p2": {"region": "r1"}, "p3": {"region": "r2"}}
+
+    def instance(name: str, number: int) -> dict[str, Any]:
+        upstreams = {}
+        for letter, place in (("a", "p1"), ("b", f"p{number % 2 + 2}")):
+            # Distinct ports satisfy the check; the launcher replaces them.
+            port = 30_000 + len(name) * 100 + number * 10 + ord(letter) - 96
+            upstreams[f"{name}-{letter}"] = {"place": place, "address": f"127.0.0.1:{port}"}
+        return upstreams
+
+    contract = {"slots": 2, "connections": 60, "open_ms": 1}
+    text = {
+        "customer": "fleet-test",
+        "places": places,
+        "contracts": {"c": contract},
+        "services": {
+            SERVICE: {
+                "contract": "c",
+                "depends_on": ["ledger"],
+                "search": {"deadline_ms": 2_000},
+                "instances": {
+                    "desk-1": instance("desk-1", 1),
+                    "desk-2": instance("desk-2", 2),
+                },
+            },
+            "ledger": {"contract": "c", "instances": {"ledger-1": instance("ledger-1", 1)}},
+        },
+    }
+    return json.format(json.encode(text), indent=1).decode() + f"\n// {extra}\n"
+
+
+def apply(fleet: LocalFleet, node: LocalNode, base: int, note: str) -> tuple[int, Any]:
+    body = {
+        "base_version": base,
+        "edit_id": f"edit-{note}",
+        "author": "test",
+        "text": fleet.text + f"// {note}\n",
+    }
+    return http_json(node.ports.operators, "PUT", "/v1/config", body)
+
+
+def versions(fleet: LocalFleet) -> set[int]:
+    found = set()
+    for node in fleet.running():
+        try:
+            view = http_json(node.ports.operators, "GET", "/v1/status")[1]
+        except (OSError, HTTPException):
+            return set()
+        found.add(view["version"])
+    return found
+
+
+class SearchStream:
+    """Searches without a pause and keeps what a caller saw."""
+
+    def __init__(self, fleet: LocalFleet) -> None:
+        self._caller = Caller(fleet)
+        self._stop = Event()
+        self._thread = Thread(target=self._run, daemon=True)
+        self.answers: list[Any] = []
+        self.lost = 0
+        self._thread.start()
+
+    def _run(self) -> None:
+        while not self._stop.wait(0.01):
+            reply = self._caller.call(f"/v1/services/{SERVICE}/search", {"query": "permit"})
+            if reply is None or reply[0] != 200:
+                self.lost += 1
+                continue
+            self.answers.append(reply[1])
+
+    def finish(self) -> None:
+        self._stop.set()
+        self._thread.join()
+
+
+class LocalFleetTest(TestCase):
+    """The promises, seen from outside the processes."""
+
+    def test_five_processes_through_faults(self) -> None:
+        with local_fleet(make_text(), NODES) as fleet:
+            fleet.wait_for_members(NODES)
+            first, *_ = fleet.running()
+            self.assertEqual(apply(fleet, first, 0, "one")[0], 200)
+            wait_until(lambda: versions(fleet) == {1}, "version 1 everywhere")
+            stream = SearchStream(fleet)
+            self._edits_conflict(fleet)
+            self._store_outage(fleet)
+            self._killed_node(fleet)
+            self._rolling_restart(fleet)
+            stream.finish()
+            self._check_answers(stream)
+            runs = fleet.upstream_counters()["runs"]
+            self.assertEqual(runs, {"before-outage": 1, "after-outage": 1})
+
+    def _edits_conflict(self, fleet: LocalFleet) -> None:
+        left, right = fleet.running()[:2]
+        self.assertEqual(apply(fleet, left, 1, "two")[0], 200)
+        status, refusal = apply(fleet, right, 1, "other")
+        self.assertEqual(status, 409)
+        self.assertEqual(refusal["current"]["version"], 2)
+        self.assertEqual(apply(fleet, right, 1, "two")[0], 200, "a repeated edit is the same edit")
+        wait_until(lambda: versions(fleet) == {2}, "version 2 everywhere")
+
+    def _store_outage(self, fleet: LocalFleet) -> None:
+        node, other = fleet.running()[2:4]
+        self.assertEqual(self._order(node, "before-outage")["state"], "done")
+        self.assertEqual(apply(fleet, node, 2, "three")[0], 200)
+        fleet.set_store_faults(down=True)
+        wait_until(lambda: versions(fleet) == {3}, "version 3 everywhere with the store down")
+        self.assertEqual(self._order(other, "after-outage")["state"], "not_run")
+        self.assertEqual(apply(fleet, node, 3, "four")[0], 503)
+        fleet.set_store_faults(down=False)
+        wait_until(
+            lambda: self._order(other, "after-outage")["state"] == "done", "orders run again"
+        )
+
+    def _killed_node(self, fleet: LocalFleet) -> None:
+        killed = fleet.running()[2]
+        fleet.kill(killed)
+        outcome = self._order(fleet.running()[0], "before-outage")
+        self.assertEqual((outcome["state"], outcome["repeated"]), ("done", True))
+        fleet.wait_for_members(NODES - 1)
+        fleet.start_node(NODES + 1)
+        fleet.publish_vms()
+        fleet.wait_for_members(NODES)
+        wait_until(lambda: versions(fleet) == {3}, "the new node has the configuration")
+
+    def _rolling_restart(self, fleet: LocalFleet) -> None:
+        for number, node in enumerate(fleet.running()):
+            fleet.leave(node)
+            self.assertEqual(terminate(node.process), 0)
+            fleet.start_node(NODES + 2 + number)
+            fleet.publish_vms()
+            fleet.wait_until_ready()
+            fleet.wait_for_members(NODES)
+        self.assertEqual(versions(fleet), {3})
+
+    def _order(self, node: LocalNode, key: str) -> Any:
+        path = f"/v1/services/{SERVICE}/requests"
+        return http_json(node.ports.callers, "POST", path, {"k": key}, Idempotency_Key=key)[1]
+
+    def _check_answers(self, stream: SearchStream) -> None:
+        self.assertEqual(stream.lost, 0)
+        self.assertGreater(len(stream.answers), 100)
+        for answer in stream.answers:
+            covered = set(answer["covered"])
+            lacking = {item["shard"] for item in answer["lacking"]}
+            self.assertEqual(covered | lacking, SHARDS)
+            self.assertFalse(covered & lacking)
+            self.assertEqual(answer["snapshot"], "1.1")
