--- /dev/null
+++ b/tests/upstream_fakes.py
@@ -0,0 +1,278 @@
+"""Fakes for tests of the dispatcher: a codec, a configuration, a probe that checks all orders."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Final
+
+from sequoiapulley.ids import (
+    CallerId,
+    ConfigVersion,
+    ContractName,
+    CustomerName,
+    ExchangeId,
+    Fingerprint,
+    IdempotencyKey,
+    InstanceName,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    ShardId,
+    UpstreamName,
+)
+from sequoiapulley.model import (
+    Configuration,
+    Contract,
+    Instance,
+    Place,
+    Service,
+    Snapshot,
+    Upstream,
+)
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.requests.messages import RunReport, RunState
+from sequoiapulley.search.messages import Hit, ShardReply, ShardTarget
+from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.messages import (
+    Action,
+    CancelExchange,
+    FinishRun,
+    FinishSearch,
+    LossKind,
+    NewStrike,
+    ReplyKind,
+    SendExchange,
+    SubRun,
+    SubSearch,
+    UpstreamReply,
+)
+
+SNAPSHOT: Final = Snapshot(1, 1)
+SERVICE: Final = ServiceName("ledger")
+REFUSALS: Final = frozenset({ReplyKind.SHED, ReplyKind.DRAINING, ReplyKind.EXPIRED})
+
+
+class FakeCodec:
+    """Encodes nothing and decodes `ok` as no hits."""
+
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
+        return b"search"
+
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
+        return b"run"
+
+    def decode_search(self, body: bytes) -> tuple[Hit, ...]:
+        if body != b"ok":
+            raise ValueError("truncated")
+        return ()
+
+
+def configuration(
+    instances: int = 1,
+    replicas: int = 2,
+    slots: int = 2,
+    draining: frozenset[str] = frozenset(),
+    services: dict[str, int] | None = None,
+) -> Configuration:
+    """Builds services (name to weight) whose upstreams are named `<service>-<instance>-<n>`."""
+    weights = services or {SERVICE: 1}
+    places = {
+        PlaceName(name): Place(PlaceName(name), RegionName(region))
+        for name, region in (("near-a", "near"), ("near-b", "near"), ("far-a", "far"))
+    }
+    names = list(places)
+    contract = Contract(ContractName("small"), slots, 55, 6.0)
+    built = {}
+    for service, weight in weights.items():
+        held = []
+        for number in range(instances):
+            upstreams = tuple(
+                Upstream(
+                    UpstreamName(f"{service}-{number}-{replica}"),
+                    names[replica % len(names)],
+                    "127.0.0.1",
+                    1,
+                    f"{service}-{number}-{replica}" in draining,
+                )
+                for replica in range(replicas)
+            )
+            held.append(Instance(InstanceName(f"i{number}"), upstreams))
+        name = ServiceName(service)
+        built[name] = Service(name, contract.name, tuple(held), weight=weight)
+    return Configuration(
+        ConfigVersion(1), CustomerName("co-op"), places, {contract.name: contract}, built
+    )
+
+
+def search(
+    sub_id: int,
+    deadline: float,
+    instance: int = 0,
+    caller: str = "caller",
+    fingerprint: str = "f",
+    service: str = SERVICE,
+    snapshot: Snapshot | None = SNAPSHOT,
+) -> SubSearch:
+    """Builds a sub-search."""
+    name = InstanceName(f"i{instance}")
+    target = ShardTarget(ShardId(name), ServiceName(service), name)
+    return SubSearch(
+        sub_id, target, CallerId(caller), "q", 10, Fingerprint(fingerprint), snapshot, deadline
+    )
+
+
+def run(
+    sub_id: int, deadline: float, instance: int = 0, fingerprint: str = "r", service: str = SERVICE
+) -> SubRun:
+    """Builds a sub-run."""
+    return SubRun(
+        sub_id,
+        sub_id,
+        ServiceName(service),
+        InstanceName(f"i{instance}"),
+        CallerId("caller"),
+        "{}",
+        IdempotencyKey(f"key-{sub_id}"),
+        Fingerprint(fingerprint),
+        deadline,
+    )
+
+
+def ok(snapshot: Snapshot | None = SNAPSHOT, **fields: object) -> UpstreamReply:
+    """Builds a good reply."""
+    return UpstreamReply(ReplyKind.OK, snapshot, body=b"ok", **fields)  # type: ignore[arg-type]
+
+
+class Probe:
+    """Drives a dispatcher and checks every order against the promises."""
+
+    def __init__(self, cfg: Configuration | None = None, slots: int = 2, seed: int = 0) -> None:
+        """Configures a dispatcher at clock reading 0."""
+        self.log = MemoryLog()
+        self.dispatcher = Dispatcher(FakeCodec(), self.log, seed)
+        self.slots = slots
+        self.now = 0.0
+        self.open: dict[ExchangeId, SendExchange] = {}
+        self.sub_of: dict[ExchangeId, int] = {}
+        self.subs: dict[int, SubSearch | SubRun] = {}
+        self.sent: dict[int, list[SendExchange]] = {}
+        self.may_have_run: set[int] = set()
+        self.searches: dict[int, ShardReply] = {}
+        self.runs: dict[int, RunReport] = {}
+        self.strikes: list[NewStrike] = []
+        self.sends: Counter[str] = Counter()
+        self.in_flight: Counter[str] = Counter()
+        self.cancelled: set[int] = set()
+        self.configure(cfg or configuration(slots=slots))
+
+    def configure(self, cfg: Configuration) -> list[Action]:
+        """Applies a configuration with the same slots for every upstream."""
+        self.cfg = cfg
+        orders = self.dispatcher.configure(cfg, self.now, lambda _: 55, lambda _: self.slots)
+        return self.take(orders)
+
+    def submit(self, sub: SubSearch | SubRun) -> list[Action]:
+        """Submits a sub-request."""
+        self.subs[sub.sub_id] = sub
+        if isinstance(sub, SubRun):
+            return self.take(self.dispatcher.submit_run(sub, self.now))
+        return self.take(self.dispatcher.submit_search(sub, self.now))
+
+    def reply(self, exchange_id: ExchangeId, reply: UpstreamReply) -> list[Action]:
+        """Answers an exchange."""
+        self._ended(exchange_id, reply.kind not in REFUSALS)
+        return self.take(self.dispatcher.on_reply(exchange_id, reply, self.now))
+
+    def lose(self, exchange_id: ExchangeId, loss: LossKind) -> list[Action]:
+        """Ends an exchange without a reply."""
+        self._ended(exchange_id, loss is LossKind.CONNECTION_LOST)
+        return self.take(self.dispatcher.on_lost(exchange_id, loss, self.now))
+
+    def cancel(self, sub_id: int) -> list[Action]:
+        """Cancels a sub-request."""
+        self.cancelled.add(sub_id)
+        return self.take(self.dispatcher.cancel(sub_id, self.now))
+
+    def report(self, upstream: str, draining: bool = False, load: float | None = None) -> None:
+        """Delivers a load report."""
+        self.take(
+            self.dispatcher.on_load_report(UpstreamName(upstream), load, draining, (), self.now)
+        )
+
+    def advance(self, seconds: float) -> list[Action]:
+        """Moves the clock, ticking at every due time on the way."""
+        until = self.now + seconds
+        orders: list[Action] = []
+        while (due := self.dispatcher.next_due()) is not None and due <= until:
+            self.now = max(self.now, due)
+            orders += self.take(self.dispatcher.tick(self.now))
+        self.now = until
+        return orders + self.take(self.dispatcher.tick(self.now))
+
+    def exchanges_of(self, sub_id: int) -> list[ExchangeId]:
+        """Lists the open exchanges of a sub-request, oldest first."""
+        return [key for key in self.open if self.sub_of[key] == sub_id]
+
+    def take(self, orders: list[Action]) -> list[Action]:
+        """Carries orders out and checks them."""
+        for order in orders:
+            if isinstance(order, SendExchange):
+                self._on_send(order)
+            elif isinstance(order, CancelExchange):
+                assert order.exchange_id in self.open, "cancelled an exchange that is not open"
+                self._close(order.exchange_id)
+            elif isinstance(order, FinishSearch):
+                self._on_search_finished(order)
+            elif isinstance(order, FinishRun):
+                self._on_run_finished(order)
+            elif isinstance(order, NewStrike):
+                self.strikes.append(order)
+        return orders
+
+    def _on_send(self, order: SendExchange) -> None:
+        sub = self.dispatcher.sub_of(order.exchange_id)
+        assert sub is not None, "sent an exchange that the dispatcher does not know"
+        assert order.exchange_id not in self.sub_of, "reused an exchange id"
+        assert sub.deadline > self.now, "sent after the deadline"
+        assert sub.sub_id not in self.may_have_run, "sent a run twice"
+        before = self.sent.setdefault(sub.sub_id, [])
+        if isinstance(sub, SubRun):
+            assert not self.exchanges_of(sub.sub_id), "a run has two exchanges"
+        if not order.fresh_connection:
+            assert order.upstream not in [sent.upstream for sent in before], "same replica again"
+        before.append(order)
+        self.open[order.exchange_id] = order
+        self.sub_of[order.exchange_id] = sub.sub_id
+        self.sends[order.upstream] += 1
+        self.in_flight[order.upstream] += 1
+        assert self.in_flight[order.upstream] <= self.slots, "more in flight than slots"
+
+    def _on_search_finished(self, order: FinishSearch) -> None:
+        sub = self.subs[order.sub_id]
+        assert isinstance(sub, SubSearch)
+        assert order.sub_id not in self.searches, "finished twice"
+        assert order.sub_id not in self.cancelled, "finished after its cancel"
+        reply = order.reply
+        assert reply.shard == sub.target.shard
+        assert (reply.snapshot is None) == (reply.reason is not None)
+        if reply.reason is None and sub.snapshot is not None:
+            assert reply.snapshot == sub.snapshot, "hits of another snapshot"
+        self.searches[order.sub_id] = reply
+
+    def _on_run_finished(self, order: FinishRun) -> None:
+        assert order.sub_id not in self.runs, "finished twice"
+        if order.report.state is RunState.NOT_RUN:
+            assert order.sub_id not in self.may_have_run, "claimed not run without proof"
+            assert not self.exchanges_of(order.sub_id), "claimed not run while in flight"
+        self.runs[order.sub_id] = order.report
+
+    def _ended(self, exchange_id: ExchangeId, may_have_run: bool) -> None:
+        sub_id = self.sub_of[exchange_id]
+        if may_have_run and isinstance(self.subs[sub_id], SubRun):
+            self.may_have_run.add(sub_id)
+        if exchange_id in self.open:
+            self._close(exchange_id)
+
+    def _close(self, exchange_id: ExchangeId) -> None:
+        order = self.open.pop(exchange_id)
+        self.in_flight[order.upstream] -= 1
