--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -7,8 +7,6 @@
 from random import Random
 from typing import Final
 
-from msgspec import MsgspecError
-
 from sequoiapulley.ids import ExchangeId, Fingerprint, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.snapshot import Snapshot
@@ -16,10 +14,12 @@
 from sequoiapulley.search.messages import LackReason, ShardReply
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.directory import Directory, InstanceState
+from sequoiapulley.upstream.http_contract import RUN_PATH, SEARCH_PATH
 from sequoiapulley.upstream.messages import (
     Action,
     CancelExchange,
     CloseUpstream,
+    FinishRun,
     FinishSearch,
     LossKind,
     ReplyKind,
@@ -33,10 +33,11 @@
     LACK_BY_REPLY,
     NOT_SENT_LOSSES,
     REFUSAL_BY_LACK,
+    REFUSAL_BY_REPLY,
     classify_search_reply,
+    done,
     lacking,
     not_run,
-    run_outcome,
     unknown,
 )
 from sequoiapulley.upstream.upstream_state import UpstreamState
@@ -144,7 +145,7 @@
         work = exchange.work
         if isinstance(work.sub, SubRun):
             self._close(work, actions)
-            actions.append(run_outcome(work.sub, reply))
+            actions.append(self._run_outcome(work.sub, reply))
         else:
             self._on_search_reply(work, work.sub, reply, now, actions)
         self._after_release(work, now, actions)
@@ -286,11 +287,21 @@
         work.tried.add(upstream.name)
         work.state = WorkState.IN_FLIGHT
         upstream.in_flight += 1
-        if isinstance(work.sub, SubRun):
-            body = self._codec.encode_run(exchange_id, work.sub, now)
+        actions.append(self._order(exchange, now))
+
+    def _order(self, exchange: Exchange, now: float) -> SendExchange:
+        sub = exchange.work.sub
+        if isinstance(sub, SubRun):
+            path = RUN_PATH
+            headers = self._codec.run_headers(sub)
+            body = self._codec.encode_run(exchange.exchange_id, sub, now)
         else:
-            body = self._codec.encode_search(exchange_id, work.sub, now)
-        actions.append(SendExchange(exchange_id, upstream.name, "", (), body, work.deadline))
+            path = SEARCH_PATH
+            headers = self._codec.search_headers()
+            body = self._codec.encode_search(exchange.exchange_id, sub, now)
+        return SendExchange(
+            exchange.exchange_id, exchange.upstream.name, path, headers, body, sub.deadline
+        )
 
     def _release(self, exchange_id: ExchangeId) -> Exchange | None:
         exchange = self._exchanges.pop(exchange_id, None)
@@ -318,14 +329,25 @@
             self._try_again(work, LACK_BY_REPLY[kind], now, actions)
             return
         try:
-            hits = self._codec.decode_search(reply.body)
-        except (ValueError, MsgspecError):
+            hits = self._codec.decode_search(reply.body, sub.target.shard)
+        except ValueError:
             self._try_again(work, LackReason.TRUNCATED, now, actions)
             return
         self._close(work, actions)
         shard_reply = ShardReply(shard=sub.target.shard, snapshot=reply.snapshot, hits=hits)
         actions.append(FinishSearch(sub.sub_id, shard_reply))
 
+    def _run_outcome(self, sub: SubRun, reply: UpstreamReply) -> FinishRun:
+        refusal = REFUSAL_BY_REPLY.get(reply.kind)
+        if refusal is not None:
+            return not_run(sub, refusal)
+        if reply.kind is not ReplyKind.OK:
+            return unknown(sub)
+        try:
+            return done(sub, self._codec.decode_run(reply.body))
+        except ValueError:
+            return unknown(sub)
+
     def _try_again(self, work: Work, reason: LackReason, now: float, actions: list[Action]) -> None:
         work.reason = reason
         if work.exchanges:
--- a/src/sequoiapulley/upstream/outcomes.py
+++ b/src/sequoiapulley/upstream/outcomes.py
@@ -29,6 +29,7 @@
     LossKind.NOT_SENT: LackReason.NO_REPLICA,
     LossKind.CONNECT_FAILED: LackReason.NO_REPLICA,
     LossKind.CONNECTION_LOST: LackReason.NO_REPLICA,
+    LossKind.DISCARDED: LackReason.DEADLINE,
 }
 REFUSAL_BY_REPLY: Final = {
     ReplyKind.SHED: RefusalReason.OVERLOAD,
@@ -81,20 +82,6 @@
     return FinishRun(sub.sub_id, RunReport(sub.run_id, RunState.UNKNOWN))
 
 
-def run_outcome(sub: SubRun, reply: UpstreamReply) -> FinishRun:
-    """Returns what a reply proves about a non-idempotent request.
-
-    Args:
-        sub: The request.
-        reply: The reply of the one upstream that received it.
-
-    Returns:
-        Done with the body, not run if the upstream says so, unknown otherwise.
-    """
-    if reply.kind is ReplyKind.OK:
-        body = reply.body.decode("utf-8", errors="replace")
-        return FinishRun(sub.sub_id, RunReport(sub.run_id, RunState.DONE, body=body))
-    refusal = REFUSAL_BY_REPLY.get(reply.kind)
-    if refusal is not None:
-        return not_run(sub, refusal)
-    return unknown(sub)
+def done(sub: SubRun, body: str) -> FinishRun:
+    """Returns the outcome of a run that the upstream answered."""
+    return FinishRun(sub.sub_id, RunReport(sub.run_id, RunState.DONE, body=body))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -69,8 +69,12 @@
             with self.subTest(kind):
                 probe = Probe()
                 probe.submit(run(1, 1.0))
-                probe.reply(probe.exchanges_of(1)[0], UpstreamReply(kind, body=b"{}"))
+                probe.reply(probe.exchanges_of(1)[0], UpstreamReply(kind, body=b"ok"))
                 self.assertEqual(probe.runs[1].state, state)
+        probe = Probe()
+        probe.submit(run(1, 1.0))
+        probe.reply(probe.exchanges_of(1)[0], UpstreamReply(ReplyKind.OK, body=b"half"))
+        self.assertEqual(probe.runs[1].state, RunState.UNKNOWN)
 
     def test_run_in_flight_at_its_deadline_or_lost_is_unknown(self) -> None:
         probe = Probe()
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -61,11 +61,22 @@
     def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
         return b"run"
 
-    def decode_search(self, body: bytes) -> tuple[Hit, ...]:
+    def search_headers(self) -> tuple[tuple[str, str], ...]:
+        return ()
+
+    def run_headers(self, sub: SubRun) -> tuple[tuple[str, str], ...]:
+        return ()
+
+    def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
         if body != b"ok":
             raise ValueError("truncated")
         return ()
 
+    def decode_run(self, body: bytes) -> str:
+        if body != b"ok":
+            raise ValueError("truncated")
+        return body.decode()
+
 
 def configuration(
     instances: int = 1,
@@ -185,7 +196,7 @@
 
     def lose(self, exchange_id: ExchangeId, loss: LossKind) -> list[Action]:
         """Ends an exchange without a reply."""
-        self._ended(exchange_id, loss is LossKind.CONNECTION_LOST)
+        self._ended(exchange_id, loss in (LossKind.CONNECTION_LOST, LossKind.DISCARDED))
         return self.take(self.dispatcher.on_lost(exchange_id, loss, self.now))
 
     def cancel(self, sub_id: int) -> list[Action]:
