Serve the whole path thin: text, nodes, searches, orders

Cause: dispatcher and codec disagreed on paths, headers and the shard check of a reply; a loss kind of the transport had no reason in the dispatcher. Change: the codec returns a whole encoded request and checks the shard; an unreadable result of a run is unknown, not done.

--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -155,9 +155,9 @@
     def _wire_work(self) -> None:
         """Makes the tasks that serve searches and requests."""
         dispatcher = Dispatcher(HttpExchangeCodec(), self._log, randbits(SEED_BITS))
-        self.upstreams = UpstreamTask(
-            self.clock, self.timers, self._reactor, dispatcher
-        ).register(self)
+        self.upstreams = UpstreamTask(self.clock, self.timers, self._reactor, dispatcher).register(
+            self
+        )
         self.searches = SearchTask(
             self.clock,
             self.timers,
--- a/src/sequoiapulley/daemon/operators_backend.py
+++ b/src/sequoiapulley/daemon/operators_backend.py
@@ -156,9 +156,7 @@
 
 def _config_view(record: ConfigRecord) -> ConfigView:
     """Builds the wire form of a record."""
-    return ConfigView(
-        record.version, record.edit_id, record.author, record.edited_at, record.text
-    )
+    return ConfigView(record.version, record.edit_id, record.author, record.edited_at, record.text)
 
 
 def _history_view(records: tuple[ConfigRecord, ...]) -> HistoryView:
--- a/src/sequoiapulley/daemon/upstream_shares.py
+++ b/src/sequoiapulley/daemon/upstream_shares.py
@@ -1,4 +1,4 @@
-"""This node's share of each upstream's connections and slots."""
+"""The share of one node in each upstream's connections and slots."""
 
 from __future__ import annotations
 
--- a/src/sequoiapulley/upstream/codec.py
+++ b/src/sequoiapulley/upstream/codec.py
@@ -4,24 +4,40 @@
 
 from typing import Protocol
 
-from sequoiapulley.ids import ExchangeId
+from msgspec import Struct
+
+from sequoiapulley.ids import ExchangeId, ShardId
 from sequoiapulley.search.messages import Hit
 from sequoiapulley.upstream.messages import SubRun, SubSearch
 
 
+class EncodedRequest(Struct, frozen=True):
+    """A request as it goes on the wire."""
+
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
 class ExchangeCodec(Protocol):
     """Encodes requests for upstreams and decodes the bodies of their replies."""
 
-    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> EncodedRequest:
         """Returns the request that searches one shard."""
 
-    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> EncodedRequest:
         """Returns the request that runs non-idempotent work."""
 
-    def decode_search(self, body: bytes) -> tuple[Hit, ...]:
+    def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
         """Decodes the hits of a reply.
 
+        Raises:
+            ValueError: If the body is truncated, malformed or another shard's.
+        """
+
+    def decode_run(self, body: bytes) -> str:
+        """Decodes the result of non-idempotent work as JSON text.
+
         Raises:
             ValueError: If the body is truncated or malformed.
-            msgspec.MsgspecError: If the body is truncated or malformed.
         """
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -7,8 +7,6 @@
 from random import Random
 from typing import Final
 
-from msgspec import MsgspecError
-
 from sequoiapulley.ids import ExchangeId, Fingerprint, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.snapshot import Snapshot
@@ -144,7 +142,7 @@
         work = exchange.work
         if isinstance(work.sub, SubRun):
             self._close(work, actions)
-            actions.append(run_outcome(work.sub, reply))
+            actions.append(run_outcome(work.sub, reply, self._codec))
         else:
             self._on_search_reply(work, work.sub, reply, now, actions)
         self._after_release(work, now, actions)
@@ -287,10 +285,19 @@
         work.state = WorkState.IN_FLIGHT
         upstream.in_flight += 1
         if isinstance(work.sub, SubRun):
-            body = self._codec.encode_run(exchange_id, work.sub, now)
+            encoded = self._codec.encode_run(exchange_id, work.sub, now)
         else:
-            body = self._codec.encode_search(exchange_id, work.sub, now)
-        actions.append(SendExchange(exchange_id, upstream.name, "", (), body, work.deadline))
+            encoded = self._codec.encode_search(exchange_id, work.sub, now)
+        actions.append(
+            SendExchange(
+                exchange_id,
+                upstream.name,
+                encoded.path,
+                encoded.headers,
+                encoded.body,
+                work.deadline,
+            )
+        )
 
     def _release(self, exchange_id: ExchangeId) -> Exchange | None:
         exchange = self._exchanges.pop(exchange_id, None)
@@ -318,8 +325,8 @@
             self._try_again(work, LACK_BY_REPLY[kind], now, actions)
             return
         try:
-            hits = self._codec.decode_search(reply.body)
-        except (ValueError, MsgspecError):
+            hits = self._codec.decode_search(reply.body, sub.target.shard)
+        except ValueError:
             self._try_again(work, LackReason.TRUNCATED, now, actions)
             return
         self._close(work, actions)
--- a/src/sequoiapulley/upstream/http_codec.py
+++ b/src/sequoiapulley/upstream/http_codec.py
@@ -4,8 +4,11 @@
 
 from sequoiapulley.ids import ExchangeId, ShardId
 from sequoiapulley.search.messages import Hit
+from sequoiapulley.upstream.codec import EncodedRequest
 from sequoiapulley.upstream.http_contract import (
     JSON_HEADERS,
+    RUN_PATH,
+    SEARCH_PATH,
     decode_run_body,
     decode_search_body,
     encode_run,
@@ -18,21 +21,13 @@
 class HttpExchangeCodec:
     """Encodes requests and decodes the bodies of replies."""
 
-    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
-        """Returns the body that searches one shard."""
-        return encode_search(exchange_id, sub, now)
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> EncodedRequest:
+        """Returns the request that searches one shard."""
+        return EncodedRequest(SEARCH_PATH, JSON_HEADERS, encode_search(exchange_id, sub, now))
 
-    def search_headers(self) -> tuple[tuple[str, str], ...]:
-        """Returns the headers of a search."""
-        return JSON_HEADERS
-
-    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
-        """Returns the body that runs non-idempotent work."""
-        return encode_run(exchange_id, sub, now)
-
-    def run_headers(self, sub: SubRun) -> tuple[tuple[str, str], ...]:
-        """Returns the headers of non-idempotent work, its key among them."""
-        return run_headers(sub)
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> EncodedRequest:
+        """Returns the request that runs non-idempotent work."""
+        return EncodedRequest(RUN_PATH, run_headers(sub), encode_run(exchange_id, sub, now))
 
     def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
         """Decodes the hits of a reply.
--- a/src/sequoiapulley/upstream/outcomes.py
+++ b/src/sequoiapulley/upstream/outcomes.py
@@ -7,6 +7,7 @@
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.requests.messages import RefusalReason, RunReport, RunState
 from sequoiapulley.search.messages import LackReason, ShardReply
+from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.messages import (
     FinishRun,
     FinishSearch,
@@ -29,6 +30,7 @@
     LossKind.NOT_SENT: LackReason.NO_REPLICA,
     LossKind.CONNECT_FAILED: LackReason.NO_REPLICA,
     LossKind.CONNECTION_LOST: LackReason.NO_REPLICA,
+    LossKind.DISCARDED: LackReason.NO_REPLICA,
 }
 REFUSAL_BY_REPLY: Final = {
     ReplyKind.SHED: RefusalReason.OVERLOAD,
@@ -81,18 +83,22 @@
     return FinishRun(sub.sub_id, RunReport(sub.run_id, RunState.UNKNOWN))
 
 
-def run_outcome(sub: SubRun, reply: UpstreamReply) -> FinishRun:
+def run_outcome(sub: SubRun, reply: UpstreamReply, codec: ExchangeCodec) -> FinishRun:
     """Returns what a reply proves about a non-idempotent request.
 
     Args:
         sub: The request.
         reply: The reply of the one upstream that received it.
+        codec: Decodes the result.
 
     Returns:
-        Done with the body, not run if the upstream says so, unknown otherwise.
+        Done with the result, not run if the upstream says so, unknown otherwise.
     """
     if reply.kind is ReplyKind.OK:
-        body = reply.body.decode("utf-8", errors="replace")
+        try:
+            body = codec.decode_run(reply.body)
+        except ValueError:
+            return unknown(sub)
         return FinishRun(sub.sub_id, RunReport(sub.run_id, RunState.DONE, body=body))
     refusal = REFUSAL_BY_REPLY.get(reply.kind)
     if refusal is not None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -53,7 +53,7 @@
         self._ports: list[int] = []
         self._expires = 0.0
 
-    def call(self, path: str, body: object, **headers: str) -> tuple[int, Any] | None:
+    def call(self, path: str, body: object, **headers: Any) -> tuple[int, Any] | None:
         """Calls one of the entry addresses.
 
         Returns:
@@ -100,9 +100,7 @@
         """
         names = fleet.configuration.services
         closure = fleet.configuration.closure(next(name for name in names if name == SERVICE))
-        self._shards = {
-            instance.shard for service in closure for instance in service.instances
-        }
+        self._shards = {instance.shard for service in closure for instance in service.instances}
         self._caller = Caller(fleet)
         self._stop = Event()
         self._thread = Thread(target=self._run, daemon=True)
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -10,7 +10,14 @@
 from msgspec import json
 
 from standins.demo import Caller
-from standins.local_fleet import LocalFleet, LocalNode, http_json, local_fleet, terminate, wait_until
+from standins.local_fleet import (
+    LocalFleet,
+    LocalNode,
+    http_json,
+    local_fleet,
+    terminate,
+    wait_until,
+)
 
 NODES = 5
 SERVICE = "desk"
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -32,6 +32,7 @@
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.requests.messages import RunReport, RunState
 from sequoiapulley.search.messages import Hit, ShardReply, ShardTarget
+from sequoiapulley.upstream.codec import EncodedRequest
 from sequoiapulley.upstream.dispatcher import Dispatcher
 from sequoiapulley.upstream.messages import (
     Action,
@@ -53,19 +54,24 @@
 
 
 class FakeCodec:
-    """Encodes nothing and decodes `ok` as no hits."""
+    """Encodes nothing and decodes `ok` as no hits; `truncated` fails."""
 
-    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
-        return b"search"
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> EncodedRequest:
+        return EncodedRequest("/search", (), b"search")
 
-    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
-        return b"run"
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> EncodedRequest:
+        return EncodedRequest("/run", (), b"run")
 
-    def decode_search(self, body: bytes) -> tuple[Hit, ...]:
+    def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
         if body != b"ok":
             raise ValueError("truncated")
         return ()
 
+    def decode_run(self, body: bytes) -> str:
+        if body == b"truncated":
+            raise ValueError("truncated")
+        return body.decode()
+
 
 def configuration(
     instances: int = 1,
