--- a/src/sequoiapulley/upstream/codec.py
+++ b/src/sequoiapulley/upstream/codec.py
@@ -4,25 +4,29 @@
 
 from typing import Protocol
 
+from msgspec import Struct
+
 from sequoiapulley.ids import ExchangeId, ShardId
 from sequoiapulley.search.messages import Hit
 from sequoiapulley.upstream.messages import SubRun, SubSearch
 
 
-class ExchangeCodec(Protocol):
-    """Encodes requests for upstreams and decodes the bodies of their replies."""
+class EncodedRequest(Struct, frozen=True):
+    """A request as it goes on the wire."""
 
-    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> bytes:
-        """Returns the body that searches one shard."""
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
 
-    def search_headers(self) -> tuple[tuple[str, str], ...]:
-        """Returns the headers of a search."""
 
-    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> bytes:
-        """Returns the body that runs non-idempotent work."""
+class ExchangeCodec(Protocol):
+    """Encodes requests for upstreams and decodes the bodies of their replies."""
+
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> EncodedRequest:
+        """Returns the request that searches one shard."""
 
-    def run_headers(self, sub: SubRun) -> tuple[tuple[str, str], ...]:
-        """Returns the headers of non-idempotent work."""
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> EncodedRequest:
+        """Returns the request that runs non-idempotent work."""
 
     def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
         """Decodes the hits of a reply.
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -14,12 +14,10 @@
 from sequoiapulley.search.messages import LackReason, ShardReply
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.directory import Directory, InstanceState
-from sequoiapulley.upstream.http_contract import RUN_PATH, SEARCH_PATH
 from sequoiapulley.upstream.messages import (
     Action,
     CancelExchange,
     CloseUpstream,
-    FinishRun,
     FinishSearch,
     LossKind,
     ReplyKind,
@@ -33,11 +31,10 @@
     LACK_BY_REPLY,
     NOT_SENT_LOSSES,
     REFUSAL_BY_LACK,
-    REFUSAL_BY_REPLY,
     classify_search_reply,
-    done,
     lacking,
     not_run,
+    run_outcome,
     unknown,
 )
 from sequoiapulley.upstream.upstream_state import UpstreamState
@@ -145,7 +142,7 @@
         work = exchange.work
         if isinstance(work.sub, SubRun):
             self._close(work, actions)
-            actions.append(self._run_outcome(work.sub, reply))
+            actions.append(run_outcome(work.sub, reply, self._codec))
         else:
             self._on_search_reply(work, work.sub, reply, now, actions)
         self._after_release(work, now, actions)
@@ -287,20 +284,19 @@
         work.tried.add(upstream.name)
         work.state = WorkState.IN_FLIGHT
         upstream.in_flight += 1
-        actions.append(self._order(exchange, now))
-
-    def _order(self, exchange: Exchange, now: float) -> SendExchange:
-        sub = exchange.work.sub
-        if isinstance(sub, SubRun):
-            path = RUN_PATH
-            headers = self._codec.run_headers(sub)
-            body = self._codec.encode_run(exchange.exchange_id, sub, now)
+        if isinstance(work.sub, SubRun):
+            encoded = self._codec.encode_run(exchange_id, work.sub, now)
         else:
-            path = SEARCH_PATH
-            headers = self._codec.search_headers()
-            body = self._codec.encode_search(exchange.exchange_id, sub, now)
-        return SendExchange(
-            exchange.exchange_id, exchange.upstream.name, path, headers, body, sub.deadline
+            encoded = self._codec.encode_search(exchange_id, work.sub, now)
+        actions.append(
+            SendExchange(
+                exchange_id,
+                upstream.name,
+                encoded.path,
+                encoded.headers,
+                encoded.body,
+                work.deadline,
+            )
         )
 
     def _release(self, exchange_id: ExchangeId) -> Exchange | None:
@@ -337,17 +333,6 @@
         shard_reply = ShardReply(shard=sub.target.shard, snapshot=reply.snapshot, hits=hits)
         actions.append(FinishSearch(sub.sub_id, shard_reply))
 
-    def _run_outcome(self, sub: SubRun, reply: UpstreamReply) -> FinishRun:
-        refusal = REFUSAL_BY_REPLY.get(reply.kind)
-        if refusal is not None:
-            return not_run(sub, refusal)
-        if reply.kind is not ReplyKind.OK:
-            return unknown(sub)
-        try:
-            return done(sub, self._codec.decode_run(reply.body))
-        except ValueError:
-            return unknown(sub)
-
     def _try_again(self, work: Work, reason: LackReason, now: float, actions: list[Action]) -> None:
         work.reason = reason
         if work.exchanges:
