Choose replicas, adapt limits, hedge from a budget, isolate suspects

The parts of the dispatch decisions, each a module: replica choice, latency window and estimate, concurrency limit, health and ejection with a floor, drain, fair queue, admission, retry budget, hedging and replacement of silent connections, quarantine, recovery. Fault mended on the way: searches and runs number their sub-requests each from 1, so one table for both let a search close a run with the same id; the ledger keeps two.

--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from sequoiapulley.ids import InstanceName, ServiceName, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.service import Instance, Service, Upstream
-from sequoiapulley.upstream.deadline_queue import DeadlineQueue
+from sequoiapulley.upstream.fair_queue import FairQueue
+from sequoiapulley.upstream.latency_window import LatencyWindow
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
+DEFAULT_LATENCY_S: Final = 0.005
+"""Assumed until an instance has replied."""
+
 
 class InstanceState:
     """The replicas of one instance and the work that waits for them."""
@@ -24,7 +29,37 @@
         self.service = service
         self.name = name
         self.replicas: tuple[UpstreamState, ...] = ()
-        self.queue = DeadlineQueue()
+        self.queue = FairQueue()
+        self.latency = LatencyWindow()
+        self.gone = False
+        """Set when the instance left the configuration."""
+        self.due: float | None = None
+        """Clock reading at which its queue is next looked at."""
+        self.refused_at = float("-inf")
+        self.overloaded = False
+
+    @property
+    def key(self) -> tuple[ServiceName, InstanceName]:
+        """Service and name."""
+        return (self.service, self.name)
+
+    @property
+    def typical(self) -> float:
+        """Median latency in seconds."""
+        return self.latency.quantile(0.5) or DEFAULT_LATENCY_S
+
+    @property
+    def mean(self) -> float:
+        """Mean latency in seconds."""
+        return self.latency.mean or DEFAULT_LATENCY_S
+
+    def has_room(self, now: float) -> bool:
+        """Returns whether some replica has room."""
+        return any(replica.has_room(now) for replica in self.replicas)
+
+    def capacity(self, now: float) -> int:
+        """Returns the requests that the replicas in service run at the same time."""
+        return sum(replica.allowed(now) for replica in self.replicas if replica.in_service)
 
 
 class Directory:
@@ -35,6 +70,7 @@
         self.upstreams: dict[UpstreamName, UpstreamState] = {}
         self._instances: dict[tuple[ServiceName, InstanceName], InstanceState] = {}
         self._departed: dict[UpstreamName, UpstreamState] = {}
+        self._configured = False
 
     def instance(self, service: ServiceName, name: InstanceName) -> InstanceState | None:
         """Returns an instance, or None if the configuration lacks it."""
@@ -47,6 +83,7 @@
     def apply(
         self,
         configuration: Configuration,
+        now: float,
         connections: Callable[[UpstreamName], int],
         slots: Callable[[UpstreamName], int],
     ) -> tuple[list[UpstreamState], list[InstanceState]]:
@@ -54,6 +91,8 @@
 
         Args:
             configuration: The accepted configuration.
+            now: Clock reading in seconds; upstreams that came later than the first
+                configuration start cold.
             connections: This home's share of the connections of an upstream.
             slots: This home's share of the slots of an upstream.
 
@@ -61,8 +100,8 @@
             The upstreams and the instances that left.
         """
         old_upstreams = self.upstreams
-        known = {**self._departed, **old_upstreams}
         old_instances = self._instances
+        known = {**self._departed, **old_upstreams}
         self.upstreams = {}
         self._instances = {}
         for service in configuration.services.values():
@@ -70,21 +109,23 @@
                 key = (service.name, instance.name)
                 state = old_instances.get(key) or InstanceState(*key)
                 state.replicas = tuple(
-                    self._apply_upstream(configuration, service, instance, upstream, known)
+                    self._apply_upstream(configuration, service, instance, upstream, known, now)
                     for upstream in instance.upstreams
                 )
                 self._instances[key] = state
-        for upstream in self.upstreams.values():
-            upstream.slots = slots(upstream.name)
-            upstream.connections = connections(upstream.name)
+        for name, upstream in self.upstreams.items():
+            upstream.limit.set_ceiling(min(slots(name), connections(name)))
         # Work may still be in flight at an upstream that leaves and soon comes back.
         self._departed = {
             name: known[name]
             for name in known
             if name not in self.upstreams and known[name].in_flight
         }
+        self._configured = True
         left = [old_upstreams[name] for name in old_upstreams if name not in self.upstreams]
         gone = [old_instances[key] for key in old_instances if key not in self._instances]
+        for instance_state in gone:
+            instance_state.gone = True
         return left, gone
 
     def _apply_upstream(
@@ -94,6 +135,7 @@
         instance: Instance,
         upstream: Upstream,
         known: dict[UpstreamName, UpstreamState],
+        now: float,
     ) -> UpstreamState:
         state = known.get(upstream.name)
         if state is None or (state.service, state.instance) != (service.name, instance.name):
@@ -101,6 +143,8 @@
             state = UpstreamState(
                 upstream.name, service.name, instance.name, upstream.place, region
             )
-        state.draining_configured = upstream.draining
+            if self._configured:
+                state.on_restart(now)
+        state.drain.configure(upstream.draining)
         self.upstreams[upstream.name] = state
         return state
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -3,66 +3,57 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from itertools import count
-from random import Random
-from typing import Final
 
-from sequoiapulley.ids import ExchangeId, Fingerprint, UpstreamName
+from sequoiapulley.ids import ExchangeId, Fingerprint, PlaceName, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.observe.log_event import LogSink
-from sequoiapulley.search.messages import LackReason, ShardReply
+from sequoiapulley.requests.messages import RefusalReason
+from sequoiapulley.search.messages import LackReason
 from sequoiapulley.upstream.codec import ExchangeCodec
-from sequoiapulley.upstream.directory import Directory, InstanceState
+from sequoiapulley.upstream.directory import InstanceState
+from sequoiapulley.upstream.dispatch_core import DispatchCore
+from sequoiapulley.upstream.dispatch_counts import DispatchCounts
+from sequoiapulley.upstream.hedging import Hedging
+from sequoiapulley.upstream.log_events import UPSTREAM_LEAVING, UPSTREAM_STAYS
 from sequoiapulley.upstream.messages import (
     Action,
-    CancelExchange,
     CloseUpstream,
-    FinishSearch,
     LossKind,
-    ReplyKind,
-    SendExchange,
     SubRun,
     SubSearch,
     UpstreamReply,
 )
-from sequoiapulley.upstream.outcomes import (
-    LACK_BY_LOSS,
-    LACK_BY_REPLY,
-    NOT_SENT_LOSSES,
-    REFUSAL_BY_LACK,
-    classify_search_reply,
-    lacking,
-    not_run,
-    run_outcome,
-    unknown,
-)
+from sequoiapulley.upstream.outcomes import lacking, not_run
+from sequoiapulley.upstream.queue_pump import QueuePump
+from sequoiapulley.upstream.recovery import Recovery
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Exchange, Work, WorkState
-from sequoiapulley.upstream.work_timers import WorkTimers
-
-MAX_TRIES: Final = 2
+from sequoiapulley.upstream.work import Work, WorkState
 
 
 class Dispatcher:
     """Dispatch decisions of one home; every method returns orders for its surroundings."""
 
-    def __init__(self, codec: ExchangeCodec, log: LogSink, seed: int = 0) -> None:
+    def __init__(
+        self,
+        codec: ExchangeCodec,
+        log: LogSink,
+        seed: int = 0,
+        place: PlaceName | None = None,
+    ) -> None:
         """Initialise a dispatcher without upstreams.
 
         Args:
             codec: Encodes requests and decodes replies.
             log: Sink of numbered events.
             seed: Seed of the random choices.
+            place: Failure domain of this home, whose upstreams are preferred.
         """
-        self._codec = codec
-        self._log = log
-        self._random = Random(seed)
-        self._directory = Directory()
-        self._timers = WorkTimers()
-        self._work: dict[int, Work] = {}
-        self._exchanges: dict[ExchangeId, Exchange] = {}
-        self._exchange_ids = count(1)
+        self._core = DispatchCore(codec, log, seed)
+        self._core.choice.place = place
+        self._pump = QueuePump(self._core)
+        self._hedging = Hedging(self._core, self._pump)
+        self._recovery = Recovery(self._core, self._pump)
 
     def configure(
         self,
@@ -80,87 +71,75 @@
             slots: This home's share of the slots of an upstream.
 
         Returns:
-            Orders; work of instances that left is finished.
+            Orders; queued work of instances that left is finished.
         """
-        left, gone = self._directory.apply(configuration, connections, slots)
+        core = self._core
+        place = configuration.places.get(core.choice.place) if core.choice.place else None
+        core.choice.region = place.region if place else None
+        left, gone = core.directory.apply(configuration, now, connections, slots)
         actions: list[Action] = [CloseUpstream(state.name) for state in left]
         for state in left:
-            state.draining_configured = True
+            state.drain.configure(True)
+            self._free_reservation(state)
         for instance in gone:
             for work in instance.queue.drain():
-                self._give_up(work, LackReason.NO_REPLICA, actions)
-        for instance in self._directory.instances():
-            self._send_queued(instance, now, actions)
+                core.give_up(work, LackReason.NO_REPLICA, now, actions)
+        for instance in core.directory.instances():
+            self._pump.pump(instance, now, actions)
         return actions
 
     def submit_search(self, sub: SubSearch, now: float) -> list[Action]:
         """Accepts one shard's part of a search."""
-        return self._submit(Work(sub), now)
+        instance = self._core.directory.instance(sub.target.service, sub.target.instance)
+        if instance is None:
+            return [lacking(sub, LackReason.NO_REPLICA)]
+        return self._submit(sub, instance, now)
 
     def submit_run(self, sub: SubRun, now: float) -> list[Action]:
-        """Accepts one non-idempotent request, which is sent at most once."""
-        return self._submit(Work(sub), now)
+        """Accepts one non-idempotent request, of which at most one copy leaves."""
+        instance = self._core.directory.instance(sub.service, sub.instance)
+        if instance is None:
+            return [not_run(sub, RefusalReason.NO_REPLICA)]
+        return self._submit(sub, instance, now)
 
     def cancel(self, sub_id: int, now: float) -> list[Action]:
-        """Drops work that nobody waits for.
+        """Drops a search that nobody waits for; it gets no outcome.
 
-        A search gets no outcome. A queued run is finished as not run; a run in flight goes on,
-        because its outcome is kept for repeats of its key.
+        Runs are not cancelled, because their outcome is kept for repeats of their key.
 
         Args:
-            sub_id: The id of the sub-request; unknown ids are ignored.
+            sub_id: The id of the sub-search; unknown ids are ignored.
             now: Clock reading in seconds.
 
         Returns:
             Orders.
         """
-        work = self._work.get(sub_id)
+        work = self._core.ledger.searches.get(sub_id)
         if work is None:
             return []
-        if work.is_run and work.exchanges:
-            return []
         actions: list[Action] = []
-        instance = self._directory.instance(work.service, work.instance)
-        self._close(work, actions)
-        if isinstance(work.sub, SubRun):
-            actions.append(not_run(work.sub, None))
-        if instance is not None:
-            self._send_queued(instance, now, actions)
+        self._core.ledger.close(work, now, actions)
+        self._pump.pump(work.instance, now, actions)
         return actions
 
     def on_reply(self, exchange_id: ExchangeId, reply: UpstreamReply, now: float) -> list[Action]:
         """Takes the reply to an exchange; replies to unknown exchanges are ignored."""
-        exchange = self._release(exchange_id)
+        exchange = self._core.ledger.release(exchange_id)
         if exchange is None:
             return []
-        upstream = exchange.upstream
-        if reply.draining or reply.kind is ReplyKind.DRAINING:
-            upstream.draining_reported = True
-        if reply.available:
-            upstream.available = reply.available
         actions: list[Action] = []
-        work = exchange.work
-        if isinstance(work.sub, SubRun):
-            self._close(work, actions)
-            actions.append(run_outcome(work.sub, reply, self._codec))
-        else:
-            self._on_search_reply(work, work.sub, reply, now, actions)
-        self._after_release(work, now, actions)
+        self._recovery.on_reply(exchange, reply, now, actions)
+        self._pump.pump(exchange.work.instance, now, actions)
         return actions
 
     def on_lost(self, exchange_id: ExchangeId, loss: LossKind, now: float) -> list[Action]:
         """Takes the news that an exchange ended without a reply."""
-        exchange = self._release(exchange_id)
+        exchange = self._core.ledger.release(exchange_id)
         if exchange is None:
             return []
         actions: list[Action] = []
-        work = exchange.work
-        if isinstance(work.sub, SubRun) and loss not in NOT_SENT_LOSSES:
-            self._close(work, actions)
-            actions.append(unknown(work.sub))
-        else:
-            self._try_again(work, LACK_BY_LOSS[loss], now, actions)
-        self._after_release(work, now, actions)
+        self._recovery.on_lost(exchange, loss, now, actions)
+        self._pump.pump(exchange.work.instance, now, actions)
         return actions
 
     def on_load_report(
@@ -175,7 +154,7 @@
 
         Args:
             upstream: Name of the upstream.
-            load: Reported load, 0 to 1.
+            load: Reported load, 0 to 1; a hint that moves no traffic by itself.
             draining: Whether the upstream asks for no new work.
             available: Snapshots that it serves.
             now: Clock reading in seconds.
@@ -183,195 +162,92 @@
         Returns:
             Orders.
         """
-        state = self._directory.upstreams.get(upstream)
+        core = self._core
+        state = core.directory.upstreams.get(upstream)
         if state is None:
             return []
-        state.draining_reported = draining
-        state.available = available or state.available
+        state.reported_load = load
+        state.on_available(available, now)
+        if draining and state.drain.on_sign(now):
+            core.log.log(UPSTREAM_LEAVING, upstream=upstream)
+        if not draining and state.drain.on_cleared_report(now):
+            state.on_restart(now)
+            core.log.log(UPSTREAM_STAYS, upstream=upstream)
         actions: list[Action] = []
-        instance = self._directory.instance(state.service, state.instance)
+        instance = core.directory.instance(state.service, state.instance)
         if instance is not None:
-            self._send_queued(instance, now, actions)
+            self._pump.pump(instance, now, actions)
         return actions
 
     def on_strike(
-        self, fingerprint: Fingerprint, upstream: UpstreamName, now: float
+        self, fingerprint: Fingerprint, upstream: UpstreamName, now: float, strikes: int = 1
     ) -> list[Action]:
-        """Takes a strike that another node saw."""
-        return []
+        """Takes a strike that another node saw.
+
+        Args:
+            fingerprint: The request.
+            upstream: The upstream that went down.
+            now: Clock reading in seconds.
+            strikes: Strikes that the other node counts; at two the request is refused here too.
+
+        Returns:
+            Orders; all work with a refused fingerprint is finished.
+        """
+        core = self._core
+        state = core.directory.upstreams.get(upstream)
+        key = (state.service, state.instance) if state else None
+        actions: list[Action] = []
+        if core.quarantine.on_strike(fingerprint, upstream, key, strikes, now):
+            core.refuse_everywhere(fingerprint, now, actions)
+            for instance in core.directory.instances():
+                self._pump.pump(instance, now, actions)
+        return actions
 
     def tick(self, now: float) -> list[Action]:
-        """Finishes work whose deadline has passed."""
+        """Does what is due: deadlines, hedges, and queues that wait for a pause to end."""
+        core = self._core
         actions: list[Action] = []
-        for work in self._timers.take_due(now):
-            if work.state is WorkState.FINISHED:
-                continue
-            instance = self._directory.instance(work.service, work.instance)
-            self._on_deadline(work, actions)
-            if instance is not None:
-                self._send_queued(instance, now, actions)
+        due = core.ledger.timers.take_due(now)
+        for work in due:
+            if work.state is not WorkState.FINISHED:
+                self._hedging.on_due(work, now, actions)
+        instances = {work.instance: None for work in due}
+        for instance in core.wakes.take_due(now):
+            instances[instance] = None
+        for instance in instances:
+            self._pump.pump(instance, now, actions)
         return actions
 
     def next_due(self) -> float | None:
         """Returns the clock reading at which `tick` is next needed, or None."""
-        return self._timers.next_due()
+        work_due = self._core.ledger.timers.next_due()
+        wake_due = self._core.wakes.next_due()
+        if work_due is None or wake_due is None:
+            return work_due if wake_due is None else wake_due
+        return min(work_due, wake_due)
 
     def sub_of(self, exchange_id: ExchangeId) -> SubSearch | SubRun | None:
         """Returns the sub-request that an open exchange serves, or None."""
-        exchange = self._exchanges.get(exchange_id)
+        exchange = self._core.ledger.exchanges.get(exchange_id)
         return exchange.work.sub if exchange is not None else None
 
-    def _submit(self, work: Work, now: float) -> list[Action]:
-        actions: list[Action] = []
-        self._work[work.sub_id] = work
-        instance = self._directory.instance(work.service, work.instance)
-        if instance is None:
-            self._give_up(work, LackReason.NO_REPLICA, actions)
-            return actions
-        if work.deadline <= now:
-            self._give_up(work, LackReason.DEADLINE, actions)
-            return actions
-        self._timers.arm(work.deadline, work)
-        self._send_or_queue(instance, work, now, actions)
-        return actions
-
-    def _send_or_queue(
-        self, instance: InstanceState, work: Work, now: float, actions: list[Action]
-    ) -> None:
-        if self._usable(instance, work):
-            instance.queue.push(work)
-            self._send_queued(instance, now, actions)
-            return
-        self._give_up(work, work.reason or LackReason.NO_REPLICA, actions)
-
-    def _usable(self, instance: InstanceState, work: Work) -> list[UpstreamState]:
-        return [
-            replica
-            for replica in instance.replicas
-            if replica.name not in work.tried and not replica.draining and replica.limit > 0
-        ]
+    def counts(self) -> DispatchCounts:
+        """Returns the counters, for metrics and status."""
+        return self._core.counts
 
-    def _send_queued(self, instance: InstanceState, now: float, actions: list[Action]) -> None:
-        kept: list[Work] = []
-        while any(replica.has_room for replica in instance.replicas):
-            work = instance.queue.pop()
-            if work is None:
-                break
-            if work.deadline <= now:
-                self._on_deadline(work, actions)
-                continue
-            usable = self._usable(instance, work)
-            if not usable:
-                self._give_up(work, work.reason or LackReason.NO_REPLICA, actions)
-                continue
-            free = [replica for replica in usable if replica.has_room]
-            if not free:
-                kept.append(work)
-                continue
-            self._send(work, self._choose(free), now, actions)
-        for work in kept:
-            instance.queue.push(work)
+    def upstream_states(self) -> tuple[UpstreamState, ...]:
+        """Returns the state of every upstream, for metrics and status; not to be changed."""
+        return tuple(self._core.directory.upstreams.values())
 
-    def _choose(self, free: list[UpstreamState]) -> UpstreamState:
-        least = min(replica.in_flight for replica in free)
-        return self._random.choice([replica for replica in free if replica.in_flight == least])
-
-    def _send(self, work: Work, upstream: UpstreamState, now: float, actions: list[Action]) -> None:
-        exchange_id = ExchangeId(next(self._exchange_ids))
-        exchange = Exchange(exchange_id, work, upstream, now)
-        self._exchanges[exchange_id] = exchange
-        work.exchanges.append(exchange)
-        work.tried.add(upstream.name)
-        work.state = WorkState.IN_FLIGHT
-        upstream.in_flight += 1
-        if isinstance(work.sub, SubRun):
-            encoded = self._codec.encode_run(exchange_id, work.sub, now)
-        else:
-            encoded = self._codec.encode_search(exchange_id, work.sub, now)
-        actions.append(
-            SendExchange(
-                exchange_id,
-                upstream.name,
-                encoded.path,
-                encoded.headers,
-                encoded.body,
-                work.deadline,
-            )
-        )
-
-    def _release(self, exchange_id: ExchangeId) -> Exchange | None:
-        exchange = self._exchanges.pop(exchange_id, None)
-        if exchange is None:
-            return None
-        exchange.upstream.in_flight -= 1
-        exchange.work.exchanges.remove(exchange)
-        return exchange
-
-    def _after_release(self, work: Work, now: float, actions: list[Action]) -> None:
-        instance = self._directory.instance(work.service, work.instance)
-        if instance is not None:
-            self._send_queued(instance, now, actions)
-
-    def _on_search_reply(
-        self,
-        work: Work,
-        sub: SubSearch,
-        reply: UpstreamReply,
-        now: float,
-        actions: list[Action],
-    ) -> None:
-        kind = classify_search_reply(sub, reply)
-        if kind is not ReplyKind.OK:
-            self._try_again(work, LACK_BY_REPLY[kind], now, actions)
-            return
-        try:
-            hits = self._codec.decode_search(reply.body, sub.target.shard)
-        except ValueError:
-            self._try_again(work, LackReason.TRUNCATED, now, actions)
-            return
-        self._close(work, actions)
-        shard_reply = ShardReply(shard=sub.target.shard, snapshot=reply.snapshot, hits=hits)
-        actions.append(FinishSearch(sub.sub_id, shard_reply))
-
-    def _try_again(self, work: Work, reason: LackReason, now: float, actions: list[Action]) -> None:
-        work.reason = reason
-        if work.exchanges:
-            return
-        instance = self._directory.instance(work.service, work.instance)
-        if instance is None or len(work.tried) >= MAX_TRIES or work.deadline <= now:
-            self._give_up(work, reason, actions)
-            return
-        work.state = WorkState.QUEUED
-        self._send_or_queue(instance, work, now, actions)
-
-    def _on_deadline(self, work: Work, actions: list[Action]) -> None:
-        if not work.tried:
-            self._give_up(work, LackReason.OVERLOAD, actions)
-            return
-        if isinstance(work.sub, SubRun) and work.exchanges:
-            self._close(work, actions)
-            actions.append(unknown(work.sub))
-            return
-        self._give_up(work, LackReason.DEADLINE, actions)
+    def _submit(self, sub: SubSearch | SubRun, instance: InstanceState, now: float) -> list[Action]:
+        actions: list[Action] = []
+        self._pump.submit(Work(sub, instance), now, actions)
+        return actions
 
-    def _give_up(self, work: Work, reason: LackReason, actions: list[Action]) -> None:
-        self._close(work, actions)
-        if isinstance(work.sub, SubRun):
-            actions.append(not_run(work.sub, REFUSAL_BY_LACK[reason]))
+    def _free_reservation(self, upstream: UpstreamState) -> None:
+        """Queues suspected work again that waited for an upstream that left."""
+        work = upstream.exclusive
+        if work is None or work.state is not WorkState.RESERVED:
             return
-        available = self._available(work)
-        actions.append(lacking(work.sub, reason, available))
-
-    def _available(self, work: Work) -> tuple[Snapshot, ...]:
-        instance = self._directory.instance(work.service, work.instance)
-        if instance is None:
-            return ()
-        found = {snapshot for replica in instance.replicas for snapshot in replica.available}
-        return tuple(sorted(found))
-
-    def _close(self, work: Work, actions: list[Action]) -> None:
-        work.state = WorkState.FINISHED
-        self._work.pop(work.sub_id, None)
-        for exchange in list(work.exchanges):
-            self._release(exchange.exchange_id)
-            actions.append(CancelExchange(exchange.exchange_id, exchange.upstream.name))
+        self._core.ledger.unreserve(work)
+        work.instance.queue.push(work)
