Let a late search wait in line for the room its hedge needs

Cause: 735 of 1,840 looks at late searches found the other replica full and tried again only half a typical latency later, after the queue had taken the slot. Ruled out: the budget (no denial) and the limits (all at their ceiling).

--- /dev/null
+++ b/bench/paused_upstreams.py
@@ -0,0 +1,275 @@
+"""A page of fake upstreams on paused time: slots, service times and faults, no sockets."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from math import exp
+from random import Random
+from typing import Final
+
+from sequoiapulley.ids import (
+    CallerId,
+    ConfigVersion,
+    ContractName,
+    CustomerName,
+    ExchangeId,
+    Fingerprint,
+    InstanceName,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    ShardId,
+    UpstreamName,
+)
+from sequoiapulley.model import (
+    Configuration,
+    Contract,
+    Instance,
+    Place,
+    Service,
+    Snapshot,
+    Upstream,
+)
+from sequoiapulley.search.messages import Hit, LackReason, ShardTarget
+from sequoiapulley.upstream.codec import EncodedRequest
+from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.messages import (
+    Action,
+    CancelExchange,
+    FinishSearch,
+    LossKind,
+    ReplyKind,
+    SendExchange,
+    SubRun,
+    SubSearch,
+    UpstreamReply,
+)
+
+SERVICE: Final = ServiceName("ledger")
+SNAPSHOT: Final = Snapshot(1, 1)
+SLOTS: Final = 2
+MEDIAN_S: Final = 0.004
+SIGMA: Final = 0.3
+ONE_WAY_S: Final = 0.0005
+DEADLINE_S: Final = 0.060
+REQUEST: Final = EncodedRequest("/search", (), b"")
+
+
+class NullCodec:
+    """Encodes and decodes nothing."""
+
+    def encode_search(self, exchange_id: ExchangeId, sub: SubSearch, now: float) -> EncodedRequest:
+        """Returns an empty request."""
+        return REQUEST
+
+    def encode_run(self, exchange_id: ExchangeId, sub: SubRun, now: float) -> EncodedRequest:
+        """Returns an empty request."""
+        return REQUEST
+
+    def decode_search(self, body: bytes, shard: ShardId) -> tuple[Hit, ...]:
+        """Returns no hits."""
+        return ()
+
+    def decode_run(self, body: bytes) -> str:
+        """Returns an empty object."""
+        return "{}"
+
+
+def small_configuration(instances: int, replicas: int = 2) -> Configuration:
+    """Builds one service whose upstreams are named `<instance>-<replica>`."""
+    place = Place(PlaceName("a"), RegionName("r"))
+    contract = Contract(ContractName("small"), SLOTS, 55, 6.0)
+    held = tuple(
+        Instance(
+            InstanceName(f"i{number}"),
+            tuple(
+                Upstream(UpstreamName(f"i{number}-{replica}"), place.name, "127.0.0.1", 1)
+                for replica in range(replicas)
+            ),
+        )
+        for number in range(instances)
+    )
+    service = Service(SERVICE, contract.name, held)
+    return Configuration(
+        ConfigVersion(1),
+        CustomerName("co-op"),
+        {place.name: place},
+        {contract.name: contract},
+        {SERVICE: service},
+    )
+
+
+class FakeUpstream:
+    """One upstream with slots, a queue in order of arrival, and faults."""
+
+    def __init__(self) -> None:
+        """Initialise a healthy upstream."""
+        self.running: set[ExchangeId] = set()
+        self.waiting: list[SendExchange] = []
+        self.received = 0
+        self.factor = 1.0
+        """Multiplies every service time."""
+        self.straggler_share = 0.0
+        self.straggler_factor = 20.0
+        self.down = False
+        self.silent = False
+        """Requests on old connections vanish; a fresh connection works and mends the others."""
+        self.snapshots: tuple[Snapshot, ...] = (SNAPSHOT,)
+
+
+class Outcome:
+    """What became of one sub-search."""
+
+    __slots__ = ("caller", "finished_at", "reason", "started_at")
+
+    def __init__(self, caller: str, started_at: float) -> None:
+        """Initialise an open outcome."""
+        self.caller = caller
+        self.started_at = started_at
+        self.finished_at: float | None = None
+        self.reason: LackReason | None = None
+
+
+class PausedUpstreams:
+    """Drives a dispatcher and its fake upstreams event by event."""
+
+    def __init__(self, dispatcher: Dispatcher, configuration: Configuration, seed: int = 1) -> None:
+        """Configures the dispatcher at clock reading 0."""
+        self.dispatcher = dispatcher
+        self.now = 0.0
+        self.random = Random(seed)
+        self.upstreams: dict[UpstreamName, FakeUpstream] = {}
+        self.instances: list[InstanceName] = []
+        self.outcomes: dict[int, Outcome] = {}
+        self.cancelled = 0
+        self.kinds: Counter[str] = Counter()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._sub_ids = count(1)
+        self._orders: dict[ExchangeId, SendExchange] = {}
+        for instance in configuration.services[SERVICE].instances:
+            self.instances.append(instance.name)
+            for upstream in instance.upstreams:
+                self.upstreams[upstream.name] = FakeUpstream()
+        self.perform(dispatcher.configure(configuration, 0.0, lambda _: 55, lambda _: SLOTS))
+
+    @property
+    def received(self) -> int:
+        """Requests that all upstreams received."""
+        return sum(upstream.received for upstream in self.upstreams.values())
+
+    def at(self, due: float, call: Callable[[], None]) -> None:
+        """Schedules a call."""
+        heappush(self._events, (due, next(self._order), call))
+
+    def search(
+        self, instance: InstanceName, caller: str = "c", deadline: float = DEADLINE_S
+    ) -> int:
+        """Submits one sub-search now."""
+        sub_id = next(self._sub_ids)
+        target = ShardTarget(ShardId(instance), SERVICE, instance)
+        self.outcomes[sub_id] = Outcome(caller, self.now)
+        sub = SubSearch(
+            sub_id,
+            target,
+            CallerId(caller),
+            "q",
+            10,
+            Fingerprint(str(sub_id)),
+            SNAPSHOT,
+            self.now + deadline,
+        )
+        self.perform(self.dispatcher.submit_search(sub, self.now))
+        return sub_id
+
+    def offer(
+        self, rate: float, seconds: float, caller: str = "c", deadline: float = DEADLINE_S
+    ) -> None:
+        """Schedules Poisson arrivals over all instances from now on."""
+        due = self.now
+        end = self.now + seconds
+        while (due := due + self.random.expovariate(rate)) < end:
+            instance = self.random.choice(self.instances)
+            self.at(due, partial(self._search_event, instance, caller, deadline))
+
+    def run_until(self, until: float) -> None:
+        """Runs all events up to a clock reading."""
+        while True:
+            due = self.dispatcher.next_due()
+            event = self._events[0][0] if self._events else None
+            if due is not None and due <= until and (event is None or due <= event):
+                self.now = max(self.now, due)
+                self.perform(self.dispatcher.tick(self.now))
+                continue
+            if event is None or event > until:
+                break
+            self.now = max(self.now, event)
+            heappop(self._events)[2]()
+        self.now = until
+
+    def perform(self, actions: Iterable[Action]) -> None:
+        """Carries out orders."""
+        for action in actions:
+            if isinstance(action, SendExchange):
+                self._orders[action.exchange_id] = action
+                self.at(self.now + ONE_WAY_S, partial(self._arrive, action))
+            elif isinstance(action, CancelExchange):
+                self.cancelled += 1
+                self.at(self.now + ONE_WAY_S, partial(self._stop, action))
+            elif isinstance(action, FinishSearch):
+                outcome = self.outcomes[action.sub_id]
+                outcome.finished_at = self.now
+                outcome.reason = action.reply.reason
+
+    def _search_event(self, instance: InstanceName, caller: str, deadline: float) -> None:
+        self.search(instance, caller, deadline)
+
+    def _arrive(self, order: SendExchange) -> None:
+        upstream = self.upstreams[order.upstream]
+        if upstream.down:
+            lost = LossKind.CONNECT_FAILED
+            self.perform(self.dispatcher.on_lost(order.exchange_id, lost, self.now))
+            return
+        if upstream.silent and not order.fresh_connection:
+            return
+        upstream.silent = False
+        upstream.received += 1
+        if SNAPSHOT not in upstream.snapshots:
+            reply = UpstreamReply(ReplyKind.WRONG_SNAPSHOT, available=upstream.snapshots)
+            self.at(self.now + ONE_WAY_S, partial(self._reply, order, reply))
+            return
+        upstream.waiting.append(order)
+        self._start(upstream)
+
+    def _start(self, upstream: FakeUpstream) -> None:
+        while upstream.waiting and len(upstream.running) < SLOTS:
+            order = upstream.waiting.pop(0)
+            upstream.running.add(order.exchange_id)
+            time = MEDIAN_S * exp(self.random.gauss(0.0, SIGMA)) * upstream.factor
+            if self.random.random() < upstream.straggler_share:
+                time *= upstream.straggler_factor
+            self.at(self.now + time, partial(self._finish, order))
+
+    def _finish(self, order: SendExchange) -> None:
+        upstream = self.upstreams[order.upstream]
+        if order.exchange_id not in upstream.running:
+            return
+        upstream.running.discard(order.exchange_id)
+        self._start(upstream)
+        reply = UpstreamReply(ReplyKind.OK, SNAPSHOT, body=b"ok", load=0.5)
+        self.at(self.now + ONE_WAY_S, partial(self._reply, order, reply))
+
+    def _reply(self, order: SendExchange, reply: UpstreamReply) -> None:
+        self.perform(self.dispatcher.on_reply(order.exchange_id, reply, self.now))
+
+    def _stop(self, order: CancelExchange) -> None:
+        upstream = self.upstreams[order.upstream]
+        upstream.waiting = [
+            other for other in upstream.waiting if other.exchange_id != order.exchange_id
+        ]
+        upstream.running.discard(order.exchange_id)
+        self._start(upstream)
--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from sequoiapulley.ids import InstanceName, ServiceName, UpstreamName
 from sequoiapulley.model.configuration import Configuration
@@ -12,6 +12,9 @@
 from sequoiapulley.upstream.latency_window import LatencyWindow
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
+if TYPE_CHECKING:
+    from sequoiapulley.upstream.work import Work
+
 DEFAULT_LATENCY_S: Final = 0.005
 """Assumed until an instance has replied."""
 
@@ -31,6 +34,8 @@
         self.replicas: tuple[UpstreamState, ...] = ()
         self.queue = FairQueue()
         self.latency = LatencyWindow()
+        self.late: dict[Work, None] = {}
+        """Searches in flight that wait for room for their hedge, in order."""
         self.gone = False
         """Set when the instance left the configuration."""
         self.due: float | None = None
--- a/src/sequoiapulley/upstream/hedging.py
+++ b/src/sequoiapulley/upstream/hedging.py
@@ -54,6 +54,7 @@
         """
         self._core = core
         self._pump = pump
+        pump.serve_late = self.serve_late
 
     def on_due(self, work: Work, now: float, actions: list[Action]) -> None:
         """Looks at work whose timer is due.
@@ -72,6 +73,22 @@
             look = min(look, self._try_again(work, now, actions))
         self._core.ledger.timers.arm(work, look)
 
+    def serve_late(self, instance: InstanceState, now: float, actions: list[Action]) -> None:
+        """Hedges searches that waited for room; they come before the queue.
+
+        Args:
+            instance: The instance whose replicas may have room now.
+            now: Clock reading in seconds.
+            actions: Receives orders.
+        """
+        for work in list(instance.late):
+            if not instance.has_room(now):
+                return
+            if len(work.exchanges) != 1 or not self._may_try_again(work, now):
+                del instance.late[work]
+                continue
+            self._hedge(work, now, actions)
+
     def _may_try_again(self, work: Work, now: float) -> bool:
         if work.is_run or work.tries >= MAX_TRIES:
             return False
@@ -104,7 +121,12 @@
             and now + replica.expected(typical, now) < work.deadline
         ]
         upstream = self._core.choice.choose(free, 0, typical, now)
-        if upstream is None or not self._core.pay(work, now):
+        if upstream is None:
+            if not instance.overloaded:
+                instance.late[work] = None
+            return False
+        instance.late.pop(work, None)
+        if not self._core.pay(work, now):
             return False
         self._core.counts.hedges += 1
         self._core.ledger.send(work, upstream, now, actions, upstream.wants_fresh_connection)
--- a/src/sequoiapulley/upstream/ledger.py
+++ b/src/sequoiapulley/upstream/ledger.py
@@ -117,6 +117,7 @@
     def close(self, work: Work, now: float, actions: list[Action]) -> None:
         """Removes work and gives its exchanges up."""
         work.instance.queue.discard(work)
+        work.instance.late.pop(work, None)
         self.unreserve(work)
         work.state = WorkState.FINISHED
         work.due = None
--- a/src/sequoiapulley/upstream/queue_pump.py
+++ b/src/sequoiapulley/upstream/queue_pump.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 from sequoiapulley.ids import Fingerprint
@@ -37,6 +38,8 @@
         self._core = core
         self._admission = Admission(core)
         self._isolated: dict[Fingerprint, Work] = {}
+        self.serve_late: Callable[[InstanceState, float, list[Action]], None] = _serve_none
+        """Sends the hedges that wait for room."""
 
     def submit(self, work: Work, now: float, actions: list[Action]) -> None:
         """Sends new work, queues it or refuses it."""
@@ -73,6 +76,8 @@
                 self._eject_if_due(replica, instance, now)
             if replica.exclusive is not None:
                 self._serve_exclusive(replica, now, actions)
+        if instance.late:
+            self.serve_late(instance, now, actions)
         queue = instance.queue
         if not len(queue):
             return
@@ -210,6 +215,10 @@
         self._core.wakes.arm(instance, now + POLL_S)
 
 
+def _serve_none(instance: InstanceState, now: float, actions: list[Action]) -> None:
+    """Sends nothing."""
+
+
 def _lack_without_replica(work: Work, now: float) -> LackReason:
     """Returns why no replica may serve work: the failed try, the snapshot, or none is there."""
     if work.reason is not None:
