--- a/src/sequoiapulley/upstream/latency_estimate.py
+++ b/src/sequoiapulley/upstream/latency_estimate.py
@@ -7,7 +7,9 @@
 WEIGHT: Final = 0.125
 """Weight of a new sample in the mean and the deviation."""
 HALF_LIFE_S: Final = 2.0
-"""An estimate above the typical latency loses half of the excess in this time without samples."""
+"""An estimate loses half of its excess in this time without samples."""
+FORGOTTEN_RATIO: Final = 0.8
+"""Share of the typical latency that an old estimate falls to, so that the upstream is tried."""
 
 
 class LatencyEstimate:
@@ -24,14 +26,17 @@
     def record(self, latency: float, now: float) -> None:
         """Adds one sample in seconds."""
         mean = self._mean
+        age = now - self._updated_at
         self._updated_at = now
         if mean is None:
             self._mean = latency
             self._deviation = latency / 2
             return
+        # The older the history, the more a new sample weighs.
+        weight = 1 - (1 - WEIGHT) * 0.5 ** (age / HALF_LIFE_S) if age > 0 else WEIGHT
         error = latency - mean
-        self._mean = mean + WEIGHT * error
-        self._deviation += WEIGHT * (abs(error) - self._deviation)
+        self._mean = mean + weight * error
+        self._deviation += weight * (abs(error) * (1 - weight) - self._deviation)
 
     def reset(self) -> None:
         """Forgets all samples, as those of a restarted upstream mean nothing."""
@@ -51,6 +56,7 @@
             return typical
         estimate = self._mean + self._deviation
         age = now - self._updated_at
-        if estimate <= typical or age <= 0:
+        floor = FORGOTTEN_RATIO * typical
+        if estimate <= floor or age <= 0:
             return estimate
-        return float(typical + (estimate - typical) * 0.5 ** (age / HALF_LIFE_S))
+        return float(floor + (estimate - floor) * 0.5 ** (age / HALF_LIFE_S))
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -152,10 +152,16 @@
 class Probe:
     """Drives a dispatcher and checks every order against the promises."""
 
-    def __init__(self, cfg: Configuration | None = None, slots: int = 2, seed: int = 0) -> None:
+    def __init__(
+        self,
+        cfg: Configuration | None = None,
+        slots: int = 2,
+        seed: int = 0,
+        place: PlaceName | None = None,
+    ) -> None:
         """Configures a dispatcher at clock reading 0."""
         self.log = MemoryLog()
-        self.dispatcher = Dispatcher(FakeCodec(), self.log, seed)
+        self.dispatcher = Dispatcher(FakeCodec(), self.log, seed, place)
         self.slots = slots
         self.now = 0.0
         self.open: dict[ExchangeId, SendExchange] = {}
