--- a/bench/dispatch_policies.py
+++ b/bench/dispatch_policies.py
@@ -78,12 +78,13 @@
     return round(sorted_values[index] * MS, 2)
 
 
-def measure(dispatcher: Dispatcher, fault: Fault) -> dict[str, float]:
+def measure(dispatcher: Dispatcher, fault: Fault, seconds: float = SECONDS) -> dict[str, float]:
     """Runs searches over all shards with one fault.
 
     Args:
         dispatcher: The policy.
         fault: What happens after `FAULT_AT_S`.
+        seconds: How long searches arrive.
 
     Returns:
         Quantiles in milliseconds, shares from 0 to 1.
@@ -96,10 +97,10 @@
         searches.append([world.outcomes[sub_id] for sub_id in ids])
 
     due = 0.0
-    while (due := due + world.random.expovariate(SEARCHES_PER_S)) < SECONDS:
+    while (due := due + world.random.expovariate(SEARCHES_PER_S)) < seconds:
         world.at(due, search)
     world.at(FAULT_AT_S, lambda: fault(world))
-    world.run_until(SECONDS + 1.0)
+    world.run_until(seconds + 1.0)
     counted = [search for search in searches if search[0].started_at >= MEASURED_FROM_S]
     times = sorted(max(_time(outcome) for outcome in search) for search in counted)
     subs = [outcome for search in counted for outcome in search]
