--- a/src/sequoiapulley/upstream/concurrency_limit.py
+++ b/src/sequoiapulley/upstream/concurrency_limit.py
@@ -22,7 +22,7 @@
 class ConcurrencyLimit:
     """Additive increase, multiplicative decrease below a ceiling; never below one request."""
 
-    __slots__ = ("_ceiling", "_cut_at", "_pause", "_value", "paused_until")
+    __slots__ = ("_cut_at", "_pause", "_value", "ceiling", "current", "paused_until")
 
     def __init__(self, ceiling: int) -> None:
         """Initialise a limit at its ceiling.
@@ -30,34 +30,29 @@
         Args:
             ceiling: Slots of the contract that this home may use.
         """
-        self._ceiling = ceiling
+        self.ceiling = ceiling
+        """Largest value of the limit."""
+        self.current = ceiling
+        """Requests that may be in flight."""
         self._value = float(ceiling)
         self._cut_at = float("-inf")
         self._pause = 0.0
         self.paused_until = float("-inf")
         """Clock reading before which nothing is sent, after refusals at a limit of one."""
 
-    @property
-    def current(self) -> int:
-        """Requests that may be in flight."""
-        return int(self._value)
-
-    @property
-    def ceiling(self) -> int:
-        """Largest value of the limit."""
-        return self._ceiling
-
     def set_ceiling(self, ceiling: int) -> None:
         """Changes the ceiling; a limit that stood at the old one follows it."""
-        if self._value >= self._ceiling or self._value > ceiling or self._value < 1:
+        if self._value >= self.ceiling or self._value > ceiling or self._value < 1:
             self._value = float(ceiling)
-        self._ceiling = ceiling
+        self.ceiling = ceiling
+        self.current = int(self._value)
 
     def on_good_reply(self) -> None:
         """Grows the limit by a part of one request."""
         self._pause = 0.0
-        if self._value < self._ceiling:
-            self._value = min(float(self._ceiling), self._value + GROWTH / self._value)
+        if self._value < self.ceiling:
+            self._value = min(float(self.ceiling), self._value + GROWTH / self._value)
+            self.current = int(self._value)
 
     def on_shed(self, now: float) -> None:
         """Cuts the limit after a refusal for load; at one request, pauses."""
@@ -81,3 +76,4 @@
             return
         self._cut_at = now
         self._value = max(1.0, self._value * factor)
+        self.current = int(self._value)
--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -36,6 +36,8 @@
         self.latency = LatencyWindow()
         self.late: dict[Work, None] = {}
         """Searches in flight that wait for room for their hedge, in order."""
+        self.troubled = True
+        """Whether some replica may be in any state but plain service; see `settle`."""
         self.gone = False
         """Set when the instance left the configuration."""
         self.due: float | None = None
@@ -51,12 +53,18 @@
     @property
     def typical(self) -> float:
         """Median latency in seconds."""
-        return self.latency.quantile(0.5) or DEFAULT_LATENCY_S
+        figures = self.latency.figures
+        return DEFAULT_LATENCY_S if figures is None else figures.p50
 
     @property
     def mean(self) -> float:
         """Mean latency in seconds."""
-        return self.latency.mean or DEFAULT_LATENCY_S
+        figures = self.latency.figures
+        return DEFAULT_LATENCY_S if figures is None else figures.mean
+
+    def settle(self, now: float) -> None:
+        """Clears `troubled` if all replicas are in plain service."""
+        self.troubled = not all(replica.is_plain(now) for replica in self.replicas)
 
     def has_room(self, now: float) -> bool:
         """Returns whether some replica has room."""
@@ -117,6 +125,7 @@
                     self._apply_upstream(configuration, service, instance, upstream, known, now)
                     for upstream in instance.upstreams
                 )
+                state.troubled = True
                 self._instances[key] = state
         for name, upstream in self.upstreams.items():
             upstream.limit.set_ceiling(min(slots(name), connections(name)))
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -138,6 +138,7 @@
         if exchange is None:
             return []
         actions: list[Action] = []
+        exchange.work.instance.troubled = True
         self._recovery.on_lost(exchange, loss, now, actions)
         self._pump.pump(exchange.work.instance, now, actions)
         return actions
@@ -176,6 +177,7 @@
         actions: list[Action] = []
         instance = core.directory.instance(state.service, state.instance)
         if instance is not None:
+            instance.troubled = True
             self._pump.pump(instance, now, actions)
         return actions
 
--- a/src/sequoiapulley/upstream/hedging.py
+++ b/src/sequoiapulley/upstream/hedging.py
@@ -14,12 +14,10 @@
 if TYPE_CHECKING:
     from sequoiapulley.upstream.queue_pump import QueuePump
 
-HEDGE_QUANTILE: Final = 0.97
 SHORTEST_HEDGE_S: Final = 0.001
 DEFAULT_HEDGE_S: Final = 0.02
 """Delay of hedges until an instance has `MIN_SAMPLES`."""
 MIN_SAMPLES: Final = 32
-SILENT_QUANTILE: Final = 0.99
 SILENT_FACTOR: Final = 3.0
 SHORTEST_SILENT_S: Final = 0.015
 MAX_TRIES: Final = 3
@@ -28,18 +26,19 @@
 
 
 def hedge_delay(instance: InstanceState) -> float:
-    """Returns the time after which a search is hedged, in seconds."""
-    if instance.latency.count < MIN_SAMPLES:
+    """Returns the time after which a search is hedged: the 97th percentile, in seconds."""
+    figures = instance.latency.figures
+    if figures is None or instance.latency.count < MIN_SAMPLES:
         return DEFAULT_HEDGE_S
-    return max(SHORTEST_HEDGE_S, instance.latency.quantile(HEDGE_QUANTILE) or DEFAULT_HEDGE_S)
+    return figures.p97 if figures.p97 > SHORTEST_HEDGE_S else SHORTEST_HEDGE_S
 
 
 def silent_delay(instance: InstanceState) -> float:
     """Returns the time after which a connection without a reply is taken as silent."""
-    if instance.latency.count < MIN_SAMPLES:
+    figures = instance.latency.figures
+    if figures is None or instance.latency.count < MIN_SAMPLES:
         return 2 * DEFAULT_HEDGE_S
-    slow = instance.latency.quantile(SILENT_QUANTILE) or DEFAULT_HEDGE_S
-    return max(SHORTEST_SILENT_S, SILENT_FACTOR * slow)
+    return max(SHORTEST_SILENT_S, SILENT_FACTOR * figures.p99)
 
 
 class Hedging:
--- a/src/sequoiapulley/upstream/latency_window.py
+++ b/src/sequoiapulley/upstream/latency_window.py
@@ -5,6 +5,8 @@
 from math import log2
 from typing import Final
 
+from msgspec import Struct
+
 SMALLEST_S: Final = 50e-6
 BUCKETS_PER_DOUBLING: Final = 8
 BUCKETS: Final = 160
@@ -14,12 +16,38 @@
 """A window is replaced after this time, if it holds `MIN_SAMPLES`."""
 MIN_SAMPLES: Final = 32
 REFRESH_SAMPLES: Final = 32
-"""Samples after which a quantile is computed again."""
+"""Samples after which the figures are computed again."""
+
+
+class LatencyFigures(Struct, frozen=True):
+    """Quantiles and mean of a window, in seconds."""
+
+    p10: float
+    p50: float
+    p90: float
+    p97: float
+    p99: float
+    mean: float
+
+
+SHARES: Final = (0.1, 0.5, 0.9, 0.97, 0.99)
 
 
 class LatencyWindow:
     """Log-scaled histogram of the last one to two windows of samples."""
 
+    __slots__ = (
+        "_current",
+        "_current_count",
+        "_current_sum",
+        "_previous",
+        "_previous_count",
+        "_previous_sum",
+        "_stale",
+        "_started_at",
+        "figures",
+    )
+
     def __init__(self) -> None:
         """Initialise an empty window."""
         self._current = [0] * BUCKETS
@@ -29,8 +57,9 @@
         self._current_sum = 0.0
         self._previous_sum = 0.0
         self._started_at = 0.0
-        self._cache: dict[float, float] = {}
         self._stale = 0
+        self.figures: LatencyFigures | None = None
+        """Figures as of some samples ago; None before the first sample."""
 
     @property
     def count(self) -> int:
@@ -44,24 +73,15 @@
             latency: Seconds.
             now: Clock reading in seconds.
         """
-        bucket = int(log2(latency / SMALLEST_S) * BUCKETS_PER_DOUBLING) if latency > 0 else 0
-        self._current[min(max(bucket, 0), BUCKETS - 1)] += 1
+        bucket = 0
+        if latency > SMALLEST_S:
+            bucket = min(int(log2(latency / SMALLEST_S) * BUCKETS_PER_DOUBLING), BUCKETS - 1)
+        self._current[bucket] += 1
         self._current_count += 1
         self._current_sum += latency
         self._stale += 1
-        if self._stale >= REFRESH_SAMPLES or self.count < MIN_SAMPLES:
-            self._stale = 0
-            self._cache.clear()
-        full = self._current_count >= WINDOW_SAMPLES
-        old = now - self._started_at > WINDOW_S and self._current_count >= MIN_SAMPLES
-        if full or old:
-            self._rotate(now)
-
-    @property
-    def mean(self) -> float | None:
-        """Mean of the samples in seconds, or None without samples."""
-        count = self.count
-        return (self._current_sum + self._previous_sum) / count if count else None
+        if self._stale >= REFRESH_SAMPLES or self._starts():
+            self._refresh(now)
 
     def quantile(self, share: float) -> float | None:
         """Returns the latency that a share of the samples does not exceed.
@@ -72,28 +92,43 @@
         Returns:
             Seconds, to the upper edge of a bucket; None without samples.
         """
-        if not self.count:
-            return None
-        cached = self._cache.get(share)
-        if cached is None:
-            cached = self._compute(share)
-            self._cache[share] = cached
-        return cached
-
-    def _compute(self, share: float) -> float:
-        wanted = share * self.count
+        return self._quantiles((share,))[0] if self.count else None
+
+    def _starts(self) -> bool:
+        """Returns whether the count of a new window reached the next power of two."""
+        count = self._current_count
+        return count <= MIN_SAMPLES and not self._previous_count and not count & (count - 1)
+
+    def _refresh(self, now: float) -> None:
+        self._stale = 0
+        count = self.count
+        mean = (self._current_sum + self._previous_sum) / count
+        p10, p50, p90, p97, p99 = self._quantiles(SHARES)
+        self.figures = LatencyFigures(p10, p50, p90, p97, p99, mean)
+        full = self._current_count >= WINDOW_SAMPLES
+        old = now - self._started_at > WINDOW_S and self._current_count >= MIN_SAMPLES
+        if full or old:
+            self._rotate(now)
+
+    def _quantiles(self, shares: tuple[float, ...]) -> list[float]:
+        """Computes several quantiles, given by rising shares, in one pass."""
+        count = self.count
+        found: list[float] = []
         seen = 0
-        for bucket in range(BUCKETS):
-            seen += self._current[bucket] + self._previous[bucket]
-            if seen >= wanted and seen:
-                break
-        return float(SMALLEST_S * 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING))
+        bucket = -1
+        for share in shares:
+            wanted = max(1.0, share * count)
+            while seen < wanted and bucket < BUCKETS - 1:
+                bucket += 1
+                seen += self._current[bucket] + self._previous[bucket]
+            found.append(float(SMALLEST_S * 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING)))
+        return found
 
     def _rotate(self, now: float) -> None:
         self._previous = self._current
         self._previous_count = self._current_count
         self._previous_sum = self._current_sum
-        self._current_sum = 0.0
         self._current = [0] * BUCKETS
         self._current_count = 0
+        self._current_sum = 0.0
         self._started_at = now
--- a/src/sequoiapulley/upstream/ledger.py
+++ b/src/sequoiapulley/upstream/ledger.py
@@ -102,6 +102,7 @@
         """Gives an exchange up; the time it took so far is a lower bound of its latency."""
         self.release(exchange.exchange_id)
         self._counts.cancelled += 1
+        exchange.work.instance.troubled = True
         typical = exchange.work.instance.typical
         elapsed = now - exchange.sent_at
         if exchange.upstream.on_unanswered(elapsed, typical, exchange.fresh, now):
--- a/src/sequoiapulley/upstream/overload.py
+++ b/src/sequoiapulley/upstream/overload.py
@@ -13,10 +13,6 @@
 
 QUIET_S: Final = 2.0
 """Time without a refusal after which an overload is over."""
-SAFE_SHARE: Final = 0.9
-"""Share of exchanges whose latency must fit into the time left, under overload."""
-POSSIBLE_SHARE: Final = 0.1
-"""The same without overload, when a slot would stay free otherwise."""
 QUEUE_SHARE: Final = 0.6
 """Share of the time left that new work may spend in the queue."""
 
@@ -57,6 +53,9 @@
     def drop_if_late(self, work: Work, now: float, actions: list[Action]) -> bool:
         """Finishes work that has no time left for an exchange, before it is sent.
 
+        Under overload nine in ten exchanges must fit into the time left; otherwise one in ten,
+        as a slot would stay free.
+
         Args:
             work: Work that would be sent now.
             now: Clock reading in seconds.
@@ -66,8 +65,10 @@
             Whether the work was finished.
         """
         instance = work.instance
-        share = SAFE_SHARE if self._overloaded(instance, now) else POSSIBLE_SHARE
-        needed = instance.latency.quantile(share) or 0.0
+        figures = instance.latency.figures
+        if figures is None:
+            return False
+        needed = figures.p90 if self._overloaded(instance, now) else figures.p10
         if work.deadline - now > needed:
             return False
         self._mark(instance, now)
--- a/src/sequoiapulley/upstream/quarantine.py
+++ b/src/sequoiapulley/upstream/quarantine.py
@@ -50,6 +50,11 @@
         """Returns the number of suspected and refused fingerprints."""
         return len(self._entries) + len(self._refused)
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether some request has a strike."""
+        return bool(self._entries)
+
     def refuses(self, fingerprint: Fingerprint, now: float) -> bool:
         """Returns whether a request is refused everywhere."""
         if not self._refused:
--- a/src/sequoiapulley/upstream/queue_pump.py
+++ b/src/sequoiapulley/upstream/queue_pump.py
@@ -12,7 +12,7 @@
 from sequoiapulley.upstream.ejection import may_eject
 from sequoiapulley.upstream.hedging import hedge_delay
 from sequoiapulley.upstream.log_events import EJECTION_WITHHELD, UPSTREAM_EJECTED
-from sequoiapulley.upstream.messages import Action, SubSearch
+from sequoiapulley.upstream.messages import Action, SubRun, SubSearch
 from sequoiapulley.upstream.overload import Admission
 from sequoiapulley.upstream.upstream_health import HealthState
 from sequoiapulley.upstream.upstream_state import UpstreamState
@@ -71,11 +71,8 @@
             now: Clock reading in seconds.
             actions: Receives orders and outcomes.
         """
-        for replica in instance.replicas:
-            if replica.health.failures:
-                self._eject_if_due(replica, instance, now)
-            if replica.exclusive is not None:
-                self._serve_exclusive(replica, now, actions)
+        if instance.troubled:
+            self._look_after(instance, now, actions)
         if instance.late:
             self.serve_late(instance, now, actions)
         queue = instance.queue
@@ -93,6 +90,15 @@
         if len(queue):
             self._wake_if_stuck(instance, now)
 
+    def _look_after(self, instance: InstanceState, now: float, actions: list[Action]) -> None:
+        """Ejects outliers and serves upstreams that are kept for suspected work."""
+        for replica in instance.replicas:
+            if replica.health.failures:
+                self._eject_if_due(replica, instance, now)
+            if replica.exclusive is not None:
+                self._serve_exclusive(replica, now, actions)
+        instance.settle(now)
+
     def usable(self, work: Work, now: float) -> list[UpstreamState]:
         """Lists the replicas that may serve work, ejected ones only if there is no other.
 
@@ -121,12 +127,15 @@
         """Sends, reserves or finishes work; returns whether one of them was done."""
         if self._admission.drop_if_late(work, now, actions):
             return True
+        instance = work.instance
+        quarantine = self._core.quarantine
+        plain = not instance.troubled and not work.tried and not quarantine.has_suspects
+        if plain and _all_serve(instance, work, now):
+            return self._place_plain(work, now, actions)
         usable = self.usable(work, now)
         if not usable:
             self._core.give_up(work, _lack_without_replica(work, now), now, actions)
             return True
-        quarantine = self._core.quarantine
-        instance = work.instance
         if quarantine.must_run_alone(work.fingerprint, instance.key, now):
             return self._isolate(work, usable, now, actions)
         probe = self._probe_for(work, now)
@@ -139,6 +148,17 @@
         self._send(work, upstream, now, actions)
         return True
 
+    def _place_plain(self, work: Work, now: float, actions: list[Action]) -> bool:
+        """Sends work whose instance has nothing out of the ordinary, if there is room."""
+        instance = work.instance
+        upstream = self._core.choice.choose_plain(
+            instance.replicas, len(instance.queue), instance.typical, now
+        )
+        if upstream is None:
+            return False
+        self._send(work, upstream, now, actions)
+        return True
+
     def _send(self, work: Work, upstream: UpstreamState, now: float, actions: list[Action]) -> None:
         core = self._core
         if not work.tries:
@@ -176,6 +196,7 @@
         upstream = min(free, key=lambda found: (found.name in struck, found.in_flight))
         self._isolated = {key: kept for key, kept in self._isolated.items() if _is_isolated(kept)}
         self._isolated[work.fingerprint] = work
+        work.instance.troubled = True
         upstream.exclusive = work
         work.reserved_on = upstream
         work.state = WorkState.RESERVED
@@ -219,6 +240,17 @@
     """Sends nothing."""
 
 
+def _all_serve(instance: InstanceState, work: Work, now: float) -> bool:
+    """Returns whether every replica may serve the snapshot of some work."""
+    sub = work.sub
+    if isinstance(sub, SubRun) or sub.snapshot is None:
+        return True
+    for replica in instance.replicas:
+        if replica.available and not replica.may_serve(sub.snapshot, now):
+            return False
+    return True
+
+
 def _lack_without_replica(work: Work, now: float) -> LackReason:
     """Returns why no replica may serve work: the failed try, the snapshot, or none is there."""
     if work.reason is not None:
--- a/src/sequoiapulley/upstream/recovery.py
+++ b/src/sequoiapulley/upstream/recovery.py
@@ -62,6 +62,8 @@
         """Takes the reply to an exchange that was just released."""
         work = exchange.work
         upstream = exchange.upstream
+        if reply.kind is not ReplyKind.OK or reply.draining:
+            work.instance.troubled = True
         self._take_signs(upstream, reply, now)
         sub = work.sub
         if isinstance(sub, SubRun):
@@ -128,16 +130,17 @@
         work = exchange.work
         instance = work.instance
         if kind is ReplyKind.OK:
-            latency = now - exchange.sent_at
-            if work.is_run:
+            if upstream.health.failures or upstream.unanswered:
                 self._on_alive(upstream, now)
-            else:
-                typical = instance.typical
+            if not work.is_run:
+                latency = now - exchange.sent_at
+                upstream.on_good_reply(latency, instance.typical, now)
                 instance.latency.record(latency, now)
-                self._on_alive(upstream, now)
-                upstream.on_good_reply(latency, typical, now)
-            self._core.quarantine.on_answered(work.fingerprint, instance.key, exchange.sent_at, now)
+            quarantine = self._core.quarantine
+            if quarantine.has_suspects:
+                quarantine.on_answered(work.fingerprint, instance.key, exchange.sent_at, now)
             return
+        instance.troubled = True
         if kind in (ReplyKind.ERROR, ReplyKind.MALFORMED):
             upstream.on_failure(ERROR_WEIGHT, False, now)
             return
--- a/src/sequoiapulley/upstream/replica_choice.py
+++ b/src/sequoiapulley/upstream/replica_choice.py
@@ -52,9 +52,9 @@
         best = free[0]
         if len(usable) == 1:
             return best
-        best_cost = self._cost(best, typical, now)
+        best_cost = self._cost(best, best.allowed(now), typical, now)
         for other in free[1:]:
-            cost = self._cost(other, typical, now)
+            cost = self._cost(other, other.allowed(now), typical, now)
             if cost < best_cost or (cost == best_cost and self._random.random() < 0.5):
                 best, best_cost = other, cost
         for busy in usable:
@@ -64,11 +64,30 @@
                     return None
         return best
 
-    def _cost(self, upstream: UpstreamState, typical: float, now: float) -> float:
-        expected = upstream.expected(typical, now)
-        cost = expected * (1 + upstream.in_flight / upstream.allowed(now))
+    def choose_plain(
+        self, replicas: Sequence[UpstreamState], queued: int, typical: float, now: float
+    ) -> UpstreamState | None:
+        """Chooses as `choose` does, among replicas that are all in plain service."""
+        if len(replicas) != 2:
+            return self.choose(replicas, queued, typical, now)
+        first, second = replicas
+        room = first.in_flight < first.limit.current
+        if room != (second.in_flight < second.limit.current):
+            return self.choose(replicas, queued, typical, now)
+        if not room:
+            return None
+        first_cost = self._cost(first, first.limit.current, typical, now)
+        second_cost = self._cost(second, second.limit.current, typical, now)
+        if first_cost == second_cost:
+            return first if self._random.random() < 0.5 else second
+        return first if first_cost < second_cost else second
+
+    def _cost(self, upstream: UpstreamState, allowed: int, typical: float, now: float) -> float:
+        cost = upstream.expected(typical, now) * (1 + upstream.in_flight / allowed)
+        if self.place is None:
+            return cost
         if self.region is not None and upstream.region != self.region:
             return cost * OTHER_REGION_FACTOR
-        if self.place is not None and upstream.place != self.place:
+        if upstream.place != self.place:
             return cost * OTHER_PLACE_FACTOR
         return cost
--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -78,6 +78,17 @@
         """Whether its idle connections may have gone silent."""
         return self.unanswered >= UNANSWERED_BEFORE_FRESH
 
+    def is_plain(self, now: float) -> bool:
+        """Returns whether room is only a matter of the limit."""
+        return (
+            self.in_service
+            and not self.health.failures
+            and not self.unanswered
+            and self.exclusive is None
+            and now >= self.limit.paused_until
+            and now - self.cold_since >= RAMP_S
+        )
+
     def allowed(self, now: float) -> int:
         """Returns the requests that this home may have in flight at the upstream."""
         if self.health.state is HealthState.EJECTED:
@@ -118,8 +129,7 @@
 
     def on_good_reply(self, latency: float, typical: float, now: float) -> None:
         """Takes a good reply after `latency` seconds."""
-        self.latency.record(latency, now)
-        if self.latency.expected(typical, now) > SLOW_RATIO * typical:
+        if self.latency.record(latency, now) > SLOW_RATIO * typical:
             self.limit.on_slow_reply(self.reported_load, now)
         else:
             self.limit.on_good_reply()
