--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from sequoiapulley.ids import InstanceName, ServiceName, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.service import Instance, Service, Upstream
 from sequoiapulley.upstream.fair_queue import FairQueue
-from sequoiapulley.upstream.latency_window import LatencyWindow
+from sequoiapulley.upstream.latency_window import MIN_SAMPLES, LatencyWindow
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
@@ -56,6 +57,11 @@
         figures = self.latency.figures
         return DEFAULT_LATENCY_S if figures is None else figures.p50
 
+    @property
+    def proven_typical(self) -> float:
+        """Median latency in seconds, infinite until enough exchanges speak for it."""
+        return self.typical if self.latency.count >= MIN_SAMPLES else inf
+
     @property
     def mean(self) -> float:
         """Mean latency in seconds."""
--- a/src/sequoiapulley/upstream/fair_queue.py
+++ b/src/sequoiapulley/upstream/fair_queue.py
@@ -84,12 +84,12 @@
             self._remove(work)
 
     def ahead_of(self, deadline: float) -> int:
-        """Counts the work with an earlier deadline."""
+        """Counts the work with the same or an earlier deadline."""
         return sum(
             1
             for caller in self._callers.values()
             for due, _, work in caller.heap
-            if due < deadline and work.state is WorkState.QUEUED
+            if due <= deadline and work.state is WorkState.QUEUED
         )
 
     def victim_for(self, caller_id: CallerId) -> Work | None:
--- a/src/sequoiapulley/upstream/overload.py
+++ b/src/sequoiapulley/upstream/overload.py
@@ -43,7 +43,10 @@
         if self._fits(instance, work, now):
             return True
         self._mark(instance, now)
-        victim = instance.queue.victim_for(work.sub.caller)
+        victim = None
+        # Work with no time for its own exchange takes nobody's turn.
+        if work.deadline - now > instance.typical + instance.mean:
+            victim = instance.queue.victim_for(work.sub.caller)
         if victim is None:
             self._core.give_up(work, LackReason.OVERLOAD, now, actions)
             return False
--- a/src/sequoiapulley/upstream/recovery.py
+++ b/src/sequoiapulley/upstream/recovery.py
@@ -134,7 +134,7 @@
                 self._on_alive(upstream, now)
             if not work.is_run:
                 latency = now - exchange.sent_at
-                upstream.on_good_reply(latency, instance.typical, now)
+                upstream.on_good_reply(latency, instance.proven_typical, now)
                 instance.latency.record(latency, now)
             quarantine = self._core.quarantine
             if quarantine.has_suspects:
