Poll the health of the upstreams that a node is home of

Cause: an idle upstream that drains, or an index version that moves without traffic, was seen only by the next request. Options: poll from every node (590 x 4,300 calls a second), only from homes (one call per upstream a second), or wait for replies. Chosen: homes only, once a second, so that a drain is seen within 2 s; a failed poll says nothing.

--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -36,7 +36,7 @@
 from sequoiapulley.fleet.member import Member
 from sequoiapulley.fleet.membership import Membership
 from sequoiapulley.fleet.udp_component import MembershipComponent, open_membership_socket
-from sequoiapulley.ids import Incarnation, NodeId
+from sequoiapulley.ids import Incarnation, NodeId, UpstreamName
 from sequoiapulley.link.messages import LinkMessage
 from sequoiapulley.link.peer_link import LinkHandlers, LinkIdentity, PeerLink
 from sequoiapulley.link.tls_files import TlsFiles
@@ -52,6 +52,7 @@
 from sequoiapulley.search.home_service import HomeService
 from sequoiapulley.settings.daemon_settings import DaemonSettings
 from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.health_poller import HealthPoller, HealthReport
 from sequoiapulley.upstream.http_codec import HttpExchangeCodec
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.reactor import Reactor
@@ -102,6 +103,7 @@
         self._reactor = Reactor(self.clock, self.timers)
         ReactorComponent(self._reactor, self.timers).register(self)
         http = HttpClient(self._reactor, self.clock, self.timers)
+        self._health = HealthPoller(http, self.timers, self._on_health, randbits(SEED_BITS))
         self._store = HttpStore(http, self._cfg.store.host, self._cfg.store.port)
         self._vm_list = HttpVmList(http, self._cfg.vm_list.host, self._cfg.vm_list.port)
 
@@ -265,6 +267,11 @@
             return
         self._shares = UpstreamShares(self._cfg.node, configuration, self.homes)
         self.upstreams.configure(configuration, self._shares.connections, self._shares.slots)
+        self._health.configure(configuration, self._shares.home_upstreams())
+
+    def _on_health(self, upstream: UpstreamName, report: HealthReport) -> None:
+        """Hands an upstream's own report to the dispatcher."""
+        self.upstreams.take_report(upstream, report)
 
     def _count_homes(self) -> int:
         """Counts the upstreams whose preferred home is this node."""
--- a/src/sequoiapulley/daemon/upstream_task.py
+++ b/src/sequoiapulley/daemon/upstream_task.py
@@ -12,6 +12,7 @@
 from sequoiapulley.model import Configuration
 from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
 from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.health_poller import HealthReport
 from sequoiapulley.upstream.messages import (
     Action,
     CancelExchange,
@@ -84,14 +85,14 @@
         """Drops work that nobody waits for."""
         self._perform(self._dispatcher.cancel(sub_id, self._clock.now()))
 
-    @property
-    def dispatcher(self) -> Dispatcher:
-        """The decisions, for reports of load and health."""
-        return self._dispatcher
-
-    def perform(self, actions: Iterable[Action]) -> None:
-        """Carries out actions that a report of load or health led to."""
-        self._perform(actions)
+    def take_report(self, upstream: UpstreamName, report: HealthReport) -> None:
+        """Takes what an upstream says of its own health and load."""
+        now = self._clock.now()
+        self._perform(
+            self._dispatcher.on_load_report(
+                upstream, report.load, report.draining, report.available, now
+            )
+        )
 
     @handler("StrikeHeard")
     def _on_strike_heard(self, strike: NewStrike) -> None:
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -148,9 +148,7 @@
     async def _answer(self, request: Request, conn: UpstreamConnection) -> Response:
         """Answers one request."""
         if request.path == "/health":
-            return reply_json(200, {"draining": self.faults.draining or self.faults.drain_mark})
-        if request.path == "/load":
-            return reply_json(200, {"load": self._shown_load()})
+            return reply_json(200, self._health())
         if request.method != "POST" or request.path not in ("/search", "/run"):
             return reply_json(404, {"error": "no such path"})
         try:
@@ -172,6 +170,14 @@
             self.counters.cancelled += 1
             raise
 
+    def _health(self) -> dict[str, Any]:
+        """Returns what the upstream says of itself."""
+        return {
+            "draining": self.faults.draining or self.faults.drain_mark,
+            "load": self._shown_load(),
+            "available": self.faults.snapshots,
+        }
+
     def _refuse(self, body: dict[str, Any], request_id: int) -> Response | None:
         """Returns the refusal of a request that does not run, or None."""
         counters, faults = self.counters, self.faults
