Spread stand-in upstreams over processes and share their launcher

Cause: one process of stand-ins would be the bottleneck of a load experiment, and demo, tests and benchmarks each need the same launcher.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,7 +12,8 @@
 from msgspec import Struct
 
 from sequoiapulley.cli.main import run as run_command
-from standins.local_fleet import HOST, LocalFleet, LocalNode, http_json, local_fleet
+from standins.http_call import HOST, http_json
+from standins.local_fleet import LocalFleet, LocalNode, local_fleet
 
 TEXT: Final = Path(__file__).resolve().parent.parent / "examples" / "cedarline.json5"
 NODES: Final = 3
@@ -173,7 +174,7 @@
     orders.place("tile-1")
     sleep(PHASE_S)
     load.begin("one upstream down")
-    fleet.set_upstream_faults("planner-desk-01-a", down=True)
+    fleet.upstreams.set_faults("planner-desk-01-a", down=True)
     sleep(PHASE_S)
     load.begin("store down")
     fleet.set_store_faults(down=True)
@@ -229,7 +230,7 @@
             repeated = "yes" if body.get("repeated") else ""
             state = body.get("state", "")
             print(f"{key:<10}{status:>8}  {state:<10}{repeated:<10}{body.get('reason') or ''}")
-        runs = self._fleet.upstream_counters()["runs"]
+        runs = self._fleet.upstreams.totals().runs
         print("runs counted by the upstreams:", ", ".join(f"{k}={v}" for k, v in runs.items()))
         return sum(1 for count in runs.values() if count > 1)
 
--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -4,14 +4,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from http.client import HTTPConnection
-from os import environ
 from pathlib import Path
 from re import sub
-from select import select
 from signal import SIGKILL, SIGTERM
 from socket import SOCK_DGRAM, SOCK_STREAM, socket
-from subprocess import DEVNULL, PIPE, Popen, TimeoutExpired
+from subprocess import DEVNULL, Popen, TimeoutExpired
 from sys import executable
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -23,9 +20,14 @@
 from sequoiapulley.ids import ConfigVersion
 from sequoiapulley.model import Configuration
 from sequoiapulley.settings.text import parse_text
-from standins.upstream_spec import UpstreamSpec
+from standins.http_call import HOST, http_json
+from standins.upstream_processes import (
+    StandInProcess,
+    UpstreamProcesses,
+    environment,
+    specs_of,
+)
 
-HOST: Final = "127.0.0.1"
 START_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 10.0
 POLL_S: Final = 0.05
@@ -63,35 +65,6 @@
         return int(sock.getsockname()[1])
 
 
-def http_json(
-    port: int, method: str, path: str, body: object = None, timeout: float = 10.0, **headers: Any
-) -> tuple[int, Any]:
-    """Calls a JSON endpoint on loopback.
-
-    Args:
-        port: TCP port.
-        method: HTTP method.
-        path: Path with its query.
-        body: Value to send as JSON, or None.
-        timeout: Seconds.
-        headers: Header names with underscores for dashes.
-
-    Returns:
-        Status and decoded body.
-
-    Raises:
-        OSError: If the call fails.
-    """
-    conn = HTTPConnection(HOST, port, timeout=timeout)
-    try:
-        data = json.encode(body) if body is not None else None
-        conn.request(method, path, data, {k.replace("_", "-"): v for k, v in headers.items()})
-        reply = conn.getresponse()
-        return reply.status, json.decode(reply.read())
-    finally:
-        conn.close()
-
-
 class LocalFleet:
     """The platform's stand-ins, the upstreams of a text and any number of nodes."""
 
@@ -110,16 +83,11 @@
         self.nodes: dict[str, LocalNode] = {}
         self._processes: list[Popen[bytes]] = []
         self.configuration = _parse(text)
-        specs = _specs(self.configuration)
-        spec_file = folder / "upstreams.json"
-        spec_file.write_bytes(json.encode(specs))
-        self.store_port: int = self._start_standin("standins.store")["port"]
-        self.vm_list_port: int = self._start_standin("standins.vm_list")["port"]
-        started = self._start_standin(
-            "standins.upstreams", str(spec_file), "--faults", json.encode(faults or {}).decode()
-        )
-        self.upstreams_port: int = started["control_port"]
-        self.text = _with_ports(text, started["ports"])
+        self._platform = [StandInProcess("standins.store"), StandInProcess("standins.vm_list")]
+        self.store_port, self.vm_list_port = (process.line["port"] for process in self._platform)
+        specs = specs_of(self.configuration)
+        self.upstreams = UpstreamProcesses(specs, folder, faults)
+        self.text = _with_ports(text, self.upstreams.ports)
 
     def start_node(self, number: int) -> LocalNode:
         """Starts one daemon; its place follows from its number.
@@ -157,7 +125,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=DEVNULL,
-                env=_environment(),
+                env=environment(),
             )
         self._processes.append(process)
         node = LocalNode(name, place.name, place.region, ports, process, log_path)
@@ -215,20 +183,10 @@
         """Asks a node to leave gracefully; does not wait."""
         node.process.send_signal(SIGTERM)
 
-    def set_upstream_faults(self, upstream: str, **fields: object) -> None:
-        """Changes the faults of one upstream, or of all for `*`."""
-        body = {"upstream": upstream, **fields}
-        http_json(self.upstreams_port, "POST", "/control/faults", body)
-
     def set_store_faults(self, **fields: object) -> None:
         """Changes the faults of the store."""
         http_json(self.store_port, "POST", "/control/faults", fields)
 
-    def upstream_counters(self) -> dict[str, Any]:
-        """Returns what the upstreams counted, and the runs per idempotency key."""
-        counters: dict[str, Any] = http_json(self.upstreams_port, "GET", "/control/counters")[1]
-        return counters
-
     def stop(self) -> None:
         """Ends every process that this fleet started."""
         for process in reversed(self._processes):
@@ -236,6 +194,9 @@
                 process.kill()
         for process in self._processes:
             process.wait(STOP_TIMEOUT_S)
+        self.upstreams.stop()
+        for standin in self._platform:
+            standin.stop()
 
     def _live_members(self, node: LocalNode) -> int:
         """Counts the members that a node believes alive."""
@@ -251,23 +212,6 @@
         except OSError:
             return 0, None
 
-    def _start_standin(self, module: str, *args: str) -> Any:
-        """Starts a stand-in and returns the JSON line that it prints."""
-        process = Popen(
-            [executable, "-m", module, *args],
-            stdout=PIPE,
-            stdin=DEVNULL,
-            env=_environment(),
-        )
-        self._processes.append(process)
-        assert process.stdout is not None
-        if not select([process.stdout], [], [], START_TIMEOUT_S)[0]:
-            raise FleetError(f"{module} did not start")
-        line = process.stdout.readline()
-        if not line:
-            raise FleetError(f"{module} ended at its start")
-        return json.decode(line)
-
 
 @contextmanager
 def local_fleet(
@@ -331,34 +275,9 @@
     return result.ok_value
 
 
-def _specs(configuration: Configuration) -> list[UpstreamSpec]:
-    """Lists the stand-ins for the upstreams of a configuration, on any port."""
-    specs = []
-    for service in configuration.services.values():
-        contract = configuration.contract_of(service)
-        for instance in service.instances:
-            for upstream in instance.upstreams:
-                spec = UpstreamSpec(
-                    name=upstream.name,
-                    instance=instance.name,
-                    service=service.name,
-                    slots=contract.slots,
-                    connections=contract.connections,
-                    open_ms=contract.open_ms,
-                )
-                specs.append(spec)
-    return specs
-
-
 def _with_ports(text: str, ports: dict[str, int]) -> str:
     """Replaces the address of every upstream by the port of its stand-in."""
     for name, port in ports.items():
         pattern = rf'("{name}":\s*\{{[^}}]*"address":\s*")[^"]*"'
         text = sub(pattern, rf'\g<1>{HOST}:{port}"', text)
     return text
-
-
-def _environment() -> dict[str, str]:
-    """Returns the environment of a child process."""
-    root = Path(__file__).resolve().parent.parent
-    return {**environ, "PYTHONPATH": f"{root / 'src'}:{root}"}
--- /dev/null
+++ b/standins/upstream_processes.py
@@ -0,0 +1,164 @@
+"""Stand-in upstreams spread over several processes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from os import environ
+from pathlib import Path
+from select import select
+from subprocess import DEVNULL, PIPE, Popen
+from sys import executable
+from typing import Any, Final
+
+from msgspec import Struct, json
+
+from sequoiapulley.model import Configuration
+from standins.http_call import HOST, http_json
+from standins.upstream_spec import UpstreamCounters, UpstreamSpec
+
+START_TIMEOUT_S: Final = 30.0
+STOP_TIMEOUT_S: Final = 10.0
+ALL: Final = "*"
+
+
+class StandInError(Exception):
+    """A stand-in did not start."""
+
+
+class StandInProcess:
+    """One process that prints a JSON line once it serves."""
+
+    def __init__(self, module: str, *args: str) -> None:
+        """Starts the process and waits for its line.
+
+        Args:
+            module: Module to run.
+            args: Its arguments.
+
+        Raises:
+            StandInError: If the line does not come.
+        """
+        self.process = Popen(
+            [executable, "-m", module, *args], stdout=PIPE, stdin=DEVNULL, env=environment()
+        )
+        assert self.process.stdout is not None
+        ready = select([self.process.stdout], [], [], START_TIMEOUT_S)[0]
+        line = self.process.stdout.readline() if ready else b""
+        if not line:
+            self.stop()
+            raise StandInError(f"{module} did not start")
+        self.line: Any = json.decode(line)
+
+    def stop(self) -> None:
+        """Ends the process."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(STOP_TIMEOUT_S)
+
+
+class UpstreamTotals(Struct, frozen=True):
+    """What all upstreams counted."""
+
+    upstreams: dict[str, UpstreamCounters]
+    runs: Counter[str]
+    """Runs of non-idempotent requests per key."""
+
+    @property
+    def received(self) -> int:
+        """Requests read from the wire."""
+        return sum(counters.received for counters in self.upstreams.values())
+
+
+class UpstreamProcesses:
+    """The upstreams of a configuration, each on a free port."""
+
+    def __init__(
+        self,
+        specs: list[UpstreamSpec],
+        folder: Path,
+        faults: dict[str, Any] | None = None,
+        processes: int = 1,
+    ) -> None:
+        """Starts the processes.
+
+        Args:
+            specs: The upstreams.
+            folder: Folder for their settings.
+            faults: Behaviour of all at the start.
+            processes: How many processes share the upstreams.
+        """
+        self._processes: list[StandInProcess] = []
+        self._control_of: dict[str, int] = {}
+        self.ports: dict[str, int] = {}
+        for number in range(processes):
+            path = folder / f"upstreams-{number}.json"
+            path.write_bytes(json.encode(specs[number::processes]))
+            process = StandInProcess(
+                "standins.upstreams", str(path), "--faults", json.encode(faults or {}).decode()
+            )
+            self._processes.append(process)
+            self.ports.update(process.line["ports"])
+            for name in process.line["ports"]:
+                self._control_of[name] = process.line["control_port"]
+
+    def set_faults(self, upstream: str, **fields: object) -> None:
+        """Changes the faults of one upstream, or of all for `*`."""
+        self._post(upstream, "/control/faults", {"upstream": upstream, **fields})
+
+    def silence(self, upstream: str) -> None:
+        """Turns the open connections of one upstream, or of all, silent."""
+        self._post(upstream, "/control/silence", {"upstream": upstream})
+
+    def reset(self) -> None:
+        """Starts counting anew."""
+        self._post(ALL, "/control/reset", {})
+
+    def totals(self) -> UpstreamTotals:
+        """Returns what all upstreams counted."""
+        upstreams: dict[str, UpstreamCounters] = {}
+        runs: Counter[str] = Counter()
+        for port in sorted(set(self._control_of.values())):
+            view = http_json(port, "GET", "/control/counters")[1]
+            decoded = json.decode(json.encode(view["upstreams"]), type=dict[str, UpstreamCounters])
+            upstreams.update(decoded)
+            runs.update(view["runs"])
+        return UpstreamTotals(upstreams, runs)
+
+    def stop(self) -> None:
+        """Ends the processes."""
+        for process in self._processes:
+            process.stop()
+
+    def _post(self, upstream: str, path: str, body: dict[str, object]) -> None:
+        """Calls the control endpoint of one upstream's process, or of all."""
+        ports = set(self._control_of.values())
+        if upstream != ALL:
+            ports = {self._control_of[upstream]}
+        for port in ports:
+            http_json(port, "POST", path, body)
+
+
+def specs_of(configuration: Configuration) -> list[UpstreamSpec]:
+    """Lists the stand-ins for the upstreams of a configuration, on any port."""
+    specs = []
+    for service in configuration.services.values():
+        contract = configuration.contract_of(service)
+        for instance in service.instances:
+            for upstream in instance.upstreams:
+                spec = UpstreamSpec(
+                    name=upstream.name,
+                    instance=instance.name,
+                    service=service.name,
+                    slots=contract.slots,
+                    connections=contract.connections,
+                    open_ms=contract.open_ms,
+                    host=HOST,
+                )
+                specs.append(spec)
+    return specs
+
+
+def environment() -> dict[str, str]:
+    """Returns the environment of a child process."""
+    root = Path(__file__).resolve().parent.parent
+    return {**environ, "PYTHONPATH": f"{root / 'src'}:{root}"}
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -118,7 +118,7 @@
             self._rolling_restart(fleet)
             stream.finish()
             self._check_answers(stream)
-            runs = fleet.upstream_counters()["runs"]
+            runs = fleet.upstreams.totals().runs
             self.assertEqual(runs, {"before-outage": 1, "after-outage": 1})
 
     def _edits_conflict(self, fleet: LocalFleet) -> None:
