--- /dev/null
+++ b/bench/wire_cost.py
@@ -0,0 +1,261 @@
+"""Processor time of one upstream exchange, against a bare epoll loop with the same parser."""
+
+from __future__ import annotations
+
+import sys
+from gc import collect, freeze
+from select import EPOLLIN, epoll
+from socket import IPPROTO_TCP, TCP_NODELAY, create_connection, socket
+from statistics import median
+from time import process_time
+from typing import Any, Final
+
+from httptools import HttpResponseParser
+from msgspec import json
+
+from bench.epoll_server import ServerProcess
+from sequoiapulley.ids import (
+    CallerId,
+    ConfigVersion,
+    ContractName,
+    CustomerName,
+    ExchangeId,
+    Fingerprint,
+    InstanceName,
+    PlaceName,
+    RegionName,
+    ServiceName,
+    ShardId,
+    UpstreamName,
+)
+from sequoiapulley.model import Configuration, Contract, Instance, Place, Service, Upstream
+from sequoiapulley.runtime import SystemClock, TimerQueue
+from sequoiapulley.search.messages import ShardTarget
+from sequoiapulley.upstream.http_contract import (
+    JSON_HEADERS,
+    SEARCH_PATH,
+    HttpContract,
+    decode_search_body,
+    encode_search,
+)
+from sequoiapulley.upstream.messages import LossKind, SendExchange, SubSearch, UpstreamReply
+from sequoiapulley.upstream.transport import UpstreamTransport
+from sequoiapulley.wire.reactor import Reactor
+
+FAN_OUTS: Final = (20, 60, 140, 560)
+EXCHANGES_PER_ROUND: Final = 5_600
+ROUNDS: Final = 9
+RECEIVE_BYTES: Final = 65_536
+MICROSECONDS: Final = 1e6
+DEADLINE_S: Final = 60.0
+TARGET: Final = ShardTarget(ShardId("i"), ServiceName("s"), InstanceName("i"))
+
+
+class BareConnection:
+    """One connection of the bare loop."""
+
+    def __init__(self, port: int) -> None:
+        """Connect."""
+        self.sock: socket = create_connection(("127.0.0.1", port))
+        self.sock.setblocking(False)
+        self.sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        self.parser = HttpResponseParser(self)
+        self.body = b""
+        self.done = False
+
+    def on_body(self, body: bytes) -> None:
+        """Keeps the body."""
+        self.body = body
+
+    def on_message_complete(self) -> None:
+        """Marks the end of the reply."""
+        self.done = True
+
+
+class BareLoop:
+    """The least a client can do: send, poll, receive, parse."""
+
+    def __init__(self, ports: list[int]) -> None:
+        """Connect to every port."""
+        self._poller = epoll()
+        self._conns: dict[int, BareConnection] = {}
+        for port in ports:
+            conn = BareConnection(port)
+            self._conns[conn.sock.fileno()] = conn
+            self._poller.register(conn.sock.fileno(), EPOLLIN)
+
+    def batch(self, first: int) -> None:
+        """Sends one request on every connection and reads every reply."""
+        for number, conn in enumerate(self._conns.values(), first):
+            conn.sock.send(request_bytes(number))
+        left = len(self._conns)
+        while left:
+            for fd, _ in self._poller.poll():
+                conn = self._conns[fd]
+                conn.parser.feed_data(conn.sock.recv(RECEIVE_BYTES))
+                if conn.done:
+                    conn.done = False
+                    left -= 1
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for conn in self._conns.values():
+            conn.sock.close()
+        self._poller.close()
+
+
+class TransportLoop:
+    """The same exchanges through the node's transport, hits decoded."""
+
+    def __init__(self, ports: list[int], decode: bool) -> None:
+        """Connect to every port.
+
+        Args:
+            ports: One upstream each.
+            decode: Also encode each request from its message and decode the hits.
+        """
+        self._clock = SystemClock()
+        timers = TimerQueue(self._clock)
+        self._reactor = Reactor(self._clock, timers)
+        self._transport = UpstreamTransport(
+            self._reactor, self._clock, timers, self._on_reply, self._on_lost
+        )
+        self._transport.configure(configuration(ports), lambda _name: 2)
+        self._names = [UpstreamName(f"u{port}") for port in ports]
+        self._decode = decode
+        self._left = 0
+
+    def batch(self, first: int) -> None:
+        """Sends one request to every upstream and reads every reply."""
+        self._left = len(self._names)
+        now = self._clock.now()
+        for number, name in enumerate(self._names, first):
+            exchange_id = ExchangeId(number)
+            body = encode(exchange_id, now) if self._decode else PLAIN_BODY % number
+            order = SendExchange(
+                exchange_id, name, SEARCH_PATH, JSON_HEADERS, body, now + DEADLINE_S
+            )
+            self._transport.execute(order)
+        while self._left:
+            self._reactor.run_once(1.0)
+
+    def close(self) -> None:
+        """Closes every connection."""
+        self._transport.configure(configuration([]), lambda _name: 0)
+        self._reactor.close()
+
+    def _on_reply(self, _exchange_id: ExchangeId, reply: UpstreamReply) -> None:
+        """Counts a reply."""
+        if self._decode:
+            decode_search_body(reply.body, TARGET.shard)
+        self._left -= 1
+
+    def _on_lost(self, exchange_id: ExchangeId, kind: LossKind) -> None:
+        """Fails the run: nothing is lost on loopback."""
+        raise RuntimeError(f"exchange {exchange_id} was lost: {kind.value}")
+
+
+def encode(exchange_id: ExchangeId, now: float) -> bytes:
+    """Encodes one search."""
+    sub = SubSearch(
+        exchange_id,
+        TARGET,
+        CallerId("c"),
+        "query",
+        10,
+        Fingerprint("f"),
+        None,
+        now + DEADLINE_S,
+    )
+    return encode_search(exchange_id, sub, now)
+
+
+PLAIN_BODY: Final = encode(ExchangeId(0), 0.0).replace(b'"request_id":0', b'"request_id":%d')
+
+
+def request_bytes(number: int) -> bytes:
+    """Returns a whole request, as the transport would send it."""
+    body = PLAIN_BODY % number
+    order = SendExchange(
+        ExchangeId(number), UpstreamName("u"), SEARCH_PATH, JSON_HEADERS, body, 0.0
+    )
+    return HttpContract().encode(order, "127.0.0.1", 1)
+
+
+def configuration(ports: list[int]) -> Configuration:
+    """Returns a configuration with one upstream a port."""
+    place = Place(PlaceName("p"), RegionName("r"))
+    contract = Contract(ContractName("c"), 2, 60, 1.0)
+    instances = tuple(
+        Instance(
+            InstanceName(f"i{port}"),
+            (Upstream(UpstreamName(f"u{port}"), place.name, "127.0.0.1", port),),
+        )
+        for port in ports
+    )
+    service = Service(ServiceName("s"), contract.name, instances)
+    return Configuration(
+        ConfigVersion(1),
+        CustomerName("t"),
+        {place.name: place},
+        {contract.name: contract},
+        {service.name: service},
+    )
+
+
+Loop = BareLoop | TransportLoop
+
+
+def measure(loops: dict[str, Loop], fan_out: int) -> dict[str, list[float]]:
+    """Measures the processor time of one exchange, in µs, once a round for each loop in turn."""
+    for loop in loops.values():
+        loop.batch(0)
+    collect()
+    freeze()
+    batches = EXCHANGES_PER_ROUND // fan_out
+    costs: dict[str, list[float]] = {name: [] for name in loops}
+    for _ in range(ROUNDS):
+        for name, loop in loops.items():
+            start = process_time()
+            for number in range(batches):
+                loop.batch(number * fan_out)
+            spent = process_time() - start
+            costs[name].append(spent / (batches * fan_out) * MICROSECONDS)
+    return costs
+
+
+def measure_row(ports: list[int]) -> dict[str, Any]:
+    """Measures one fan-out: medians, extremes and the medians of the ratios within a round."""
+    loops: dict[str, Loop] = {
+        "bare": BareLoop(ports),
+        "transport": TransportLoop(ports, decode=False),
+        "decoded": TransportLoop(ports, decode=True),
+    }
+    costs = measure(loops, len(ports))
+    row: dict[str, Any] = {"fan_out": len(ports)}
+    for name, loop in loops.items():
+        loop.close()
+        row[name] = round(median(costs[name]), 2)
+        row[f"{name}_least"] = round(min(costs[name]), 2)
+        row[f"{name}_most"] = round(max(costs[name]), 2)
+    for name in ("transport", "decoded"):
+        ratios = [cost / bare for cost, bare in zip(costs[name], costs["bare"], strict=True)]
+        row[f"{name}_ratio"] = round(median(ratios), 2)
+    return row
+
+
+def run() -> dict[str, Any]:
+    """Measures every fan-out.
+
+    Returns:
+        Rows in µs of processor time per exchange. `transport` sends a ready body; `decoded` also
+        encodes the body from its message and decodes the hits.
+    """
+    server = ServerProcess(max(FAN_OUTS))
+    rows = [measure_row(server.ports[:fan_out]) for fan_out in FAN_OUTS]
+    server.stop()
+    return {"name": "wire_cost", "unit": "µs processor time per exchange", "rows": rows}
+
+
+if __name__ == "__main__":
+    sys.stdout.write(json.encode(run()).decode() + "\n")
--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -173,7 +173,7 @@
         assert isinstance(flight, Flight)
         conn.tag = None
         order = flight.order
-        reply = self._contract.decode(order.exchange_id, parsed.status, parsed.header, parsed.body)
+        reply = self._contract.decode(order.exchange_id, parsed)
         if conn.state is not ConnectionState.IDLE or reply.kind is ReplyKind.MALFORMED:
             self._forget(conn)
             conn.close()
--- a/src/sequoiapulley/upstream/http_contract.py
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
+from functools import lru_cache
 from typing import Final, Protocol
 from urllib.parse import quote
 
-from msgspec import DecodeError, Raw, Struct
+from msgspec import Raw, Struct
 from msgspec.json import Decoder, Encoder
 
 from sequoiapulley.ids import ExchangeId, ShardId
@@ -22,15 +23,24 @@
     SubSearch,
     UpstreamReply,
 )
+from sequoiapulley.wire.reply_parser import ParsedReply
 
 SEARCH_PATH: Final = "/search"
 RUN_PATH: Final = "/run"
 JSON_HEADERS: Final = (("content-type", "application/json"),)
 IDEMPOTENCY_HEADER: Final = "idempotency-key"
-DRAINING_HEADER: Final = "x-draining"
-LOAD_HEADER: Final = "x-load"
+DRAINING_HEADER: Final = b"x-draining"
+LOAD_HEADER: Final = b"x-load"
 MS_PER_S: Final = 1000.0
+CACHED_SNAPSHOTS: Final = 1024
+CACHED_HEADS: Final = 8192
+"""Request heads kept; more than the upstreams of one node."""
 
+Headers = tuple[tuple[str, str], ...]
+
+_ERROR: Final = ReplyKind.ERROR
+_MALFORMED: Final = ReplyKind.MALFORMED
+_DRAINING: Final = ReplyKind.DRAINING
 _KIND_OF_STATUS: Final[Mapping[int, ReplyKind]] = {
     200: ReplyKind.OK,
     409: ReplyKind.WRONG_SNAPSHOT,
@@ -114,7 +124,7 @@
     """
     snapshot = None if sub.snapshot is None else str(sub.snapshot)
     target = sub.target
-    time_left = round(max(0.0, sub.deadline - now) * MS_PER_S, 3)
+    time_left = max(0.0, sub.deadline - now) * MS_PER_S
     return _ENCODER.encode(
         _SearchBody(
             exchange_id,
@@ -139,12 +149,12 @@
     Returns:
         A JSON body.
     """
-    time_left = round(max(0.0, sub.deadline - now) * MS_PER_S, 3)
+    time_left = max(0.0, sub.deadline - now) * MS_PER_S
     request = Raw(sub.body.encode())
     return _ENCODER.encode(_RunBody(exchange_id, sub.service, sub.instance, request, time_left))
 
 
-def run_headers(sub: SubRun) -> tuple[tuple[str, str], ...]:
+def run_headers(sub: SubRun) -> Headers:
     """Returns the headers of a non-idempotent request, with its key percent-encoded."""
     return (*JSON_HEADERS, (IDEMPOTENCY_HEADER, quote(sub.key, safe="")))
 
@@ -164,11 +174,11 @@
     """
     try:
         reply = _HITS.decode(body)
-    except (DecodeError, UnicodeDecodeError) as exc:
+    except ValueError as exc:
         raise ContractError(f"search reply does not decode: {exc}") from exc
     if reply.shard != shard:
         raise ContractError(f"reply of shard {reply.shard!r} where {shard!r} was asked")
-    return tuple(Hit(hit.id, hit.score, shard, hit.fields) for hit in reply.hits)
+    return tuple([Hit(hit.id, hit.score, shard, hit.fields) for hit in reply.hits])
 
 
 def decode_run_body(body: bytes) -> str:
@@ -185,7 +195,7 @@
     """
     try:
         return bytes(_RUN_REPLY.decode(body).result).decode()
-    except (DecodeError, UnicodeDecodeError) as exc:
+    except ValueError as exc:
         raise ContractError(f"run reply does not decode: {exc}") from exc
 
 
@@ -198,9 +208,7 @@
     def decode(
         self,
         exchange_id: ExchangeId,
-        status: int,
-        header: Callable[[bytes], bytes | None],
-        body: bytes,
+        parsed: ParsedReply,
     ) -> UpstreamReply:
         """Decodes a whole reply; one that breaks the contract is `MALFORMED`."""
 
@@ -219,53 +227,61 @@
         Returns:
             The request's bytes.
         """
-        head = f"POST {order.path} HTTP/1.1\r\nhost: {host}:{port}\r\n"
-        for name, value in order.headers:
-            head += f"{name}: {value}\r\n"
-        return f"{head}content-length: {len(order.body)}\r\n\r\n".encode("latin-1") + order.body
+        head = _request_head(order.path, order.headers, host, port)
+        return b"%b%d\r\n\r\n%b" % (head, len(order.body), order.body)
 
-    def decode(
-        self,
-        exchange_id: ExchangeId,
-        status: int,
-        header: Callable[[bytes], bytes | None],
-        body: bytes,
-    ) -> UpstreamReply:
+    def decode(self, exchange_id: ExchangeId, parsed: ParsedReply) -> UpstreamReply:
         """Decodes a whole reply.
 
         Args:
             exchange_id: The id that the request carried.
-            status: HTTP status.
-            header: Looks a header up by its lower-case name.
-            body: The whole body.
+            parsed: The reply as received.
 
         Returns:
             The reply; `MALFORMED` if it does not decode or carries another id.
         """
-        kind = _KIND_OF_STATUS.get(status, ReplyKind.ERROR)
+        kind = _KIND_OF_STATUS.get(parsed.status, _ERROR)
         try:
-            envelope = _ENVELOPE.decode(body)
-            snapshot = Snapshot.parse(envelope.snapshot) if envelope.snapshot else None
-            available = tuple(Snapshot.parse(text) for text in envelope.available)
-        except (ValueError, UnicodeDecodeError):
-            failed = ReplyKind.ERROR if kind is ReplyKind.ERROR else ReplyKind.MALFORMED
-            return UpstreamReply(failed)
+            envelope = _ENVELOPE.decode(parsed.body)
+            snapshot = _parse_snapshot(envelope.snapshot) if envelope.snapshot else None
+            available = _parse_snapshots(envelope.available)
+        except ValueError:
+            return UpstreamReply(_ERROR if kind is _ERROR else _MALFORMED)
         if envelope.request_id != exchange_id:
-            return UpstreamReply(ReplyKind.MALFORMED)
-        return UpstreamReply(
-            kind,
-            snapshot,
-            available,
-            body,
-            kind is ReplyKind.DRAINING or header(DRAINING_HEADER.encode()) == b"1",
-            _parse_load(header(LOAD_HEADER.encode())),
-        )
+            return UpstreamReply(_MALFORMED)
+        draining = kind is _DRAINING
+        load = None
+        for name, value in parsed.headers:
+            if name == LOAD_HEADER:
+                load = _parse_load(value)
+            elif name == DRAINING_HEADER and value == b"1":
+                draining = True
+        return UpstreamReply(kind, snapshot, available, parsed.body, draining, load)
 
 
-def _parse_load(value: bytes | None) -> float | None:
-    """Reads a reported load, or None when there is none or it is not a number from 0 to 1."""
-    if value is None:
-        return None
+@lru_cache(CACHED_SNAPSHOTS)
+def _parse_snapshot(text: str) -> Snapshot:
+    """Reads a snapshot; few differ at a time."""
+    return Snapshot.parse(text)
+
+
+@lru_cache(CACHED_SNAPSHOTS)
+def _parse_snapshots(texts: tuple[str, ...]) -> tuple[Snapshot, ...]:
+    """Reads a list of snapshots."""
+    return tuple(Snapshot.parse(text) for text in texts)
+
+
+@lru_cache(CACHED_HEADS)
+def _request_head(path: str, headers: Headers, host: str, port: int) -> bytes:
+    """Returns the request line and the headers up to the length of the body."""
+    lines = [f"POST {path} HTTP/1.1", f"host: {host}:{port}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    lines.append("content-length: ")
+    return "\r\n".join(lines).encode("latin-1")
+
+
+def _parse_load(value: bytes) -> float | None:
+    """Reads a reported load, or None when it is not a number from 0 to 1."""
     try:
         load = float(value)
     except ValueError:
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -43,7 +43,7 @@
     """One whole reply."""
 
     status: int
-    headers: tuple[tuple[bytes, bytes], ...]
+    headers: list[tuple[bytes, bytes]]
     """Names in lower case."""
     body: bytes
 
