Keep upstream connections by a policy, and test them with sockets written by hand

Connections are opened ahead where opening is slow, renewed when idle, given up when overdue, and drained for a shutdown.

--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -2,66 +2,32 @@
 
 from __future__ import annotations
 
-from collections import deque
-from collections.abc import Callable
-from typing import Final
-
-from msgspec import Struct
-
 from sequoiapulley.ids import ExchangeId
+from sequoiapulley.observe import LogEvent
 from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.upstream.flight import Flight, FlightQueue
 from sequoiapulley.upstream.http_contract import RUN_PATH, UpstreamContract
 from sequoiapulley.upstream.messages import LossKind, ReplyKind, SendExchange, UpstreamReply
+from sequoiapulley.upstream.pool_settings import (
+    PoolCallbacks,
+    PoolPolicy,
+    PoolSettings,
+    TransportCounts,
+)
 from sequoiapulley.wire.http_connection import (
     CloseReason,
     ConnectionState,
     HttpConnection,
     ReplyBounds,
 )
+from sequoiapulley.wire.log_events import (
+    REPLY_MALFORMED,
+    SILENT_CONNECTIONS_CLOSED,
+    UPSTREAM_UNREACHABLE,
+)
 from sequoiapulley.wire.reactor import Reactor
 from sequoiapulley.wire.reply_parser import ParsedReply
 
-SLOW_OPEN_S: Final = 0.003
-"""Opening slower than this is done ahead of need."""
-OPEN_AHEAD: Final = 2
-"""Idle connections kept to an upstream that opens slowly."""
-MAX_IDLE_S: Final = 30.0
-"""An idle connection beyond those kept is closed after this time."""
-REOPEN_DELAY_S: Final = 1.0
-"""Pause of opening ahead after a connect failed."""
-
-
-class PoolSettings(Struct, frozen=True):
-    """What one upstream's pool keeps to."""
-
-    host: str
-    port: int
-    allowance: int
-    """Connections this node may hold, those being opened included."""
-    open_s: float
-    """Usual time to open a connection."""
-
-
-class Callbacks(Struct, frozen=True):
-    """Where outcomes go; each exchange has one, unless it was cancelled."""
-
-    on_reply: Callable[[ExchangeId, UpstreamReply], None]
-    on_lost: Callable[[ExchangeId, LossKind], None]
-
-
-class Flight:
-    """One exchange on its way."""
-
-    __slots__ = ("conn", "order", "ordered_at", "suspect")
-
-    def __init__(self, order: SendExchange, now: float) -> None:
-        """Initialise an exchange that waits for a connection."""
-        self.order = order
-        self.ordered_at = now
-        self.conn: HttpConnection | None = None
-        self.suspect: HttpConnection | None = None
-        """The connection that may be silent, when a fresh one was ordered."""
-
 
 class ConnectionPool:
     """Owns the connections to one upstream."""
@@ -72,8 +38,10 @@
         timers: TimerQueue,
         contract: UpstreamContract,
         settings: PoolSettings,
-        callbacks: Callbacks,
+        policy: PoolPolicy,
+        callbacks: PoolCallbacks,
         bounds: ReplyBounds,
+        totals: TransportCounts,
     ) -> None:
         """Initialise without connections.
 
@@ -82,15 +50,19 @@
             timers: Timers of the same event loop.
             contract: The upstream's wire contract.
             settings: Address and limits.
+            policy: How connections are kept.
             callbacks: Receivers of outcomes.
             bounds: Largest reply that is read.
+            totals: Counts of all pools, added to here.
         """
         self._reactor = reactor
         self._clock = reactor.clock
         self._timers = timers
         self._contract = contract
+        self._policy = policy
         self._callbacks = callbacks
         self._bounds = bounds
+        self._totals = totals
         self.settings = settings
         self.conns: set[HttpConnection] = set()
         """Every connection that is not closed."""
@@ -98,124 +70,144 @@
         """Connections without an exchange; the last one is used first."""
         self.flights: dict[ExchangeId, Flight] = {}
         """Exchanges without an outcome."""
-        self._waiting: deque[Flight] = deque()
-        self._waiting_fresh: deque[Flight] = deque()
-        self._connecting = 0
+        self.queue = FlightQueue()
+        self._connecting: set[HttpConnection] = set()
         self._reopen_at = 0.0
-        self.retired = False
-        """Set when the upstream left the configuration."""
+        self._logged_at: dict[int, float] = {}
+        self._retired = False
 
     def submit(self, order: SendExchange) -> None:
         """Sends a request now or when a connection is free."""
-        flight = Flight(order, self._clock.now())
+        now = self._clock.now()
+        flight = Flight(order, now)
         self.flights[order.exchange_id] = flight
-        if not order.fresh_connection:
-            if self.idle and not self._waiting:
-                self._start(flight, self.idle.pop())
-                self._open_ahead()
-                return
-            self._waiting.append(flight)
+        if order.fresh_connection:
+            flight.suspect = self._longest_waiting()
+            self.queue.fresh.append(flight)
+        elif not self.idle or self.queue.usual:
+            self.queue.usual.append(flight)
+        elif order.path == RUN_PATH and not self._is_recent(self.idle[-1], now):
+            # The other end may be closing it, and then nobody could tell whether the request ran.
+            self.queue.fresh.append(flight)
         else:
-            flight.suspect = self._oldest_busy()
-            self._waiting_fresh.append(flight)
-        self._pump()
+            self._start(flight, self.idle.pop())
+        self.pump()
 
     def cancel(self, exchange_id: ExchangeId) -> None:
         """Gives an exchange up; it has no outcome.
 
-        A request that left is cancelled by closing its connection, which upstreams notice.
+        Closing the connection tells the upstream to stop. As long as opening another one would
+        take, the exchange may also end on its own, which saves the connection.
         """
         flight = self.flights.pop(exchange_id, None)
         if flight is None:
             return
         conn = flight.conn
         if conn is None:
-            self._remove_waiting(flight)
+            self.queue.remove(flight)
             return
-        self._discard(conn)
-        self._pump()
+        grace = self._policy.cancel_grace * self.settings.open_s
+        if grace <= 0 or self._retired:
+            self._close_cancelled(conn, flight)
+            return
+        self._timers.call_later(grace, lambda: self._close_cancelled(conn, flight))
 
-    def close_idle(self) -> None:
-        """Closes the idle connections and opens no more ahead."""
-        self.retired = True
+    def retire(self) -> None:
+        """Closes idle connections, and the others as soon as their exchange ends."""
+        self._retired = True
         for conn in tuple(self.idle):
             self._discard(conn)
 
     def sweep(self) -> None:
-        """Drops waiting exchanges past their deadline and idle connections not needed."""
+        """Gives up what is overdue, and renews or closes idle connections."""
         now = self._clock.now()
-        for queue in (self._waiting, self._waiting_fresh):
-            for flight in [f for f in queue if f.order.deadline <= now]:
-                queue.remove(flight)
-                self._lose(flight, LossKind.NOT_SENT)
-        keep = self._spares_wanted()
-        while len(self.idle) > keep and now - self.idle[0].last_used > MAX_IDLE_S:
-            self._discard(self.idle[0])
-        while len(self.conns) > self.settings.allowance and self.idle:
-            self._discard(self.idle[0])
-        self._open_ahead()
+        for flight in self.queue.take_expired(now):
+            self._lose(flight, LossKind.NOT_SENT)
+        for flight in tuple(self.flights.values()):
+            if flight.conn is not None and flight.order.deadline + self._policy.overdue <= now:
+                self._discard(flight.conn)
+                self._lose(flight, LossKind.DISCARDED)
+        for conn in tuple(self._connecting):
+            if now - conn.opened_at >= self._policy.max_connect:
+                conn.close()
+                self.on_closed(conn, CloseReason.CONNECT_FAILED)
+        for conn in tuple(self.idle):
+            excess = len(self.conns) > self.settings.allowance
+            if excess or now - conn.last_used >= self._policy.max_idle:
+                self._discard(conn)
+        self.pump()
 
     def on_open(self, conn: HttpConnection) -> None:
-        """Uses a new connection, for an exchange that wants a fresh one first."""
-        self._connecting -= 1
-        if self._waiting_fresh:
-            self._start(self._waiting_fresh.popleft(), conn)
-            return
-        if self._waiting:
-            self._start(self._waiting.popleft(), conn)
-            return
-        # The connections used before are known to work, so they go first.
-        self.idle.insert(0, conn)
+        """Uses a new connection."""
+        self._connecting.discard(conn)
+        flight = self.queue.take()
+        if flight is not None:
+            self._start(flight, conn)
+        elif self._retired:
+            self._discard(conn)
+        else:
+            # Connections used before are known to be fully open, so they go first.
+            self.idle.insert(0, conn)
 
     def on_reply(self, conn: HttpConnection, parsed: ParsedReply) -> None:
         """Reports the reply of the exchange on a connection and reuses the connection."""
         flight = conn.tag
         assert isinstance(flight, Flight)
         conn.tag = None
-        order = flight.order
-        reply = self._contract.decode(order.exchange_id, parsed)
-        if conn.state is not ConnectionState.IDLE or reply.kind is ReplyKind.MALFORMED:
-            self._forget(conn)
-            conn.close()
-            self._pump()
-        elif self._waiting:
-            self._start(self._waiting.popleft(), conn)
-        else:
-            self.idle.append(conn)
+        exchange_id = flight.order.exchange_id
+        reply = self._contract.decode(exchange_id, parsed)
+        self._reuse(conn, reply)
         if flight.suspect is not None:
-            self._confirm_silent(flight.suspect, flight.ordered_at)
-        if self.flights.pop(order.exchange_id, None) is not None:
-            self._callbacks.on_reply(order.exchange_id, reply)
+            self._close_silent(flight.suspect, flight.ordered_at)
+        if self.flights.pop(exchange_id, None) is not None:
+            self._callbacks.on_reply(exchange_id, reply)
 
     def on_closed(self, conn: HttpConnection, reason: CloseReason) -> None:
         """Reports the loss of the exchange on a connection, or of one that waits for it."""
         self._forget(conn)
         flight = conn.tag
+        if conn.replies == 0:
+            self._reopen_at = self._clock.now() + self._policy.reopen_delay
         if reason is CloseReason.CONNECT_FAILED:
-            self._connecting -= 1
             self._on_connect_failed()
+        elif isinstance(flight, Flight) and reason is not CloseReason.PEER_CLOSED:
+            self._on_malformed()
+            if self.flights.pop(flight.order.exchange_id, None) is not None:
+                reply = UpstreamReply(ReplyKind.MALFORMED)
+                self._callbacks.on_reply(flight.order.exchange_id, reply)
         elif isinstance(flight, Flight):
-            self._fail_in_flight(flight, conn, reason)
-        self._pump()
-
-    def _fail_in_flight(self, flight: Flight, conn: HttpConnection, reason: CloseReason) -> None:
-        """Reports an exchange whose connection closed."""
-        if reason is CloseReason.PEER_CLOSED:
             self._lose(flight, LossKind.CONNECTION_LOST if conn.bytes_left else LossKind.NOT_SENT)
-            return
-        exchange_id = flight.order.exchange_id
-        if self.flights.pop(exchange_id, None) is not None:
-            self._callbacks.on_reply(exchange_id, UpstreamReply(ReplyKind.MALFORMED))
+        self.pump()
 
-    def _on_connect_failed(self) -> None:
-        """Fails one waiting exchange, or all when no connection is left."""
-        self._reopen_at = self._clock.now() + REOPEN_DELAY_S
-        failed: list[Flight] = []
-        for queue in (self._waiting_fresh, self._waiting):
-            while queue and (not self.conns or not failed):
-                failed.append(queue.popleft())
-        for flight in failed:
-            self._lose(flight, LossKind.CONNECT_FAILED)
+    def pump(self) -> None:
+        """Sends waiting requests on idle connections and opens connections for the others."""
+        queue = self.queue
+        while queue.usual and self.idle:
+            self._start(queue.usual.popleft(), self.idle.pop())
+        for _ in range(len(queue) - len(self._connecting)):
+            if len(self.conns) >= self.settings.allowance and not self._make_room():
+                return
+            if not self._open():
+                return
+        if not self._retired and self.settings.open_s >= self._policy.slow_open:
+            self._open_ahead()
+
+    def _reuse(self, conn: HttpConnection, reply: UpstreamReply) -> None:
+        """Gives a connection that has just replied its next exchange, or lets it idle."""
+        if reply.kind is ReplyKind.MALFORMED:
+            self._on_malformed()
+            conn.close()
+        if conn.state is ConnectionState.CLOSED:
+            self._forget(conn)
+            self.pump()
+            return
+        flight = self.queue.take()
+        if flight is not None:
+            self._start(flight, conn)
+        elif self._retired or len(self.conns) > self.settings.allowance:
+            self._discard(conn)
+        else:
+            self.idle.append(conn)
 
     def _start(self, flight: Flight, conn: HttpConnection) -> None:
         """Sends a request on an idle connection."""
@@ -223,101 +215,118 @@
         conn.tag = flight
         conn.send(self._contract.encode(flight.order, self.settings.host, self.settings.port))
 
-    def _pump(self) -> None:
-        """Sends waiting requests on idle connections and opens connections for the others."""
-        while self._waiting and self.idle:
-            self._start(self._waiting.popleft(), self.idle.pop())
-        wanted = len(self._waiting) + len(self._waiting_fresh) - self._connecting
-        for _ in range(wanted):
-            if len(self.conns) >= self.settings.allowance and not self._make_room():
-                return
-            if not self._open():
-                return
-        self._open_ahead()
-
     def _open_ahead(self) -> None:
-        """Opens connections before they are needed, where opening is slow."""
-        wanted = self._spares_wanted() - len(self.idle) - self._connecting
+        """Opens connections before they are needed."""
+        wanted = self._policy.spares - len(self.idle) - len(self._connecting)
         if wanted <= 0 or self._clock.now() < self._reopen_at:
             return
         for _ in range(min(wanted, self.settings.allowance - len(self.conns))):
             if not self._open():
                 return
 
-    def _spares_wanted(self) -> int:
-        """Returns how many idle connections are kept."""
-        if self.retired or self.settings.open_s < SLOW_OPEN_S:
-            return 0
-        return OPEN_AHEAD
+    def _open(self) -> bool:
+        """Opens one connection; an immediate failure is reported after the return."""
+        try:
+            conn = HttpConnection(
+                self._reactor, self.settings.host, self.settings.port, self, self._bounds
+            )
+        except OSError:
+            self._reopen_at = self._clock.now() + self._policy.reopen_delay
+            self._timers.call_later(0.0, self._on_connect_failed)
+            return False
+        self._totals.opened += 1
+        self.conns.add(conn)
+        self._connecting.add(conn)
+        return True
 
     def _make_room(self) -> bool:
         """Closes a connection that may be silent for an exchange that wants a fresh one."""
-        if not self._waiting_fresh or self._connecting >= len(self._waiting_fresh):
+        if not self.queue.fresh or len(self._connecting) >= len(self.queue.fresh):
             return False
         if self.idle:
             self._discard(self.idle[0])
             return True
-        suspect = self._waiting_fresh[0].suspect
+        suspect = self.queue.fresh[0].suspect
         if suspect is None or suspect not in self.conns or suspect.reply_begun:
             return False
         flight = suspect.tag
         if not isinstance(flight, Flight) or flight.order.path == RUN_PATH:
             return False
+        self._totals.silent_closed += 1
         self._discard(suspect)
         self._timers.call_later(0.0, lambda: self._lose(flight, LossKind.DISCARDED))
         return True
 
-    def _open(self) -> bool:
-        """Opens one connection; an immediate failure is reported after the return."""
-        host, port = self.settings.host, self.settings.port
-        try:
-            conn = HttpConnection(self._reactor, host, port, self, self._bounds)
-        except OSError:
-            self._timers.call_later(0.0, self._on_connect_failed)
-            return False
-        self.conns.add(conn)
-        self._connecting += 1
-        return True
+    def _on_connect_failed(self) -> None:
+        """Fails one waiting exchange, or all when no connection is left."""
+        self._totals.connect_failures += 1
+        self._log(UPSTREAM_UNREACHABLE)
+        failed = self.queue.take()
+        while failed is not None:
+            self._lose(failed, LossKind.CONNECT_FAILED)
+            failed = None if self.conns else self.queue.take()
+
+    def _on_malformed(self) -> None:
+        """Counts and logs a reply that broke the contract."""
+        self._totals.malformed += 1
+        self._log(REPLY_MALFORMED)
+
+    def _close_cancelled(self, conn: HttpConnection, flight: Flight) -> None:
+        """Closes the connection of a cancelled exchange, unless that has ended."""
+        if conn.tag is not flight or conn.state is not ConnectionState.BUSY:
+            return
+        self._totals.cancelled_closed += 1
+        self._discard(conn)
+        self.pump()
 
-    def _oldest_busy(self) -> HttpConnection | None:
+    def _longest_waiting(self) -> HttpConnection | None:
         """Returns the connection whose exchange has waited longest without a byte."""
-        oldest: HttpConnection | None = None
+        longest: HttpConnection | None = None
         for conn in self.conns:
             if conn.state is not ConnectionState.BUSY or conn.reply_begun:
                 continue
-            if oldest is None or conn.sent_at < oldest.sent_at:
-                oldest = conn
-        return oldest
+            if longest is None or conn.sent_at < longest.sent_at:
+                longest = conn
+        return longest
 
-    def _confirm_silent(self, suspect: HttpConnection, ordered_at: float) -> None:
-        """Drops idle connections that may be silent too, as the fresh one works."""
-        if suspect in self.conns and (suspect.reply_begun or suspect.sent_at > ordered_at):
+    def _close_silent(self, suspect: HttpConnection, ordered_at: float) -> None:
+        """Closes what may be as silent as the suspect, now that a fresh connection works."""
+        if suspect.last_used > ordered_at or suspect.reply_begun:
             return
-        for conn in tuple(self.idle):
-            if conn.last_used < suspect.sent_at:
-                self._discard(conn)
+        silent = [conn for conn in self.idle if conn.last_used < suspect.sent_at]
+        for conn in silent:
+            self._discard(conn)
+        self._totals.silent_closed += len(silent)
+        self._log(SILENT_CONNECTIONS_CLOSED)
+
+    def _is_recent(self, conn: HttpConnection, now: float) -> bool:
+        """Returns whether an idle connection worked a moment ago."""
+        return now - conn.last_used <= self._policy.run_max_idle
 
     def _discard(self, conn: HttpConnection) -> None:
         """Closes a connection of this pool."""
-        if conn.state is ConnectionState.CONNECTING:
-            self._connecting -= 1
         self._forget(conn)
         conn.close()
 
     def _forget(self, conn: HttpConnection) -> None:
         """Drops a connection from the lists."""
         self.conns.discard(conn)
+        self._connecting.discard(conn)
         if conn in self.idle:
             self.idle.remove(conn)
 
-    def _remove_waiting(self, flight: Flight) -> None:
-        """Drops a waiting exchange."""
-        for queue in (self._waiting, self._waiting_fresh):
-            if flight in queue:
-                queue.remove(flight)
-
     def _lose(self, flight: Flight, kind: LossKind) -> None:
         """Reports a loss once."""
         exchange_id = flight.order.exchange_id
         if self.flights.pop(exchange_id, None) is not None:
             self._callbacks.on_lost(exchange_id, kind)
+
+    def _log(self, event: LogEvent) -> None:
+        """Logs an event of this upstream, now and again."""
+        now = self._clock.now()
+        if now - self._logged_at.get(event.number, -self._policy.log_interval) < (
+            self._policy.log_interval
+        ):
+            return
+        self._logged_at[event.number] = now
+        self._callbacks.on_event(event, self.settings.name)
--- a/src/sequoiapulley/upstream/transport.py
+++ b/src/sequoiapulley/upstream/transport.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from msgspec import Struct
+from msgspec.structs import replace
 
 from sequoiapulley.ids import ExchangeId, UpstreamName
 from sequoiapulley.model.configuration import Configuration
+from sequoiapulley.observe import LogEvent, LogSink
 from sequoiapulley.runtime import Clock, TimerQueue
-from sequoiapulley.upstream.connection_pool import Callbacks, ConnectionPool, PoolSettings
+from sequoiapulley.upstream.connection_pool import ConnectionPool
 from sequoiapulley.upstream.http_contract import HttpContract, UpstreamContract
 from sequoiapulley.upstream.messages import (
     Action,
@@ -20,21 +21,20 @@
     SendExchange,
     UpstreamReply,
 )
+from sequoiapulley.upstream.pool_settings import (
+    PoolCallbacks,
+    PoolPolicy,
+    PoolSettings,
+    TransportCounts,
+)
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.reactor import Reactor
 
 SWEEP_S: Final = 0.25
+DRAIN_CHECK_S: Final = 0.01
 MS_PER_S: Final = 1000.0
 
 
-class TransportCounts(Struct, frozen=True):
-    """State of all connections, for metrics and status."""
-
-    connections: int
-    idle: int
-    in_flight: int
-
-
 class UpstreamTransport:
     """Owns every connection of this node to upstreams.
 
@@ -51,6 +51,8 @@
         on_lost: Callable[[ExchangeId, LossKind], None],
         contract: UpstreamContract | None = None,
         bounds: ReplyBounds | None = None,
+        policy: PoolPolicy | None = None,
+        log: LogSink | None = None,
     ) -> None:
         """Initialise without upstreams.
 
@@ -62,16 +64,22 @@
             on_lost: Receiver of losses.
             contract: The upstreams' wire contract, HTTP with JSON unless given.
             bounds: Largest reply that is read.
+            policy: How connections are kept.
+            log: Where log events go, if anywhere.
         """
         self._reactor = reactor
         self._clock = clock
         self._timers = timers
-        self._callbacks = Callbacks(on_reply, on_lost)
+        self._log = log
+        self._callbacks = PoolCallbacks(on_reply, on_lost, self._on_event)
         self._contract = contract or HttpContract()
         self._bounds = bounds or ReplyBounds()
+        self._policy = policy or PoolPolicy()
+        self._totals = TransportCounts()
+        self._drained: Callable[[], None] | None = None
         self._pools: dict[UpstreamName, ConnectionPool] = {}
         self._retired: list[ConnectionPool] = []
-        self._timers.call_later(SWEEP_S, self._sweep)
+        self._sweep_timer = timers.call_later(SWEEP_S, self._sweep)
 
     def configure(
         self, configuration: Configuration, allowance: Callable[[UpstreamName], int]
@@ -94,8 +102,9 @@
                     if share <= 0:
                         continue
                     named.add(upstream.name)
-                    settings = PoolSettings(upstream.host, upstream.port, share, open_s)
-                    self._apply(upstream.name, settings)
+                    self._apply(
+                        PoolSettings(upstream.name, upstream.host, upstream.port, share, open_s)
+                    )
         for name in [name for name in self._pools if name not in named]:
             self._retire(name)
 
@@ -114,13 +123,38 @@
         if isinstance(action, CloseUpstream):
             self._retire(action.upstream)
 
+    def drain(self, done: Callable[[], None]) -> None:
+        """Finishes what is in flight, closing each connection as it becomes idle.
+
+        Exchanges sent meanwhile are served too. Waiting ones end by their deadline at the latest.
+
+        Args:
+            done: Called once, when nothing is in flight and every connection is closed.
+        """
+        self._drained = done
+        for pool in self._pools.values():
+            pool.retire()
+        self._check_drained()
+
+    def close(self) -> None:
+        """Closes every connection at once; exchanges in flight have no outcome."""
+        for pool in (*self._pools.values(), *self._retired):
+            pool.retire()
+            for conn in tuple(pool.conns):
+                conn.close()
+        self._pools.clear()
+        self._retired.clear()
+        self._sweep_timer.cancel()
+
     def counts(self) -> TransportCounts:
-        """Returns the state of all connections."""
+        """Returns the state of all connections and the totals since the start."""
         pools = [*self._pools.values(), *self._retired]
-        return TransportCounts(
+        return replace(
+            self._totals,
             connections=sum(len(pool.conns) for pool in pools),
             idle=sum(len(pool.idle) for pool in pools),
             in_flight=sum(len(pool.flights) for pool in pools),
+            waiting=sum(len(pool.queue) for pool in pools),
         )
 
     def _send(self, order: SendExchange) -> None:
@@ -141,40 +175,55 @@
         for retired in self._retired:
             retired.cancel(order.exchange_id)
 
-    def _apply(self, name: UpstreamName, settings: PoolSettings) -> None:
+    def _apply(self, settings: PoolSettings) -> None:
         """Creates or changes the pool of one upstream."""
-        pool = self._pools.get(name)
+        pool = self._pools.get(settings.name)
         if pool is not None:
             known = pool.settings
             if (known.host, known.port) == (settings.host, settings.port):
                 pool.settings = settings
                 return
-            self._retire(name)
-        self._pools[name] = ConnectionPool(
+            self._retire(settings.name)
+        self._pools[settings.name] = ConnectionPool(
             self._reactor,
             self._timers,
             self._contract,
             settings,
+            self._policy,
             self._callbacks,
             self._bounds,
+            self._totals,
         )
+        self._pools[settings.name].pump()
 
     def _retire(self, name: UpstreamName) -> None:
         """Closes an upstream's idle connections; the busy ones finish."""
         pool = self._pools.pop(name, None)
         if pool is None:
             return
-        pool.close_idle()
+        pool.retire()
         if pool.flights or pool.conns:
             self._retired.append(pool)
 
     def _sweep(self) -> None:
         """Tidies every pool, now and again."""
-        for pool in self._pools.values():
-            pool.sweep()
-        for pool in tuple(self._retired):
-            pool.close_idle()
+        for pool in (*self._pools.values(), *self._retired):
             pool.sweep()
-            if not pool.flights and not pool.conns:
-                self._retired.remove(pool)
-        self._timers.call_later(SWEEP_S, self._sweep)
+        self._retired = [pool for pool in self._retired if pool.flights or pool.conns]
+        self._sweep_timer = self._timers.call_later(SWEEP_S, self._sweep)
+
+    def _check_drained(self) -> None:
+        """Reports the end of a drain, and looks again soon while it lasts."""
+        if self._drained is None:
+            return
+        pools = (*self._pools.values(), *self._retired)
+        if any(pool.flights or pool.conns for pool in pools):
+            self._timers.call_later(DRAIN_CHECK_S, self._check_drained)
+            return
+        done, self._drained = self._drained, None
+        self._timers.call_later(0.0, done)
+
+    def _on_event(self, event: LogEvent, upstream: UpstreamName) -> None:
+        """Logs an event of one upstream."""
+        if self._log is not None:
+            self._log.log(event, upstream=upstream)
--- /dev/null
+++ b/tests/test_reply_parser.py
@@ -0,0 +1,109 @@
+"""Property tests of the parser of replies and of the upstreams' contract."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sequoiapulley.ids import ExchangeId
+from sequoiapulley.upstream.http_contract import ContractError, HttpContract, decode_search_body
+from sequoiapulley.upstream.messages import ReplyKind
+from sequoiapulley.wire.reply_parser import ParsedReply, ReplyError, ReplyParser
+
+MAX_HEADER = 400
+MAX_BODY = 300
+
+bodies = st.binary(max_size=MAX_BODY)
+
+
+def encode(status: int, body: bytes, chunked: bool) -> bytes:
+    """Returns a valid reply."""
+    head = b"HTTP/1.1 %d x\r\nX-Load: 0.5\r\n" % status
+    if not chunked:
+        return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    parts = [body[start : start + 7] for start in range(0, len(body), 7)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    return head + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+def feed(data: bytes, cuts: list[int]) -> tuple[list[ParsedReply], ReplyParser]:
+    """Feeds a stream in pieces; returns the replies found."""
+    parser = ReplyParser(MAX_HEADER, MAX_BODY)
+    places = sorted({0, len(data), *(cut % (len(data) + 1) for cut in cuts)})
+    replies = []
+    for start, end in pairwise(places):
+        reply = parser.feed(data[start:end])
+        if reply is not None:
+            replies.append(reply)
+    return replies, parser
+
+
+class ReplyParserTest(TestCase):
+    """Whole replies are found however the stream is cut, and nothing else is."""
+
+    @given(st.sampled_from([200, 409, 500]), bodies, st.booleans(), st.lists(st.integers(0, 999)))
+    def test_any_cut_gives_the_same_reply(
+        self, status: int, body: bytes, chunked: bool, cuts: list[int]
+    ) -> None:
+        replies, parser = feed(encode(status, body, chunked), cuts)
+        self.assertEqual([(reply.status, reply.body) for reply in replies], [(status, body)])
+        self.assertIn((b"x-load", b"0.5"), replies[0].headers)
+        self.assertTrue(replies[0].keep_alive)
+        self.assertFalse(parser.in_message)
+
+    @given(bodies, st.booleans(), st.integers(0, 10_000), st.lists(st.integers(0, 999)))
+    def test_no_prefix_is_a_reply(
+        self, body: bytes, chunked: bool, length: int, cuts: list[int]
+    ) -> None:
+        whole = encode(200, body, chunked)
+        replies, parser = feed(whole[: length % len(whole)], cuts)
+        self.assertEqual(replies, [])
+        self.assertEqual(parser.in_message, length % len(whole) > 0)
+
+    @given(st.binary(max_size=2000), st.lists(st.integers(0, 999)))
+    def test_any_bytes_give_replies_in_bounds_or_an_error(
+        self, data: bytes, cuts: list[int]
+    ) -> None:
+        for stream in (data, b"HTTP/1.1 200 x\r\n" + data, encode(200, b"ab", True)[:-9] + data):
+            try:
+                replies, _ = feed(stream, cuts)
+            except ReplyError:
+                continue
+            for reply in replies:
+                self.assertLessEqual(len(reply.body), MAX_BODY)
+
+    @given(st.integers(MAX_BODY + 1, 4 * MAX_BODY), st.booleans(), st.lists(st.integers(0, 999)))
+    def test_body_over_the_bound_is_refused(
+        self, size: int, chunked: bool, cuts: list[int]
+    ) -> None:
+        with self.assertRaises(ReplyError) as caught:
+            feed(encode(200, b"x" * size, chunked), cuts)
+        self.assertTrue(caught.exception.too_large)
+
+    def test_interim_reply_is_skipped(self) -> None:
+        replies, _ = feed(b"HTTP/1.1 100 x\r\n\r\n" + encode(200, b"ab", False), [25])
+        self.assertEqual([reply.body for reply in replies], [b"ab"])
+
+
+class HttpContractTest(TestCase):
+    """No body passes for the reply to another exchange."""
+
+    @given(st.sampled_from([200, 409, 429, 500, 503, 504, 299]), st.binary(max_size=200))
+    def test_any_body_decodes_to_a_kind(self, status: int, body: bytes) -> None:
+        parsed = ParsedReply(status, [(b"x-load", body), (b"x-draining", body)], body, True)
+        reply = HttpContract().decode(ExchangeId(1), parsed)
+        self.assertIn(reply.kind, (ReplyKind.MALFORMED, ReplyKind.ERROR))
+
+    @given(st.sampled_from([200, 409, 429, 500, 503, 504]), st.integers(0, 5), st.integers(0, 5))
+    def test_another_id_is_malformed(self, status: int, asked: int, answered: int) -> None:
+        body = b'{"request_id":%d,"shard":"i","hits":[]}' % answered
+        reply = HttpContract().decode(ExchangeId(asked), ParsedReply(status, [], body, True))
+        self.assertEqual(reply.kind is ReplyKind.MALFORMED, asked != answered)
+
+    @given(st.binary(max_size=200))
+    def test_hits_of_another_form_are_refused(self, body: bytes) -> None:
+        with self.assertRaises(ContractError):
+            decode_search_body(body, "i")  # type: ignore[arg-type]
--- a/tests/test_upstream_transport.py
+++ b/tests/test_upstream_transport.py
@@ -4,13 +4,13 @@
 
 from unittest import TestCase
 
-from sequoiapulley.ids import ExchangeId, ShardId
+from sequoiapulley.ids import ShardId
 from sequoiapulley.model import Snapshot
 from sequoiapulley.upstream.http_contract import decode_search_body
-from sequoiapulley.upstream.messages import CancelExchange, LossKind, ReplyKind
+from sequoiapulley.upstream.messages import LossKind, ReplyKind
 from standins.upstream_spec import UpstreamSpec
 from standins.upstreams import UpstreamsStandIn
-from tests.wire_support import UPSTREAM, Loop, Recorder
+from tests.wire_support import Loop, Recorder
 
 
 class UpstreamTransportTest(TestCase):
@@ -73,10 +73,10 @@
         self.upstreams.set_faults("u", latency_ms=60_000.0)
         self.recorder.send(1)
         self.loop.until(lambda: self.upstreams.counters("u").running == 1)
-        self.recorder.transport.execute(CancelExchange(ExchangeId(1), UPSTREAM))
+        self.recorder.cancel(1)
         self.loop.until(lambda: self.upstreams.counters("u").cancelled == 1)
         self.assertEqual(self.upstreams.counters("u").running, 0)
-        self.assertEqual(self.recorder.outcomes, 0)
+        self.assertEqual(self.recorder.outcomes, [])
 
     def test_fresh_connection_replaces_silent_ones(self) -> None:
         self.recorder.send(1)
@@ -88,7 +88,7 @@
         self.recorder.send(4, fresh=True)
         self.recorder.until_outcomes(3)
         self.assertEqual(self.recorder.replies[4].kind, ReplyKind.OK)
-        self.recorder.transport.execute(CancelExchange(ExchangeId(3), UPSTREAM))
+        self.recorder.cancel(3)
         self.recorder.send(5)
         self.recorder.until_outcomes(4)
         self.assertEqual(self.recorder.replies[5].kind, ReplyKind.OK)
