--- a/src/sequoiapulley/search/coordinator.py
+++ b/src/sequoiapulley/search/coordinator.py
@@ -7,17 +7,17 @@
 from secrets import randbits
 from typing import Final
 
-from msgspec import Struct
-
 from sequoiapulley.ids import NodeId, RequestId, ServiceName, ShardId
 from sequoiapulley.model.configuration import Configuration
-from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.observe import LogSink
+from sequoiapulley.search.answers import make_answer, refuse_search
 from sequoiapulley.search.gather import Gather
-from sequoiapulley.search.hit_merge import merge_hits
+from sequoiapulley.search.hedge_budget import HedgeBudget
+from sequoiapulley.search.home_health import HomeHealth
 from sequoiapulley.search.home_resolver import HomeResolver
 from sequoiapulley.search.log_events import (
     HOME_LOST,
+    HOME_SILENT,
     REPLY_CROSSED,
     SEARCH_REFUSED,
     SEARCH_RERUN,
@@ -28,50 +28,21 @@
     GroupReply,
     GroupSearch,
     LackReason,
-    SearchAnswer,
     SearchRequest,
     ShardTarget,
 )
 from sequoiapulley.search.orders import FinishSearchRequest, SearchOrder, SendCancel, SendGroup
 from sequoiapulley.search.search_plan import SearchPlan, plan_all
+from sequoiapulley.search.search_state import GroupState, SearchState
 from sequoiapulley.search.snapshot_book import SnapshotBook
+from sequoiapulley.search.snapshot_policy import choose_pin, choose_rerun
 
 MAX_SEARCHES: Final = 4096
-HOP_MARGIN_S: Final = 0.002
-ANSWER_MARGIN_S: Final = 0.001
 MIN_ASK_S: Final = 0.004
-PIN_SHARE: Final = 0.5
-PIN_TIME_SHARE: Final = 0.3
-RERUN_LACKING_SHARE: Final = 0.05
-RERUN_TIME_SHARE: Final = 0.4
-SHARE_TOLERANCE: Final = 1e-6
 ID_RANDOM_BITS: Final = 31
 ID_COUNTER_BITS: Final = 32
 
 
-class _Group(Struct):
-    """One group search in flight."""
-
-    request_id: RequestId
-    node: NodeId
-    snapshot: Snapshot | None
-    waiting: dict[ShardId, ShardTarget]
-
-
-class _Search(Struct):
-    """One search in flight."""
-
-    request: SearchRequest
-    plan: SearchPlan
-    started: float
-    gather: Gather
-    groups: dict[int, _Group] = {}
-    tried: dict[ShardId, set[NodeId]] = {}
-    """Nodes that were lost while a shard waited for them."""
-    earlier: Gather | None = None
-    """The first attempt, after a rerun."""
-
-
 class SearchCoordinator:
     """Runs the searches that callers bring to this node."""
 
@@ -89,8 +60,10 @@
         self._ids = count(first_id or (randbits(ID_RANDOM_BITS) << ID_COUNTER_BITS))
         self._plans: dict[ServiceName, SearchPlan] = {}
         self._book = SnapshotBook()
-        self._searches: dict[RequestId, _Search] = {}
-        self._groups: dict[int, _Group] = {}
+        self._health = HomeHealth()
+        self._budget = HedgeBudget()
+        self._searches: dict[RequestId, SearchState] = {}
+        self._groups: dict[int, GroupState] = {}
         self._timers: list[tuple[float, RequestId]] = []
 
     def configure(self, configuration: Configuration, now: float) -> None:
@@ -126,14 +99,15 @@
         plan = self._plans.get(request.service)
         if plan is None:
             self._log.log(SEARCH_UNKNOWN_SERVICE, service=request.service)
-            return [FinishSearchRequest(_refusal(request))]
+            return [FinishSearchRequest(refuse_search(request))]
         if len(self._searches) >= MAX_SEARCHES:
             self._log.log(SEARCH_REFUSED, service=request.service, in_flight=MAX_SEARCHES)
-            return [FinishSearchRequest(_refusal(request, plan))]
-        snapshot = self._book.choose(request.service)
-        search = _Search(request, plan, now, Gather(plan.targets, snapshot))
+            return [FinishSearchRequest(refuse_search(request, plan))]
+        snapshot = self._book.choose(request.service, now)
+        search = SearchState(request, plan, now, Gather(plan.targets, snapshot))
         self._searches[request.request_id] = search
         self._set_timers(search)
+        self._budget.earn(len(plan.targets))
         orders = self._ask(search, plan.targets, now)
         orders += self._progress(search, now)
         return orders
@@ -158,13 +132,15 @@
         if group.node != node:
             self._log.log(REPLY_CROSSED, sender=node, asked=group.node)
             return []
+        self._health.on_batch(node, now - group.sent_at, reply.elapsed, not group.replied)
+        group.replied = True
         search = self._searches[group.request_id]
         service = search.request.service
         for shard_reply in reply.replies:
             if group.waiting.pop(shard_reply.shard, None) is None:
                 continue
-            self._book.learn(service, shard_reply, group.snapshot)
-            search.gather.take(shard_reply)
+            self._book.learn(service, shard_reply, group.snapshot, now)
+            search.take(shard_reply)
         if not group.waiting:
             self._drop_group(search, reply.search_id)
         return self._progress(search, now)
@@ -190,9 +166,7 @@
                 continue
             search = self._searches[group.request_id]
             self._drop_group(search, search_id)
-            for shard in group.waiting:
-                search.tried.setdefault(shard, set()).add(node)
-            orders += self._ask(search, tuple(group.waiting.values()), now)
+            orders += self._ask(search, search.give_up(group), now)
             orders += self._progress(search, now)
         return orders
 
@@ -202,12 +176,14 @@
         return [] if search is None else self._close(search)
 
     def tick(self, now: float) -> list[SearchOrder]:
-        """Answers the searches whose time has come."""
+        """Answers the searches whose time has come, and asks again where a home is silent."""
         orders: list[SearchOrder] = []
         while self._timers and self._timers[0][0] <= now:
             search = self._searches.get(heappop(self._timers)[1])
-            if search is not None:
-                orders += self._progress(search, now)
+            if search is None:
+                continue
+            orders += self._hedge(search, now)
+            orders += self._progress(search, now)
         return orders
 
     def next_due(self) -> float | None:
@@ -220,165 +196,145 @@
         """Returns the number of searches without an answer."""
         return len(self._searches)
 
-    def _set_timers(self, search: _Search) -> None:
+    def _set_timers(self, search: SearchState) -> None:
         request = search.request
-        heappush(self._timers, (request.deadline - ANSWER_MARGIN_S, request.request_id))
+        heappush(self._timers, (search.answer_at, request.request_id))
         if request.early_at is not None:
             heappush(self._timers, (request.early_at, request.request_id))
         if search.gather.snapshot is None:
-            heappush(self._timers, (_pin_time(search), request.request_id))
+            heappush(self._timers, (search.pin_at, request.request_id))
 
     def _ask(
-        self, search: _Search, targets: tuple[ShardTarget, ...], now: float
+        self, search: SearchState, targets: tuple[ShardTarget, ...], now: float
     ) -> list[SearchOrder]:
-        time_left = search.request.deadline - now - HOP_MARGIN_S
-        by_node: dict[NodeId, list[ShardTarget]] = {}
+        """Sends shards to their homes; a shard without one, or without time, is lacking."""
+        time_left = search.answer_at - now
+        by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
         for target in targets:
-            node = self._home_for(search, target) if time_left >= MIN_ASK_S else None
+            node = self._home_for(search, target, now)
             if node is None:
-                reason = LackReason.HOME_UNREACHABLE
-                if target.shard not in search.tried and time_left < MIN_ASK_S:
-                    reason = LackReason.DEADLINE
-                search.gather.lack(target.shard, reason)
+                search.gather.lack(target.shard, LackReason.HOME_UNREACHABLE)
                 continue
-            by_node.setdefault(node, []).append(target)
-        return [
-            self._ask_home(search, node, tuple(asked), time_left) for node, asked in by_node.items()
-        ]
+            if time_left < MIN_ASK_S:
+                search.gather.lack(target.shard, LackReason.DEADLINE)
+                continue
+            by_node.setdefault(node, {})[target.shard] = target
+        orders: list[SearchOrder] = []
+        for node, asked in by_node.items():
+            orders.append(self._ask_home(search, node, asked, now))
+        return orders
 
-    def _home_for(self, search: _Search, target: ShardTarget) -> NodeId | None:
+    def _home_for(self, search: SearchState, target: ShardTarget, now: float) -> NodeId | None:
         tried = search.tried.get(target.shard, ())
+        avoided: NodeId | None = None
         for node in self._homes.homes_of(target.service, target.instance):
-            if node not in tried:
+            if node in tried:
+                continue
+            if not self._health.is_avoided(node, now):
                 return node
-        return None
+            avoided = avoided or node
+        return avoided
 
     def _ask_home(
-        self, search: _Search, node: NodeId, targets: tuple[ShardTarget, ...], time_left: float
+        self, search: SearchState, node: NodeId, asked: dict[ShardId, ShardTarget], now: float
     ) -> SearchOrder:
         request = search.request
-        snapshot = search.gather.snapshot
+        time_left = search.answer_at - now
         search_id = next(self._ids)
-        waiting = {target.shard: target for target in targets}
-        group = _Group(request.request_id, node, snapshot, waiting)
+        group = GroupState(
+            request_id=request.request_id,
+            node=node,
+            snapshot=search.gather.snapshot,
+            sent_at=now,
+            hedge_at=now + self._health.hedge_delay(node),
+            waiting=asked,
+        )
         search.groups[search_id] = group
         self._groups[search_id] = group
+        if group.hedge_at < search.answer_at - MIN_ASK_S:
+            heappush(self._timers, (group.hedge_at, request.request_id))
         message = GroupSearch(
             search_id=search_id,
             caller=request.caller,
             query=request.query,
             limit=request.limit,
             fingerprint=request.fingerprint,
-            snapshot=snapshot,
-            time_left=time_left,
-            targets=targets,
+            snapshot=group.snapshot,
+            time_left=time_left - self._health.hop_margin(node, time_left),
+            targets=tuple(asked.values()),
         )
         return SendGroup(node, message)
 
-    def _progress(self, search: _Search, now: float) -> list[SearchOrder]:
+    def _hedge(self, search: SearchState, now: float) -> list[SearchOrder]:
+        orders: list[SearchOrder] = []
+        for group in list(search.groups.values()):
+            if group.replied or group.hedged or now < group.hedge_at:
+                continue
+            group.hedged = True
+            self._health.on_silence(group.node, now)
+            orders += self._ask_second(search, group, now)
+        return orders
+
+    def _ask_second(self, search: SearchState, group: GroupState, now: float) -> list[SearchOrder]:
+        by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
+        for shard, target in group.waiting.items():
+            if not search.gather.is_open(shard):
+                continue
+            search.tried.setdefault(shard, set()).add(group.node)
+            node = self._home_for(search, target, now)
+            if node is not None:
+                by_node.setdefault(node, {})[shard] = target
+        orders: list[SearchOrder] = []
+        for node, asked in by_node.items():
+            if search.answer_at - now < MIN_ASK_S or not self._budget.spend(len(asked)):
+                continue
+            self._log.log(HOME_SILENT, home=group.node, second=node, shards=len(asked))
+            for shard in asked:
+                search.second_asks[shard] = search.second_asks.get(shard, 0) + 1
+            orders.append(self._ask_home(search, node, asked, now))
+        return orders
+
+    def _progress(self, search: SearchState, now: float) -> list[SearchOrder]:
         orders = self._pin(search, now)
         orders += self._rerun(search, now)
-        if self._is_due(search, now):
-            orders += self._finish(search, now)
+        if search.is_due(now):
+            orders += self._close(search)
+            orders.append(FinishSearchRequest(make_answer(search, now)))
         return orders
 
-    def _pin(self, search: _Search, now: float) -> list[SearchOrder]:
-        gather = search.gather
-        if gather.snapshot is not None or not gather.held:
+    def _pin(self, search: SearchState, now: float) -> list[SearchOrder]:
+        snapshot = choose_pin(search, self._book, now)
+        if snapshot is None:
             return []
-        answered = gather.total - gather.open_count
-        if answered < PIN_SHARE * gather.total and now < _pin_time(search):
-            return []
-        snapshot = self._book.choose(search.request.service)
-        time_left = search.request.deadline - now - HOP_MARGIN_S
-        if snapshot is None or time_left < MIN_ASK_S:
-            snapshot = gather.most_held()
-        again = set(gather.pin(snapshot))
-        targets = tuple(target for target in gather.targets if target.shard in again)
+        again = set(search.gather.pin(snapshot))
+        targets = tuple(target for target in search.plan.targets if target.shard in again)
         return self._ask(search, targets, now)
 
-    def _rerun(self, search: _Search, now: float) -> list[SearchOrder]:
-        gather = search.gather
-        if search.earlier is not None or gather.snapshot is None or not gather.lacking:
-            return []
-        moved = sum(reason is LackReason.SNAPSHOT for reason in gather.lacking.values())
-        if moved == 0 or moved < RERUN_LACKING_SHARE * gather.total:
-            return []
-        whole = search.request.deadline - search.started
-        if search.request.deadline - now < RERUN_TIME_SHARE * whole:
-            return []
-        service = search.request.service
-        snapshot = self._book.choose(service)
-        if snapshot is None or snapshot <= gather.snapshot:
+    def _rerun(self, search: SearchState, now: float) -> list[SearchOrder]:
+        snapshot = choose_rerun(search, self._book, now)
+        if snapshot is None:
             return []
-        if self._book.coverage_of(service, snapshot) <= gather.total - len(gather.lacking):
-            return []
-        self._log.log(SEARCH_RERUN, service=service, pinned=gather.snapshot, newer=snapshot)
+        gather = search.gather
+        self._log.log(
+            SEARCH_RERUN, service=search.request.service, pinned=gather.snapshot, newer=snapshot
+        )
         orders = self._cancel_groups(search)
         search.earlier = gather
         search.gather = Gather(gather.targets, snapshot)
+        search.second_asks = {}
         return orders + self._ask(search, gather.targets, now)
 
-    def _is_due(self, search: _Search, now: float) -> bool:
-        request = search.request
-        gather = search.gather
-        if gather.is_settled or now >= request.deadline - ANSWER_MARGIN_S:
-            return True
-        if request.early_at is None or now < request.early_at:
-            return False
-        return bool(gather.covered) and _is_enough(gather, request)
-
-    def _finish(self, search: _Search, now: float) -> list[SearchOrder]:
-        gather = search.gather
-        earlier = search.earlier
-        if earlier is not None and len(earlier.covered) > len(gather.covered):
-            gather = earlier
-        orders = self._close(search)
-        orders.append(FinishSearchRequest(_answer(search, gather, now)))
-        return orders
-
-    def _close(self, search: _Search) -> list[SearchOrder]:
+    def _close(self, search: SearchState) -> list[SearchOrder]:
         del self._searches[search.request.request_id]
         return self._cancel_groups(search)
 
-    def _cancel_groups(self, search: _Search) -> list[SearchOrder]:
+    def _cancel_groups(self, search: SearchState) -> list[SearchOrder]:
         orders: list[SearchOrder] = []
         for search_id, group in list(search.groups.items()):
             self._drop_group(search, search_id)
             orders.append(SendCancel(group.node, CancelSearch(search_id)))
         return orders
 
-    def _drop_group(self, search: _Search, search_id: int) -> None:
+    def _drop_group(self, search: SearchState, search_id: int) -> None:
         del search.groups[search_id]
         del self._groups[search_id]
-
-
-def _pin_time(search: _Search) -> float:
-    request = search.request
-    pin_at = search.started + PIN_TIME_SHARE * (request.deadline - search.started)
-    return pin_at if request.early_at is None else min(pin_at, request.early_at)
-
-
-def _answer(search: _Search, gather: Gather, now: float) -> SearchAnswer:
-    request = search.request
-    covered = gather.covered_shards()
-    return SearchAnswer(
-        request_id=request.request_id,
-        snapshot=gather.snapshot if covered else None,
-        hits=merge_hits(gather.covered.values(), request.limit),
-        covered=covered,
-        lacking=gather.lacking_shards(),
-        elapsed_ms=(now - search.started) * 1000,
-        complete=_is_enough(gather, request) and (bool(covered) or not gather.total),
-    )
-
-
-def _is_enough(gather: Gather, request: SearchRequest) -> bool:
-    return len(gather.covered) >= request.min_coverage * gather.total - SHARE_TOLERANCE
-
-
-def _refusal(request: SearchRequest, plan: SearchPlan | None = None) -> SearchAnswer:
-    gather = Gather(plan.targets if plan else (), None)
-    for target in gather.targets:
-        gather.lack(target.shard, LackReason.OVERLOAD)
-    return SearchAnswer(request.request_id, None, (), (), gather.lacking_shards(), 0.0, False)
--- a/src/sequoiapulley/search/gather.py
+++ b/src/sequoiapulley/search/gather.py
@@ -41,6 +41,16 @@
         """Whether every shard is covered or lacking."""
         return len(self.covered) + len(self.lacking) == len(self.targets)
 
+    def is_open(self, shard: ShardId) -> bool:
+        """Returns whether a shard has no outcome yet."""
+        return not (shard in self.covered or shard in self.lacking or shard in self.held)
+
+    def accepts(self, reply: ShardReply) -> bool:
+        """Returns whether a reply covers its shard, or may do so once a snapshot is pinned."""
+        if reply.reason is not None or reply.snapshot is None:
+            return False
+        return self.snapshot is None or reply.snapshot == self.snapshot
+
     def take(self, reply: ShardReply) -> None:
         """Files the reply of an open shard.
 
--- a/src/sequoiapulley/search/home_service.py
+++ b/src/sequoiapulley/search/home_service.py
@@ -32,6 +32,7 @@
 
     sender: NodeId
     search_id: int
+    arrived: float
     deadline: float
     subs: dict[int, ShardTarget]
     """Sub-searches without an outcome, by sub id."""
@@ -77,7 +78,7 @@
         if message.time_left <= SUB_MARGIN_S:
             return [_refuse(sender, message, LackReason.DEADLINE)]
         deadline = now + message.time_left
-        group = _HomeGroup(sender, message.search_id, deadline, {})
+        group = _HomeGroup(sender, message.search_id, now, deadline, {})
         self._groups[key] = group
         heappush(self._timers, (deadline, key))
         return [self._submit(group, message, target) for target in message.targets]
@@ -102,7 +103,7 @@
         if not group.ready:
             heappush(self._timers, (now + BATCH_DELAY_S, (group.sender, group.search_id)))
         group.ready.append(reply)
-        return [] if group.subs else self._flush(group)
+        return [] if group.subs else self._flush(group, now)
 
     def on_cancel(self, sender: NodeId, message: CancelSearch, now: float) -> list[HomeOrder]:
         """Withdraws what is left of a group search."""
@@ -124,9 +125,9 @@
             if group is None:
                 continue
             if now >= group.deadline:
-                orders += self._expire(group)
+                orders += self._expire(group, now)
                 continue
-            orders += self._flush(group)
+            orders += self._flush(group, now)
         return orders
 
     def next_due(self) -> float | None:
@@ -155,20 +156,20 @@
         )
         return SubmitSub(sub)
 
-    def _flush(self, group: _HomeGroup) -> list[HomeOrder]:
+    def _flush(self, group: _HomeGroup, now: float) -> list[HomeOrder]:
         if not group.subs:
             del self._groups[(group.sender, group.search_id)]
         if not group.ready:
             return []
-        reply = GroupReply(group.search_id, tuple(group.ready))
+        reply = GroupReply(group.search_id, tuple(group.ready), now - group.arrived)
         group.ready = []
         return [SendGroupReply(group.sender, reply)]
 
-    def _expire(self, group: _HomeGroup) -> list[HomeOrder]:
+    def _expire(self, group: _HomeGroup, now: float) -> list[HomeOrder]:
         late = list(group.subs.values())
         orders = self._drop(group)
         replies = [ShardReply(target.shard, reason=LackReason.DEADLINE) for target in late]
-        reply = GroupReply(group.search_id, tuple(group.ready + replies))
+        reply = GroupReply(group.search_id, tuple(group.ready + replies), now - group.arrived)
         return [*orders, SendGroupReply(group.sender, reply)]
 
     def _drop(self, group: _HomeGroup) -> list[HomeOrder]:
--- a/src/sequoiapulley/search/log_events.py
+++ b/src/sequoiapulley/search/log_events.py
@@ -47,3 +47,10 @@
     "A home had as many sub-searches in flight as it takes and refused a group search.",
     "Add nodes, or look for a service with slow upstreams.",
 )
+HOME_SILENT: Final = define_event(
+    3007,
+    "home_silent",
+    Severity.INFO,
+    "A home sent no reply in its usual time; another home was asked as well.",
+    "Look at the silent node if it repeats: it may be overloaded, paused or cut off.",
+)
--- a/src/sequoiapulley/search/messages.py
+++ b/src/sequoiapulley/search/messages.py
@@ -109,6 +109,8 @@
 
     search_id: int
     replies: tuple[ShardReply, ...]
+    elapsed: float | None = None
+    """Seconds that the home spent between the group search and this batch."""
 
 
 class CancelSearch(Struct, frozen=True, tag="cancel_search"):
--- a/tests/test_search_coordinator.py
+++ b/tests/test_search_coordinator.py
@@ -4,7 +4,7 @@
 
 from unittest import TestCase
 
-from sequoiapulley.ids import InstanceName, RequestId, ShardId
+from sequoiapulley.ids import InstanceName, NodeId, RequestId, ShardId
 from sequoiapulley.model import Snapshot
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.search.coordinator import SearchCoordinator
@@ -60,6 +60,15 @@
         reply = GroupReply(sent.message.search_id, replies)
         return self.coordinator.on_group_reply(sent.node, reply, now)
 
+    def wait_until(self, end: float) -> list[SearchOrder]:
+        """Ticks whenever something is due."""
+        orders: list[SearchOrder] = []
+        while True:
+            due = self.coordinator.next_due()
+            if due is None or due > end:
+                return orders
+            orders += self.coordinator.tick(due)
+
     def start(self, request: SearchRequest | None = None) -> list[SendGroup]:
         return sends(self.coordinator.start(request or make_search(), START))
 
@@ -82,10 +91,7 @@
         self.teach(OLD)
         group = self.start(make_search(min_coverage=1.0))[0]
         self.answer(group, make_reply("d0"), ShardReply(ShardId("l0"), reason=LackReason.OVERLOAD))
-        due = self.coordinator.next_due()
-        assert due is not None
-        self.assertLess(due, 1_000.06)
-        orders = self.coordinator.tick(due)
+        orders = self.wait_until(1_000.0595)
         answer = answers(orders)[0]
         self.assertEqual(answer.covered, ("d0",))
         expected = [
@@ -187,6 +193,53 @@
         self.assertEqual({each.reason for each in answer.lacking}, {LackReason.HOME_UNREACHABLE})
         self.assertEqual(answer.covered, ("d0",))
 
+    def test_silent_home_is_hedged_and_the_first_reply_that_covers_counts(self) -> None:
+        self.teach(OLD)
+        group = self.start()[0]
+        second = sends(self.wait_until(1_000.03))[0]
+        self.assertEqual((second.node, len(second.message.targets)), (HOME_B, 4))
+        lacking = [ShardReply(ShardId(shard), reason=LackReason.OVERLOAD) for shard in SHARDS]
+        self.assertEqual(self.answer(second, *lacking, now=1_000.04), [])
+        self.answer(group, make_reply("d0", score=1.0), lacking[1], now=1_000.05)
+        answer = answers(self.wait_until(1_000.06))[0]
+        self.assertEqual(answer.covered, ("d0",))
+        reasons = [each.reason for each in answer.lacking]
+        self.assertEqual(reasons, [LackReason.OVERLOAD, LackReason.DEADLINE, LackReason.DEADLINE])
+
+    def test_hedges_stay_within_their_budget_and_a_home_often_silent_is_avoided(self) -> None:
+        self.teach(OLD)
+        silent = 0
+        for number in range(60):
+            now = START + 0.02 * number
+            group = sends(self.coordinator.start(make_search(f"s{number}", now + 0.06), now))[0]
+            silent += group.node == HOME_A
+            asked = [group, *sends(self.coordinator.tick(now + 0.019))]
+            for order in asked:
+                if order.node == HOME_B:
+                    replies = (make_reply(shard) for shard in SHARDS)
+                    self.answer(order, *replies, now=now + 0.019)
+        self.assertTrue(3 <= silent <= 5, silent)
+        covered = self.coordinator.in_flight()
+        self.assertEqual(covered, 0)
+        self.homes.homes = (NodeId("home-c"), HOME_A)
+        asked = []
+        for number in range(100):
+            now = START + 2 + 0.001 * number
+            asked += sends(self.coordinator.start(make_search(f"t{number}", now + 0.06), now))
+            asked += sends(self.coordinator.tick(now))
+        second = [order for order in asked if order.node == HOME_A]
+        self.assertTrue(0 < 4 * len(second) <= 20 + 0.03 * 4 * 100 + 4, len(second))
+
+    def test_time_for_the_way_back_is_kept_from_the_home(self) -> None:
+        self.teach(OLD)
+        for number in range(20):
+            group = self.start(make_search(f"far-{number}"))[0]
+            replies = tuple(make_reply(shard) for shard in SHARDS)
+            reply = GroupReply(group.message.search_id, replies, 0.005)
+            self.coordinator.on_group_reply(HOME_A, reply, START + 0.045)
+        time_left = self.start()[0].message.time_left
+        self.assertTrue(0.005 < time_left < 0.03, time_left)
+
     def test_early_answer_needs_the_minimum_coverage(self) -> None:
         self.teach(OLD)
         group = self.start(make_search(min_coverage=0.5, early_at=START + 0.02))[0]
