--- /dev/null
+++ b/bench/callers_cost.py
@@ -0,0 +1,153 @@
+"""Processor time of one caller's request through the guard and circuits.web.
+
+`python -m bench.callers_cost`
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from gc import collect, freeze
+from socket import create_connection
+from statistics import median
+from threading import Thread
+from time import thread_time
+from typing import Any, Final
+
+from circuits import Manager
+from circuits.core.pollers import EPoll
+from msgspec import json
+
+from sequoiapulley.entry.callers_messages import EntriesView
+from sequoiapulley.entry.callers_port import CallersPort
+from sequoiapulley.ids import CallerId, ContractName, PlaceName, RequestId, ServiceName, ShardId
+from sequoiapulley.model import Service, Snapshot
+from sequoiapulley.requests.messages import KeyedRequest, RequestOutcome
+from sequoiapulley.runtime import SystemClock, TimerQueue
+from sequoiapulley.search.messages import Hit, SearchAnswer, SearchRequest
+
+REQUESTS_PER_ROUND: Final = 300
+ROUNDS: Final = 9
+FAN_OUTS: Final = (20, 60, 140, 560)
+HITS: Final = 20
+MICROSECONDS: Final = 1e6
+SERVICE: Final = Service(ServiceName("desk"), ContractName("c"), ())
+
+
+class InstantBackend:
+    """Answers every search at once with an answer prepared before."""
+
+    def __init__(self, fan_out: int) -> None:
+        """Prepares the answer.
+
+        Args:
+            fan_out: Shards that the answer covers.
+        """
+        shards = tuple(ShardId(f"desk-{number:03d}") for number in range(fan_out))
+        hits = tuple(Hit(f"hit-{n}", 1.0 / (n + 1), shards[n % fan_out]) for n in range(HITS))
+        self._answer = SearchAnswer(
+            RequestId("r"), Snapshot(1, 1), hits, shards, (), 1.0, complete=True
+        )
+
+    def service(self, name: ServiceName) -> Service | None:
+        """Finds the one service."""
+        return SERVICE
+
+    def new_request_id(self) -> RequestId:
+        """Returns an id."""
+        return RequestId("r")
+
+    def search(self, request: SearchRequest, done: Callable[[SearchAnswer], None]) -> None:
+        """Answers at once."""
+        done(self._answer)
+
+    def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
+        """Answers nothing; the benchmark sends no such request."""
+
+    def caller_left(self, request_id: RequestId) -> None:
+        """Ignores it."""
+
+    def entries(self, caller: CallerId, place: PlaceName | None) -> EntriesView:
+        """Returns no address."""
+        return EntriesView((), 1.0)
+
+
+def _request() -> bytes:
+    """Writes one search as a caller sends it."""
+    body = json.encode({"query": "oak flooring", "deadline_ms": 60})
+    head = (
+        "POST /v1/services/desk/search HTTP/1.1\r\nHost: node\r\nX-Caller: desk-7\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+class Client(Thread):
+    """Sends requests one after another from a thread of its own."""
+
+    def __init__(self, port: int, requests: int) -> None:
+        """Connects.
+
+        Args:
+            port: The callers' port.
+            requests: How many to send.
+        """
+        super().__init__(daemon=True)
+        self._sock = create_connection(("127.0.0.1", port))
+        self._requests = requests
+
+    def run(self) -> None:
+        """Sends and receives, then closes."""
+        request = _request()
+        for _ in range(self._requests):
+            self._sock.sendall(request)
+            received = b""
+            while not received.endswith(b"}"):
+                received += self._sock.recv(262_144)
+        self._sock.close()
+
+
+def _serve_round(manager: Any, port: int) -> float:
+    """Serves one round; returns the server's own processor time for one request in us."""
+    client = Client(port, REQUESTS_PER_ROUND)
+    collect()
+    begin = thread_time()
+    client.start()
+    while client.is_alive():
+        manager.tick(0.01)
+    return (thread_time() - begin) / REQUESTS_PER_ROUND * MICROSECONDS
+
+
+def _measure(fan_out: int) -> dict[str, Any]:
+    """Measures answers that list this many shards."""
+    manager: Any = Manager()
+    EPoll().register(manager)
+    # A manager that does not run asks its pollers for nothing.
+    manager._running = True
+    clock = SystemClock()
+    port = CallersPort("127.0.0.1", 0, TimerQueue(clock), clock, InstantBackend(fan_out))
+    port.register(manager)
+    _serve_round(manager, port.port)
+    costs = [_serve_round(manager, port.port) for _ in range(ROUNDS)]
+    port.stop_accepting()
+    for _ in range(20):
+        manager.tick(0.0)
+    return {
+        "fan_out": fan_out,
+        "us_per_request": round(median(costs), 2),
+        "spread": [round(min(costs), 2), round(max(costs), 2)],
+    }
+
+
+def run() -> dict[str, Any]:
+    """Measures the server's thread for answers of several widths.
+
+    Returns:
+        Name, unit and one row for each fan-out.
+    """
+    freeze()
+    rows = [_measure(fan_out) for fan_out in FAN_OUTS]
+    return {"name": "callers_cost", "unit": "us of processor time", "rows": rows}
+
+
+if __name__ == "__main__":
+    print(json.format(json.encode(run())).decode())
