--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -102,8 +102,8 @@
     def cancel(self, exchange_id: ExchangeId) -> None:
         """Gives an exchange up; it has no outcome.
 
-        Closing the connection tells the upstream to stop. As long as opening another one would
-        take, the exchange may also end on its own, which saves the connection.
+        Closing the connection tells the upstream to stop. Within the policy's grace the exchange
+        may also end on its own, which saves the connection.
         """
         flight = self.flights.pop(exchange_id, None)
         if flight is None:
--- a/src/sequoiapulley/upstream/pool_settings.py
+++ b/src/sequoiapulley/upstream/pool_settings.py
@@ -26,7 +26,7 @@
     """Pause of opening ahead after a connection could not be used, in seconds."""
     run_max_idle: float = 1.0
     """A non-idempotent request uses no connection idle for longer, in seconds."""
-    cancel_grace: float = 1.0
+    cancel_grace: float = 0.0
     """How long a cancelled exchange may still end on its own, in times to open a connection."""
     overdue: float = 1.0
     """An exchange this long past its deadline, in seconds, is given up with its connection."""
--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -182,7 +182,7 @@
     """A cancelled exchange has no outcome, and its connection never crosses replies."""
 
     def test_late_reply_within_the_grace_saves_the_connection(self) -> None:
-        self.connect()
+        self.connect(policy=PoolPolicy(cancel_grace=1.0))
         self.recorder.send(1)
         conn = self.server.accept()
         self.recorder.cancel(1)
@@ -193,16 +193,19 @@
         conn.recv(RECEIVE_BYTES)
         self.exchange(2, conn)
 
-    def test_connection_closes_after_the_grace(self) -> None:
-        self.connect()
-        self.recorder.send(1)
-        conn = self.server.accept()
-        self.recorder.cancel(1)
-        self.loop.advance(0.002)
-        conn.recv(RECEIVE_BYTES)
-        self.assertEqual(conn.recv(RECEIVE_BYTES), b"")
-        self.assertEqual(self.recorder.outcomes, [])
-        self.assertEqual(self.recorder.transport.counts().cancelled_closed, 1)
+    def test_cancel_closes_the_connection(self) -> None:
+        for grace in (0.0, 1.0):
+            with self.subTest(grace=grace):
+                self.connect(policy=PoolPolicy(cancel_grace=grace))
+                self.recorder.send(1)
+                conn = self.server.accept()
+                self.recorder.cancel(1)
+                self.assertEqual(self.recorder.transport.counts().cancelled_closed, grace == 0.0)
+                self.loop.advance(0.002)
+                conn.recv(RECEIVE_BYTES)
+                self.assertEqual(conn.recv(RECEIVE_BYTES), b"")
+                self.assertEqual(self.recorder.outcomes, [])
+                self.assertEqual(self.recorder.transport.counts().cancelled_closed, 1)
 
     def test_cancel_while_waiting_sends_nothing(self) -> None:
         self.connect(allowance=1)
