--- a/src/sequoiapulley/search/coordinator.py
+++ b/src/sequoiapulley/search/coordinator.py
@@ -209,9 +209,10 @@
     ) -> list[SearchOrder]:
         """Sends shards to their homes; a shard without one, or without time, is lacking."""
         time_left = search.answer_at - now
+        avoided = self._health.avoided(now)
         by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
         for target in targets:
-            node = self._home_for(search, target, now)
+            node = self._home_for(search, target, avoided)
             if node is None:
                 search.gather.lack(target.shard, LackReason.HOME_UNREACHABLE)
                 continue
@@ -224,16 +225,18 @@
             orders.append(self._ask_home(search, node, asked, now))
         return orders
 
-    def _home_for(self, search: SearchState, target: ShardTarget, now: float) -> NodeId | None:
+    def _home_for(
+        self, search: SearchState, target: ShardTarget, avoided: frozenset[NodeId]
+    ) -> NodeId | None:
         tried = search.tried.get(target.shard, ())
-        avoided: NodeId | None = None
+        last_resort: NodeId | None = None
         for node in self._homes.homes_of(target.service, target.instance):
             if node in tried:
                 continue
-            if not self._health.is_avoided(node, now):
+            if node not in avoided:
                 return node
-            avoided = avoided or node
-        return avoided
+            last_resort = last_resort or node
+        return last_resort
 
     def _ask_home(
         self, search: SearchState, node: NodeId, asked: dict[ShardId, ShardTarget], now: float
@@ -276,12 +279,13 @@
         return orders
 
     def _ask_second(self, search: SearchState, group: GroupState, now: float) -> list[SearchOrder]:
+        avoided = self._health.avoided(now)
         by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
         for shard, target in group.waiting.items():
             if not search.gather.is_open(shard):
                 continue
             search.tried.setdefault(shard, set()).add(group.node)
-            node = self._home_for(search, target, now)
+            node = self._home_for(search, target, avoided)
             if node is not None:
                 by_node.setdefault(node, {})[shard] = target
         orders: list[SearchOrder] = []
--- a/src/sequoiapulley/search/home_health.py
+++ b/src/sequoiapulley/search/home_health.py
@@ -4,8 +4,6 @@
 
 from typing import Final
 
-from cachetools import LRUCache
-
 from sequoiapulley.ids import NodeId
 from sequoiapulley.search.delay_estimate import DelayEstimate
 
@@ -17,19 +15,19 @@
 MIN_HEDGE_S: Final = 0.008
 SILENT_GROUPS_TO_AVOID: Final = 3
 AVOID_S: Final = 1.0
+NO_NODES: Final[frozenset[NodeId]] = frozenset()
 
 
 class _Home:
     """The record of one home."""
 
-    __slots__ = ("avoided_until", "first_batch", "round_trip", "silent")
+    __slots__ = ("first_batch", "round_trip", "silent")
 
     def __init__(self) -> None:
         self.round_trip = DelayEstimate()
         self.first_batch = DelayEstimate()
         self.silent = 0
         """Groups in a row that drew no batch in time."""
-        self.avoided_until = 0.0
 
 
 class HomeHealth:
@@ -37,7 +35,8 @@
 
     def __init__(self) -> None:
         """Initialise without records."""
-        self._homes: LRUCache[NodeId, _Home] = LRUCache(MAX_HOMES)
+        self._homes: dict[NodeId, _Home] = {}
+        self._avoided_until: dict[NodeId, float] = {}
 
     def on_batch(self, node: NodeId, elapsed: float, spent: float | None, first: bool) -> None:
         """Takes in a batch of replies.
@@ -50,7 +49,7 @@
         """
         home = self._record(node)
         home.silent = 0
-        home.avoided_until = 0.0
+        self._avoided_until.pop(node, None)
         if not first:
             return
         home.first_batch.add(elapsed)
@@ -62,12 +61,15 @@
         home = self._record(node)
         home.silent += 1
         if home.silent >= SILENT_GROUPS_TO_AVOID:
-            home.avoided_until = now + AVOID_S
+            self._avoided_until[node] = now + AVOID_S
 
-    def is_avoided(self, node: NodeId, now: float) -> bool:
-        """Returns whether a home was silent so often that others are asked first."""
-        home = self._homes.get(node)
-        return home is not None and home.avoided_until > now
+    def avoided(self, now: float) -> frozenset[NodeId]:
+        """Returns the homes that were silent so often that others are asked first."""
+        if not self._avoided_until:
+            return NO_NODES
+        for node in [node for node, until in self._avoided_until.items() if until <= now]:
+            del self._avoided_until[node]
+        return frozenset(self._avoided_until)
 
     def hop_margin(self, node: NodeId, time_left: float) -> float:
         """Returns the seconds to keep for the way to a home and back."""
@@ -88,5 +90,7 @@
         home = self._homes.get(node)
         if home is None:
             home = _Home()
+            if len(self._homes) >= MAX_HOMES:
+                del self._homes[next(iter(self._homes))]
             self._homes[node] = home
         return home
--- a/src/sequoiapulley/search/home_service.py
+++ b/src/sequoiapulley/search/home_service.py
@@ -10,6 +10,7 @@
 
 from sequoiapulley.ids import NodeId
 from sequoiapulley.observe import LogSink
+from sequoiapulley.search.hit_merge import prune_hits
 from sequoiapulley.search.log_events import GROUP_REFUSED
 from sequoiapulley.search.messages import (
     CancelSearch,
@@ -34,6 +35,7 @@
     search_id: int
     arrived: float
     deadline: float
+    limit: int
     subs: dict[int, ShardTarget]
     """Sub-searches without an outcome, by sub id."""
     ready: list[ShardReply] = []
@@ -78,7 +80,7 @@
         if message.time_left <= SUB_MARGIN_S:
             return [_refuse(sender, message, LackReason.DEADLINE)]
         deadline = now + message.time_left
-        group = _HomeGroup(sender, message.search_id, now, deadline, {})
+        group = _HomeGroup(sender, message.search_id, now, deadline, message.limit, {})
         self._groups[key] = group
         heappush(self._timers, (deadline, key))
         return [self._submit(group, message, target) for target in message.targets]
@@ -161,8 +163,9 @@
             del self._groups[(group.sender, group.search_id)]
         if not group.ready:
             return []
-        reply = GroupReply(group.search_id, tuple(group.ready), now - group.arrived)
+        replies = prune_hits(group.ready, group.limit)
         group.ready = []
+        reply = GroupReply(group.search_id, tuple(replies), now - group.arrived)
         return [SendGroupReply(group.sender, reply)]
 
     def _expire(self, group: _HomeGroup, now: float) -> list[HomeOrder]:
--- a/src/sequoiapulley/search/snapshot_book.py
+++ b/src/sequoiapulley/search/snapshot_book.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from typing import Final
 
+from msgspec import Struct
+
 from sequoiapulley.ids import ServiceName, ShardId
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.search.messages import LackReason, ShardReply
@@ -13,15 +15,44 @@
 SWEEP_S: Final = 1.0
 
 
+class _Shard(Struct):
+    """What is known of one shard."""
+
+    served: frozenset[Snapshot] = frozenset()
+    seen_at: float = 0.0
+    last: tuple[Snapshot | None, tuple[Snapshot, ...]] | None = None
+    """Snapshot and available snapshots of the last covering reply, to skip equal ones."""
+
+
+class _Service(Struct):
+    """What is known of the shards that a search of one service reaches."""
+
+    swept_at: float
+    shards: dict[ShardId, _Shard] = {}
+    counts: Counter[Snapshot] = Counter()
+    """Number of shards that serve each snapshot."""
+
+    def replace(self, shard: _Shard, served: frozenset[Snapshot]) -> None:
+        """Sets the snapshots of a shard."""
+        counts = self.counts
+        for snapshot in shard.served:
+            counts[snapshot] -= 1
+            if not counts[snapshot]:
+                del counts[snapshot]
+        counts.update(served)
+        shard.served = served
+
+    def forget(self, shard_id: ShardId) -> None:
+        """Removes a shard."""
+        self.replace(self.shards.pop(shard_id), frozenset())
+
+
 class SnapshotBook:
     """Learns snapshots from replies and chooses the newest that covers the most shards."""
 
     def __init__(self) -> None:
         """Initialise an empty book."""
-        self._served: dict[ServiceName, dict[ShardId, frozenset[Snapshot]]] = {}
-        self._counts: dict[ServiceName, Counter[Snapshot]] = {}
-        self._seen_at: dict[ServiceName, dict[ShardId, float]] = {}
-        self._swept_at: dict[ServiceName, float] = {}
+        self._services: dict[ServiceName, _Service] = {}
 
     def retain(self, shards: dict[ServiceName, frozenset[ShardId]]) -> None:
         """Forgets every service and shard that left the configuration.
@@ -29,67 +60,83 @@
         Args:
             shards: The shards that a search of each service reaches.
         """
-        for service in list(self._served):
-            known = shards.get(service, frozenset())
-            for shard in list(self._served[service]):
-                if shard not in known:
-                    self._replace(service, shard, frozenset())
-            if not known:
-                for table in (self._served, self._counts, self._seen_at, self._swept_at):
-                    table.pop(service, None)
+        for name, service in list(self._services.items()):
+            known = shards.get(name)
+            if known is None:
+                del self._services[name]
+                continue
+            for shard_id in service.shards.keys() - known:
+                service.forget(shard_id)
 
     def learn(
-        self, service: ServiceName, reply: ShardReply, asked: Snapshot | None, now: float
+        self, name: ServiceName, reply: ShardReply, asked: Snapshot | None, now: float
     ) -> None:
         """Takes in what a reply tells about its shard.
 
         Args:
-            service: The service that was searched.
+            name: The service that was searched.
             reply: A reply for a shard of that search.
             asked: The snapshot that was asked for, or None.
             now: Clock reading in seconds.
         """
-        before = self._served.get(service, {}).get(reply.shard, frozenset())
-        served = frozenset(reply.available) if reply.available else before
-        if reply.snapshot is not None and reply.reason is None:
+        service = self._services.get(name)
+        if service is None:
+            service = _Service(now, {}, Counter())
+            self._services[name] = service
+        shard = service.shards.get(reply.shard)
+        if shard is None:
+            shard = _Shard()
+            service.shards[reply.shard] = shard
+        if reply.reason is not None:
+            self._learn_lacking(service, shard, reply, asked, now)
+            return
+        shard.seen_at = now
+        told = (reply.snapshot, reply.available)
+        if told == shard.last:
+            return
+        shard.last = told
+        served = frozenset(reply.available) if reply.available else shard.served
+        if reply.snapshot is not None:
             served |= {reply.snapshot}
-        if reply.reason is LackReason.SNAPSHOT and asked is not None:
-            served -= {asked}
-        if reply.available or reply.reason is None:
-            self._seen_at.setdefault(service, {})[reply.shard] = now
-        if served != before:
-            self._replace(service, reply.shard, served)
+        service.replace(shard, served)
 
-    def choose(self, service: ServiceName, now: float) -> Snapshot | None:
+    def choose(self, name: ServiceName, now: float) -> Snapshot | None:
         """Returns the newest snapshot among those that cover the most shards, or None."""
-        if now >= self._swept_at.get(service, now) + SWEEP_S:
+        service = self._services.get(name)
+        if service is None:
+            return None
+        if now >= service.swept_at + SWEEP_S:
             self._sweep(service, now)
-        self._swept_at.setdefault(service, now)
-        counts = self._counts.get(service)
+        counts = service.counts
         if not counts:
             return None
         return max(counts, key=lambda snapshot: (counts[snapshot], snapshot))
 
-    def coverage_of(self, service: ServiceName, snapshot: Snapshot) -> int:
+    def coverage_of(self, name: ServiceName, snapshot: Snapshot) -> int:
         """Returns the number of shards last seen to serve a snapshot."""
-        counts = self._counts.get(service)
-        return counts[snapshot] if counts else 0
-
-    def _sweep(self, service: ServiceName, now: float) -> None:
-        self._swept_at[service] = now
-        seen_at = self._seen_at.get(service, {})
-        for shard in [shard for shard, at in seen_at.items() if at < now - REMEMBER_S]:
-            del seen_at[shard]
-            self._replace(service, shard, frozenset())
-
-    def _replace(self, service: ServiceName, shard: ShardId, served: frozenset[Snapshot]) -> None:
-        shards = self._served.setdefault(service, {})
-        counts = self._counts.setdefault(service, Counter())
-        for snapshot in shards.pop(shard, frozenset()):
-            counts[snapshot] -= 1
-            if not counts[snapshot]:
-                del counts[snapshot]
-        if not served:
-            return
-        shards[shard] = served
-        counts.update(served)
+        service = self._services.get(name)
+        return service.counts[snapshot] if service else 0
+
+    def _learn_lacking(
+        self,
+        service: _Service,
+        shard: _Shard,
+        reply: ShardReply,
+        asked: Snapshot | None,
+        now: float,
+    ) -> None:
+        served = shard.served
+        if reply.available:
+            served = frozenset(reply.available)
+            shard.seen_at = now
+        if reply.reason is LackReason.SNAPSHOT and asked is not None:
+            served -= {asked}
+        if served != shard.served:
+            shard.last = None
+            service.replace(shard, served)
+
+    def _sweep(self, service: _Service, now: float) -> None:
+        service.swept_at = now
+        for shard_id, shard in list(service.shards.items()):
+            if shard.seen_at < now - REMEMBER_S:
+                service.forget(shard_id)
