Prune hits only where a batch is large enough to gain

Cause: at 20 shards over 15 homes a batch holds one or two shards; pruning cost the homes 6.4 us a shard and saved the entry 1.7. Batches below three limits now travel whole.

--- a/src/sequoiapulley/search/hit_merge.py
+++ b/src/sequoiapulley/search/hit_merge.py
@@ -4,12 +4,16 @@
 
 from collections.abc import Iterable
 from itertools import chain
+from typing import Final
 
 from msgspec.structs import replace
 
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.search.messages import Hit, ShardReply
 
+PRUNE_FROM_LIMITS: Final = 3
+"""Size of a batch, in limits, from which pruning saves more than it costs."""
+
 
 def hit_rank(hit: Hit) -> tuple[float, str, str]:
     """Returns the sort key of a hit; the best hit has the smallest key."""
@@ -48,7 +52,7 @@
     Returns:
         The outcomes in the same order, with fewer hits.
     """
-    if limit <= 0 or sum([len(reply.hits) for reply in replies]) <= limit:
+    if limit <= 0 or sum([len(reply.hits) for reply in replies]) < PRUNE_FROM_LIMITS * limit:
         return replies
     by_snapshot: dict[Snapshot | None, list[tuple[Hit, ...]]] = {}
     for reply in replies:
