--- a/tests/test_request_coordinator.py
+++ b/tests/test_request_coordinator.py
@@ -37,7 +37,7 @@
             FixedHomes(HOME_A, HOME_B),
             clock,
             self.send,
-            self.outcomes.append,
+            self.finish,
             MemoryLog(),
         )
         self.coordinator.configure(make_configuration())
@@ -49,6 +49,10 @@
         self.orders.append((node, order))
         return True
 
+    def finish(self, outcome: RequestOutcome) -> None:
+        """Records an outcome."""
+        self.outcomes.append(outcome)
+
     def report(self, state: RunState, reason: RefusalReason | None = None, body: str = "") -> None:
         """Reports on the latest order."""
         node, order = self.orders[-1]
--- /dev/null
+++ b/tests/test_traces.py
@@ -0,0 +1,16 @@
+"""Replays every trace against its stated outcomes."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from tests.trace_replay import TRACES, replay
+
+
+class TracesTest(TestCase):
+    """Each trace goes as it states."""
+
+    def test_every_trace_goes_as_stated(self) -> None:
+        for path in sorted([*TRACES.glob("search_*.jsonl"), *TRACES.glob("request_*.jsonl")]):
+            with self.subTest(path.name):
+                self.assertGreater(replay(path), 0)
--- /dev/null
+++ b/tests/trace_replay.py
@@ -0,0 +1,244 @@
+"""Replays traces of searches and non-idempotent requests on the paused clock.
+
+The schema of a trace stands in docs/TRACES.md; the structs below are its types.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Final, Protocol
+
+from msgspec import Struct, json
+
+from sequoiapulley.ids import NodeId, RequestId, ShardId
+from sequoiapulley.model import Snapshot
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.requests.messages import RefusalReason, RequestOutcome, RunReport, RunState
+from sequoiapulley.runtime import PausedClock
+from sequoiapulley.search.coordinator import SearchCoordinator
+from sequoiapulley.search.messages import GroupReply, Hit, LackReason, ShardReply
+from sequoiapulley.search.orders import FinishSearchRequest, SearchOrder, SendCancel, SendGroup
+from tests.fake_store import FakeStore, Fault
+from tests.search_fixtures import FixedHomes, make_configuration, make_keyed, make_search
+from tests.test_request_coordinator import EntryNode
+
+TRACES: Final = Path(__file__).parent / "traces"
+START_S: Final = 1_000.0
+
+
+class TraceError(Exception):
+    """A trace did not go as it states."""
+
+
+class Header(Struct, forbid_unknown_fields=True):
+    """First line of a trace."""
+
+    trace: str
+    """`search` or `request`."""
+    about: str
+    homes: tuple[NodeId, ...] = (NodeId("home-a"), NodeId("home-b"))
+    entries: tuple[str, ...] = ("entry-1", "entry-2")
+
+
+class Expected(Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """One thing that a step makes the node do."""
+
+    ask: NodeId | None = None
+    cancel: NodeId | None = None
+    answer: RequestId | None = None
+    run: NodeId | None = None
+    outcome: RequestId | None = None
+    group: int | None = None
+    order: int | None = None
+    shards: tuple[ShardId, ...] | None = None
+    snapshot: str | None = None
+    covered: tuple[ShardId, ...] | None = None
+    lacking: dict[ShardId, LackReason] | None = None
+    complete: bool | None = None
+    hits: tuple[str, ...] | None = None
+    state: RunState | None = None
+    reason: RefusalReason | None = None
+    body: str | None = None
+    repeated: bool | None = None
+    retry: bool | None = None
+
+
+class Step(Struct, forbid_unknown_fields=True):
+    """One later line of a trace."""
+
+    at: float
+    """Seconds since the start of the trace."""
+    do: str
+    expect: tuple[Expected, ...] = ()
+    request: RequestId = RequestId("")
+    deadline: float = 0.06
+    """Seconds since the start of the trace."""
+    min_coverage: float = 0.0
+    early: float | None = None
+    node: NodeId = NodeId("")
+    group: int = 0
+    shards: dict[ShardId, str] = {}
+    """Outcome of each shard: a snapshot, or `lacking <reason>`."""
+    available: tuple[str, ...] = ()
+    entry: str = "entry-1"
+    key: str = "key-1"
+    body: str = "{}"
+    fault: Fault = Fault.NONE
+    order: int = 0
+    state: RunState = RunState.DONE
+    reason: RefusalReason | None = None
+
+
+class Player(Protocol):
+    """Takes the steps of one kind of trace."""
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the node did."""
+
+
+class SearchPlayer:
+    """Plays an entry; groups are numbered from 1 in the order they are sent."""
+
+    def __init__(self, header: Header) -> None:
+        self.coordinator = SearchCoordinator(FixedHomes(*header.homes), MemoryLog(), first_id=1)
+        self.coordinator.configure(make_configuration(), START_S)
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the entry did."""
+        return [self._seen(order) for order in self._orders(step, START_S + step.at)]
+
+    def _orders(self, step: Step, now: float) -> list[SearchOrder]:
+        if step.do == "start":
+            early = None if step.early is None else START_S + step.early
+            deadline = START_S + step.deadline
+            request = make_search(step.request, deadline, step.min_coverage, early)
+            return self.coordinator.start(request, now)
+        if step.do == "reply":
+            replies = tuple(self._reply(step, shard) for shard in step.shards)
+            return self.coordinator.on_group_reply(step.node, GroupReply(step.group, replies), now)
+        if step.do == "lost":
+            return self.coordinator.on_node_lost(step.node, now)
+        if step.do == "cancel":
+            return self.coordinator.cancel(step.request, now)
+        if step.do == "tick":
+            return self.coordinator.tick(now)
+        raise TraceError(f"unknown step {step.do!r}")
+
+    def _reply(self, step: Step, shard: ShardId) -> ShardReply:
+        available = tuple(Snapshot.parse(text) for text in step.available)
+        outcome = step.shards[shard]
+        if outcome.startswith("lacking "):
+            reason = LackReason(outcome.removeprefix("lacking "))
+            return ShardReply(shard, reason=reason, available=available)
+        hit = Hit(f"{shard}@{outcome}", 1.0, shard)
+        return ShardReply(shard, Snapshot.parse(outcome), (hit,), None, available)
+
+    def _seen(self, order: SearchOrder) -> Expected:
+        if isinstance(order, SendGroup):
+            message = order.message
+            shards = tuple(target.shard for target in message.targets)
+            snapshot = None if message.snapshot is None else str(message.snapshot)
+            return Expected(
+                ask=order.node, group=message.search_id, shards=shards, snapshot=snapshot
+            )
+        if isinstance(order, SendCancel):
+            return Expected(cancel=order.node, group=order.message.search_id)
+        assert isinstance(order, FinishSearchRequest)
+        answer = order.answer
+        return Expected(
+            answer=answer.request_id,
+            snapshot=None if answer.snapshot is None else str(answer.snapshot),
+            covered=answer.covered,
+            lacking={each.shard: each.reason for each in answer.lacking},
+            complete=answer.complete,
+            hits=tuple(hit.id for hit in answer.hits),
+        )
+
+
+class RequestPlayer:
+    """Plays several entries and one store; run orders are numbered from 1 over all entries."""
+
+    def __init__(self, header: Header) -> None:
+        self.clock = PausedClock(START_S)
+        self.store = FakeStore()
+        self.incarnation = 1
+        self.entries = {name: EntryNode(self.store, self.clock, name) for name in header.entries}
+        self.orders: list[int] = []
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the entries did."""
+        self.clock.advance(START_S + step.at - self.clock.now())
+        before = {
+            name: (len(entry.orders), len(entry.outcomes)) for name, entry in self.entries.items()
+        }
+        self._act(step, self.entries[step.entry])
+        seen: list[Expected] = []
+        for name, (orders, outcomes) in before.items():
+            for home, order in self.entries[name].orders[orders:]:
+                self.orders.append(order.run_id)
+                seen.append(Expected(run=home, order=len(self.orders), body=order.body))
+            seen += [self._outcome(each) for each in self.entries[name].outcomes[outcomes:]]
+        return seen
+
+    def _act(self, step: Step, entry: EntryNode) -> None:
+        if step.do == "start":
+            deadline = START_S + step.deadline
+            request = make_keyed(step.key, step.body, deadline, name=step.request)
+            entry.coordinator.start(request)
+        elif step.do == "store":
+            self.store.step(fault=step.fault)
+        elif step.do == "store_all":
+            self.store.settle(step.fault)
+        elif step.do == "delayed":
+            self.store.take_delayed()
+        elif step.do == "report":
+            report = RunReport(self.orders[step.order - 1], step.state, step.reason, step.body)
+            entry.coordinator.on_report(step.node, report)
+        elif step.do == "lost":
+            entry.coordinator.on_node_lost(step.node)
+        elif step.do == "tick":
+            entry.coordinator.tick()
+        elif step.do == "restart":
+            self.incarnation += 1
+            self.store.calls.clear()
+            fresh = EntryNode(self.store, self.clock, step.entry, self.incarnation)
+            fresh.orders, fresh.outcomes = entry.orders, entry.outcomes
+            self.entries[step.entry] = fresh
+        else:
+            raise TraceError(f"unknown step {step.do!r}")
+
+    def _outcome(self, outcome: RequestOutcome) -> Expected:
+        return Expected(
+            outcome=outcome.request_id,
+            state=outcome.state,
+            reason=outcome.reason,
+            body=outcome.body,
+            repeated=outcome.repeated,
+            retry=outcome.retry_after_ms is not None,
+        )
+
+
+def replay(path: Path) -> int:
+    """Replays one trace.
+
+    Args:
+        path: The trace.
+
+    Returns:
+        The number of steps.
+
+    Raises:
+        TraceError: If a step makes the node do anything else than the trace states.
+    """
+    lines = path.read_text(encoding="utf-8").splitlines()
+    header = json.decode(lines[0], type=Header)
+    players = {"search": SearchPlayer, "request": RequestPlayer}
+    player: Player = players[header.trace](header)
+    for number, line in enumerate(lines[1:], start=2):
+        step = json.decode(line, type=Step)
+        seen = player.take(step)
+        if seen == list(step.expect):
+            continue
+        found = json.encode(seen).decode()
+        raise TraceError(f"{path.name}:{number}: expected otherwise, seen {found}")
+    return len(lines) - 1
