--- /dev/null
+++ b/tests/spread_net.py
@@ -0,0 +1,135 @@
+"""Nodes in memory that spread a configuration from a store which can be down."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+from msgspec.msgpack import encode
+
+from sequoiapulley.fleet.config_editor import ConfigEditor
+from sequoiapulley.fleet.config_record import CONFIG_KEY, ConfigRecord
+from sequoiapulley.fleet.config_spread import (
+    ApplyText,
+    ArmWatch,
+    ConfigSpread,
+    RepairStore,
+    SendPeer,
+    SpreadOrder,
+)
+from sequoiapulley.ids import ConfigVersion, EditId, NodeId
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+from tests.fleet_net import make_member
+from tests.watch_store import WatchStore
+
+
+def make_record(version: int, text: str = "text", edit: str | None = None) -> ConfigRecord:
+    """Makes a record."""
+    return ConfigRecord(ConfigVersion(version), EditId(edit or f"e{version}"), "ana", 1.0, text)
+
+
+class SpreadNet:
+    """Nodes that share a store and send each other messages, which can be lost."""
+
+    def __init__(self, size: int, seed: int = 1) -> None:
+        """Start `size` nodes that know each other."""
+        self.clock = PausedClock()
+        self.timers = TimerQueue(self.clock)
+        self.random = Random(seed)
+        self.store = WatchStore()
+        self.loss = 0.0
+        self.stopped: set[NodeId] = set()
+        self.cut: Callable[[NodeId, NodeId], bool] = lambda _a, _b: False
+        self.applied: dict[NodeId, list[ConfigVersion]] = {}
+        self.bytes: Counter[str] = Counter()
+        self.members = tuple(make_member(n) for n in range(size))
+        self.nodes: dict[NodeId, ConfigSpread] = {}
+        for member in self.members:
+            self.start(member.node)
+
+    def start(self, node: NodeId) -> None:
+        """Starts a node anew, with nothing in memory."""
+        member = next(m for m in self.members if m.node == node)
+        self.nodes[node] = ConfigSpread(member, MemoryLog(), self.random.randrange(2**32))
+        self.applied[node] = []
+        self.execute(node, self.nodes[node].update_members(self.members, self.clock.now()))
+        self.execute(node, self.nodes[node].start(self.clock.now()))
+
+    def execute(self, node: NodeId, orders: list[SpreadOrder]) -> None:
+        """Carries orders out."""
+        spread = self.nodes[node]
+        for order in orders:
+            if isinstance(order, ApplyText):
+                self.applied[node].append(order.version)
+            elif isinstance(order, SendPeer):
+                self._send(node, order)
+            elif isinstance(order, ArmWatch):
+                self._watch(node, spread, order)
+            elif isinstance(order, RepairStore):
+                editor = ConfigEditor(self.store, self.clock)
+                editor.restore(order.record, order.expected, lambda _reply: None)
+
+    def _watch(self, node: NodeId, spread: ConfigSpread, order: ArmWatch) -> None:
+        def done(reply: object) -> None:
+            if self.nodes[node] is spread and node not in self.stopped:
+                now = self.clock.now()
+                self.execute(node, spread.on_store_reply(reply, now))  # type: ignore[arg-type]
+
+        self.store.watch(CONFIG_KEY, order.after, order.wait, done)
+        self.timers.call_later(order.wait, lambda: self.store.end_watch(done))
+
+    def _send(self, node: NodeId, order: SendPeer) -> None:
+        self.bytes[type(order.message).__name__] += len(encode(order.message))
+        if self.random.random() < self.loss or self.cut(node, order.node):
+            return
+
+        def arrive() -> None:
+            if order.node not in self.stopped:
+                spread = self.nodes[order.node]
+                now = self.clock.now()
+                self.execute(order.node, spread.on_message(node, order.message, now))
+
+        self.timers.call_later(self.random.uniform(0.001, 0.05), arrive)
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock; each node hears two peers' versions a second, as from probes."""
+        for step in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.timers.run_due()
+            for node, spread in list(self.nodes.items()):
+                if node in self.stopped:
+                    continue
+                self.execute(node, spread.tick(self.clock.now()))
+                if step % 10 == 0:
+                    self._hear_version(node, spread)
+
+    def _hear_version(self, node: NodeId, spread: ConfigSpread) -> None:
+        peer = self.random.choice(self.members).node
+        if peer == node or peer in self.stopped or self.cut(node, peer):
+            return
+        if self.random.random() < self.loss:
+            return
+        version = self.nodes[peer].version()
+        self.execute(node, spread.on_version_heard(peer, version, self.clock.now()))
+
+    def edit(self, text: str, number: int = 0) -> None:
+        """Edits through a node, which puts the edit in force at once."""
+        node = self.members[number].node
+        spread = self.nodes[node]
+
+        def done(reply: object) -> None:
+            self.execute(node, spread.on_local_edit(reply.unwrap()))  # type: ignore[attr-defined]
+
+        editor = ConfigEditor(self.store, self.clock, spread.held)
+        edit_id = EditId(f"edit{self.random.random()}")
+        editor.apply(spread.version(), edit_id, "ana", text, done)
+
+    def versions_on(self, nodes: set[NodeId]) -> set[int]:
+        """Returns the versions in force on some nodes."""
+        return {self.nodes[node].version() for node in nodes}
+
+    def versions(self) -> set[int]:
+        """Returns the versions in force on the nodes that run."""
+        return {n.version() for name, n in self.nodes.items() if name not in self.stopped}
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -2,133 +2,19 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from random import Random
 from unittest import TestCase
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
-from msgspec.msgpack import encode
 
 from sequoiapulley.fleet.config_editor import ConfigEditor
-from sequoiapulley.fleet.config_record import CONFIG_KEY, ConfigRecord
-from sequoiapulley.fleet.config_spread import (
-    ApplyText,
-    ArmWatch,
-    ConfigSpread,
-    RepairStore,
-    SendPeer,
-    SpreadOrder,
-)
+from sequoiapulley.fleet.config_record import CONFIG_KEY
+from sequoiapulley.fleet.config_spread import ConfigSpread
 from sequoiapulley.fleet.text_delta import apply_delta, make_delta
 from sequoiapulley.ids import ConfigVersion, EditId, NodeId
 from sequoiapulley.observe.log_event import MemoryLog
-from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.fleet_net import make_member
-from tests.watch_store import WatchStore
-
-
-def make_record(version: int, text: str = "text", edit: str | None = None) -> ConfigRecord:
-    """Makes a record."""
-    return ConfigRecord(ConfigVersion(version), EditId(edit or f"e{version}"), "ana", 1.0, text)
-
-
-class SpreadNet:
-    """Nodes that share a store and send each other messages, which can be lost."""
-
-    def __init__(self, size: int, seed: int = 1) -> None:
-        """Start `size` nodes that know each other."""
-        self.clock = PausedClock()
-        self.timers = TimerQueue(self.clock)
-        self.random = Random(seed)
-        self.store = WatchStore()
-        self.loss = 0.0
-        self.stopped: set[NodeId] = set()
-        self.applied: dict[NodeId, list[ConfigVersion]] = {}
-        self.bytes: Counter[str] = Counter()
-        self.members = tuple(make_member(n) for n in range(size))
-        self.nodes: dict[NodeId, ConfigSpread] = {}
-        for member in self.members:
-            self.start(member.node)
-
-    def start(self, node: NodeId) -> None:
-        """Starts a node anew, with nothing in memory."""
-        member = next(m for m in self.members if m.node == node)
-        self.nodes[node] = ConfigSpread(member, MemoryLog(), self.random.randrange(2**32))
-        self.applied[node] = []
-        self.execute(node, self.nodes[node].update_members(self.members, self.clock.now()))
-        self.execute(node, self.nodes[node].start(self.clock.now()))
-
-    def execute(self, node: NodeId, orders: list[SpreadOrder]) -> None:
-        """Carries orders out."""
-        spread = self.nodes[node]
-        for order in orders:
-            if isinstance(order, ApplyText):
-                self.applied[node].append(order.version)
-            elif isinstance(order, SendPeer):
-                self._send(node, order)
-            elif isinstance(order, ArmWatch):
-                self._watch(node, spread, order)
-            elif isinstance(order, RepairStore):
-                editor = ConfigEditor(self.store, self.clock)
-                editor.restore(order.record, order.expected, lambda _reply: None)
-
-    def _watch(self, node: NodeId, spread: ConfigSpread, order: ArmWatch) -> None:
-        def done(reply: object) -> None:
-            if self.nodes[node] is spread and node not in self.stopped:
-                now = self.clock.now()
-                self.execute(node, spread.on_store_reply(reply, now))  # type: ignore[arg-type]
-
-        self.store.watch(CONFIG_KEY, order.after, order.wait, done)
-        self.timers.call_later(order.wait, lambda: self.store.end_watch(done))
-
-    def _send(self, node: NodeId, order: SendPeer) -> None:
-        self.bytes[type(order.message).__name__] += len(encode(order.message))
-        if self.random.random() < self.loss:
-            return
-
-        def arrive() -> None:
-            if order.node not in self.stopped:
-                spread = self.nodes[order.node]
-                now = self.clock.now()
-                self.execute(order.node, spread.on_message(node, order.message, now))
-
-        self.timers.call_later(self.random.uniform(0.001, 0.05), arrive)
-
-    def run(self, seconds: float) -> None:
-        """Advances the clock; each node hears two peers' versions a second, as from probes."""
-        for step in range(round(seconds / 0.05)):
-            self.clock.advance(0.05)
-            self.timers.run_due()
-            for node, spread in list(self.nodes.items()):
-                if node in self.stopped:
-                    continue
-                self.execute(node, spread.tick(self.clock.now()))
-                if step % 10 == 0:
-                    self._hear_version(node, spread)
-
-    def _hear_version(self, node: NodeId, spread: ConfigSpread) -> None:
-        peer = self.random.choice(self.members).node
-        if peer == node or peer in self.stopped or self.random.random() < self.loss:
-            return
-        version = self.nodes[peer].version()
-        self.execute(node, spread.on_version_heard(peer, version, self.clock.now()))
-
-    def edit(self, text: str) -> None:
-        """Edits through the first node, which puts the edit in force at once."""
-        node = self.members[0].node
-        spread = self.nodes[node]
-
-        def done(reply: object) -> None:
-            self.execute(node, spread.on_local_edit(reply.unwrap()))  # type: ignore[attr-defined]
-
-        editor = ConfigEditor(self.store, self.clock, spread.held)
-        edit_id = EditId(f"edit{self.random.random()}")
-        editor.apply(spread.version(), edit_id, "ana", text, done)
-
-    def versions(self) -> set[int]:
-        """Returns the versions in force on the nodes that run."""
-        return {n.version() for name, n in self.nodes.items() if name not in self.stopped}
+from tests.spread_net import SpreadNet, make_record
 
 
 class ConfigSpreadTest(TestCase):
@@ -194,6 +80,69 @@
         net.run(3)
         self.assertEqual(net.versions(), {4})
 
+    def test_parted_regions_keep_their_version_and_take_the_highest_on_healing(self) -> None:
+        net = SpreadNet(15)
+        net.run(3)
+        net.edit("one")
+        net.run(3)
+        far = {NodeId(f"n{number}") for number in range(0, 15, 3)}
+        net.cut = lambda a, b: (a in far) != (b in far)
+        net.store.down = True
+        net.run(3600)
+        self.assertEqual(net.versions(), {1})
+        net.store.down = False
+        net.edit("two", number=1)
+        net.store.down = True
+        net.run(3)
+        self.assertEqual(net.versions_on(set(net.nodes) - far), {2})
+        self.assertEqual(net.versions_on(far), {1})
+        net.cut = lambda _a, _b: False
+        net.run(5)
+        self.assertEqual(net.versions(), {2})
+
+    def test_two_edits_with_one_version_end_as_one_everywhere(self) -> None:
+        net = SpreadNet(15)
+        net.run(3)
+        net.edit("one")
+        net.run(3)
+        older = make_record(1, "lost", "other")
+        net.execute(NodeId("n3"), net.nodes[NodeId("n3")].on_local_edit(older))
+        net.run(3)
+        held = {node.held().text for node in net.nodes.values()}  # type: ignore[union-attr]
+        self.assertEqual(held, {"one"})
+
+    @settings(max_examples=40)
+    @given(st.data())
+    def test_accepted_edits_never_revert_and_reach_all(self, data: st.DataObject) -> None:
+        """Edits, restarts, outages, loss, cuts and stale backups in any order."""
+        net = SpreadNet(6, seed=data.draw(st.integers(0, 9)))
+        net.run(3)
+        backup = None
+        for number in range(data.draw(st.integers(1, 8))):
+            node = data.draw(st.integers(0, 5))
+            step = data.draw(
+                st.sampled_from(["edit", "restart", "down", "up", "loss", "part", "backup"])
+            )
+            if step == "edit" and not net.store.down:
+                net.edit(f"text {number}\n" * 3, node)
+                backup = backup or net.store.read(CONFIG_KEY)
+            elif step == "restart":
+                net.start(net.members[node].node)
+            elif step in ("down", "up"):
+                net.store.down = step == "down"
+            elif step == "loss":
+                net.loss = 0.4
+            elif step == "part":
+                net.cut = lambda a, b, side=node: (a <= f"n{side}") != (b <= f"n{side}")
+            elif backup is not None and net.store.read(CONFIG_KEY).revision > 0:
+                net.store.values[CONFIG_KEY] = backup
+            net.run(data.draw(st.sampled_from([0.2, 4.0])))
+        net.loss, net.store.down, net.cut = 0.0, False, lambda _a, _b: False
+        net.run(40)
+        self.assertEqual(len(net.versions()), 1)
+        for versions in net.applied.values():
+            self.assertEqual(versions, sorted(set(versions)))
+
     def test_watchers_are_few_and_others_take_over(self) -> None:
         for size in (5, 15, 60):
             net = SpreadNet(size)
