--- /dev/null
+++ b/src/sequoiapulley/fleet/membership.py
@@ -0,0 +1,305 @@
+"""Decides who belongs to the fleet: probes, suspicions, incarnations and rumours."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from random import Random
+from typing import Final
+
+from msgspec.structs import replace
+from xxhash import xxh32_intdigest
+
+from sequoiapulley.fleet._broadcast_queue import BroadcastQueue
+from sequoiapulley.fleet._datagram import (
+    BadDatagramError,
+    Datagram,
+    DatagramKind,
+    Rumour,
+    decode_datagram,
+)
+from sequoiapulley.fleet._fleet_view import FleetView
+from sequoiapulley.fleet._member_table import MemberTable
+from sequoiapulley.fleet._outbox import Outbox
+from sequoiapulley.fleet._prober import Prober
+from sequoiapulley.fleet._view_sync import ViewSync
+from sequoiapulley.fleet.log_events import DATAGRAM_REFUSED, PAUSE_DETECTED
+from sequoiapulley.fleet.member import Member, MemberState, NodeAddress
+from sequoiapulley.fleet.orders import (
+    FleetOrder,
+    MemberChanged,
+    RumourHeard,
+    RumourKind,
+    VersionHeard,
+)
+from sequoiapulley.ids import ConfigVersion, CustomerName, NodeId
+from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.platform.vm_list import VmRecord
+
+PROBE_PERIOD_S: Final = 1.0
+GOSSIP_PERIOD_S: Final = 0.2
+GOSSIP_FANOUT: Final = 3
+LEAVE_FANOUT: Final = 6
+RECONNECT_PERIOD_S: Final = 5.0
+JOIN_PERIOD_S: Final = 0.5
+JOIN_PINGS: Final = 3
+PAUSE_S: Final = 3.0
+HOUSEKEEPING_PERIOD_S: Final = 60.0
+MAX_SEEN_RUMOURS: Final = 4096
+MAX_RUMOUR_BYTES: Final = 600
+
+
+class Membership:
+    """One node's part in the membership protocol.
+
+    A SWIM-like protocol: each period one node is probed, directly and then through others; a node
+    that answers to nobody is suspected, and dies unless it refutes with a higher incarnation.
+    Dead nodes stay known and are tried again, so that parted sides find each other.
+    """
+
+    def __init__(
+        self, me: Member, log: LogSink, seed: int, customer: CustomerName = CustomerName("")
+    ) -> None:
+        """Initialise a membership that knows only this node.
+
+        Args:
+            me: This node.
+            log: Where events go.
+            seed: Seed of the random choices.
+            customer: Whose fleet this is; datagrams of another fleet are ignored.
+        """
+        self._log = log
+        self._random = Random(seed)
+        self._fleet = xxh32_intdigest(customer.encode())
+        self._queue = BroadcastQueue()
+        self._table = MemberTable(self._random)
+        self._view = FleetView(me, self._table, self._queue, log)
+        outbox = Outbox(self._fleet, self._view, self._queue)
+        self._outbox = outbox
+        self._prober = Prober(self._view, outbox)
+        self._sync = ViewSync(self._view, outbox)
+        self._seen: OrderedDict[tuple[NodeId, int, int], None] = OrderedDict()
+        self._rumours = 0
+        self._seeds: tuple[NodeAddress, ...] = ()
+        self._last_tick: float | None = None
+        self._probe_due = 0.0
+        self._gossip_due = 0.0
+        self._reconnect_due = 0.0
+        self._housekeeping_due = 0.0
+
+    @property
+    def me(self) -> Member:
+        """The record of the node itself."""
+        return self._view.me
+
+    def members(self) -> tuple[Member, ...]:
+        """Returns this node and all others that are known, the dead included."""
+        return self._view.members()
+
+    def next_due(self) -> float | None:
+        """Returns the clock reading at which `tick` should run next, or None before the first."""
+        if self._last_tick is None:
+            return None
+        due = min(self._probe_due, self._reconnect_due)
+        indirect = self._prober.indirect_due()
+        if indirect is not None:
+            due = min(due, indirect)
+        if self._queue and self._table.present():
+            due = min(due, self._gossip_due)
+        return due
+
+    def set_config_version(self, version: ConfigVersion, now: float) -> None:
+        """Notes the configuration version in force here; it travels in every datagram."""
+        self._view.me = replace(self._view.me, config_version=version)
+
+    def broadcast(self, kind: RumourKind, body: bytes, now: float) -> None:
+        """Passes a short message to all nodes, usually within a second.
+
+        Args:
+            kind: Subject.
+            body: Up to 600 bytes.
+            now: Clock reading in seconds.
+
+        Raises:
+            ValueError: If the body is too large.
+        """
+        if len(body) > MAX_RUMOUR_BYTES:
+            raise ValueError(f"rumour takes {len(body)} bytes, limit {MAX_RUMOUR_BYTES}")
+        self._rumours += 1
+        me = self._view.me
+        self._pass_on(Rumour(me.node, self._rumours, me.incarnation, kind, body))
+        self._gossip_due = min(self._gossip_due, now)
+
+    def leave(self, now: float) -> list[FleetOrder]:
+        """Announces the graceful shutdown of this node."""
+        self._view.renew(MemberState.LEAVING)
+        return self._gossip(now, LEAVE_FANOUT)
+
+    def on_vm_list(self, records: tuple[VmRecord, ...], now: float) -> list[FleetOrder]:
+        """Takes the platform's list as seeds and as second opinion.
+
+        The list never removes a node that answers probes; it shortens the suspicion of one that
+        does not, and tells when a dead node may be forgotten.
+
+        Args:
+            records: The list, which may lag, be wrong or be empty.
+            now: Clock reading in seconds.
+        """
+        self._view.take_vm_list(records)
+        if records:
+            addresses = (NodeAddress((vm.host, vm.port)) for vm in records)
+            self._seeds = tuple(addr for addr in addresses if addr != self.me.address)
+        if self._table.present():
+            return []
+        self._reconnect_due = now
+        seeds = self._random.sample(self._seeds, min(JOIN_PINGS, len(self._seeds)))
+        return [self._prober.ping_stranger(address) for address in seeds]
+
+    def tick(self, now: float) -> list[FleetOrder]:
+        """Does what is due: probes, suspicions, gossip, attempts to reconnect.
+
+        Args:
+            now: Clock reading in seconds.
+
+        Returns:
+            Orders for the surroundings.
+        """
+        orders: list[FleetOrder] = []
+        self._check_pause(now)
+        self._last_tick = now
+        self._prober.go_indirect(now, orders)
+        if now >= self._probe_due:
+            self._probe_due = now + PROBE_PERIOD_S
+            self._prober.finish(now, orders)
+            self._view.bury_suspects(now, orders)
+            self._prober.start(now, orders)
+        if now >= self._reconnect_due:
+            self._reconnect(now, orders)
+        if now >= self._gossip_due and self._queue:
+            orders.extend(self._gossip(now, GOSSIP_FANOUT))
+        if now >= self._housekeeping_due:
+            self._housekeeping_due = now + HOUSEKEEPING_PERIOD_S
+            self._view.forget_old(now)
+        return orders
+
+    def on_message(
+        self, sender_address: NodeAddress, payload: bytes, now: float
+    ) -> list[FleetOrder]:
+        """Takes one authenticated datagram.
+
+        Args:
+            sender_address: Where it came from.
+            payload: Its bytes.
+            now: Clock reading in seconds.
+
+        Returns:
+            Orders for the surroundings.
+        """
+        try:
+            datagram = decode_datagram(payload)
+        except BadDatagramError as exc:
+            self._log.log(DATAGRAM_REFUSED, sender=sender_address[0], error=str(exc))
+            return []
+        if datagram.fleet != self._fleet or datagram.sender == self.me.node:
+            return []
+        orders: list[FleetOrder] = []
+        for member in datagram.members:
+            self._view.apply(member, now, orders)
+        self._sync_with_joined(now, orders)
+        for rumour in datagram.rumours:
+            self._hear(rumour, orders)
+        self._note_sender(sender_address, datagram, now, orders)
+        self._answer(sender_address, datagram, now, orders)
+        return orders
+
+    def _answer(
+        self, address: NodeAddress, datagram: Datagram, now: float, orders: list[FleetOrder]
+    ) -> None:
+        kind = datagram.kind
+        if kind is DatagramKind.PING:
+            self._prober.answer_ping(address, datagram, orders)
+        elif kind is DatagramKind.ACK:
+            self._prober.take_ack(datagram, now, orders)
+            self._sync.compare(address, datagram, now, orders)
+        elif kind is DatagramKind.PING_REQUEST:
+            self._prober.relay(address, datagram, now, orders)
+        elif kind is DatagramKind.NOT_ME:
+            self._prober.take_not_me(datagram, now, orders)
+        elif kind is DatagramKind.SYNC:
+            self._sync.answer(address, datagram, now, orders)
+
+    def _note_sender(
+        self, address: NodeAddress, datagram: Datagram, now: float, orders: list[FleetOrder]
+    ) -> None:
+        record = self._table.get(datagram.sender)
+        if record is None:
+            self._sync.request(address, now, orders)
+            return
+        version = datagram.config_version
+        changed = self._view.note_version(record, version)
+        if changed or version > self.me.config_version:
+            orders.append(VersionHeard(datagram.sender, version))
+
+    def _sync_with_joined(self, now: float, orders: list[FleetOrder]) -> None:
+        """Asks a node that is new or came back for its view, which may hold more of them."""
+        for order in list(orders):
+            if not isinstance(order, MemberChanged):
+                continue
+            if order.previous_state in (None, MemberState.DEAD):
+                self._sync.request(order.member.address, now, orders)
+
+    def _reconnect(self, now: float, orders: list[FleetOrder]) -> None:
+        """Tries one dead node or listed address that is not known to be alive."""
+        alone = not self._table.present()
+        self._reconnect_due = now + (JOIN_PERIOD_S if alone else RECONNECT_PERIOD_S)
+        known = self._table.present_addresses()
+        strangers = [address for address in self._seeds if address not in known]
+        dead = self._table.dead()
+        if not strangers and not dead:
+            return
+        choice = self._random.randrange(len(strangers) + len(dead))
+        if choice < len(strangers):
+            orders.append(self._prober.ping_stranger(strangers[choice]))
+            return
+        record = self._table.get(dead[choice - len(strangers)])
+        if record is not None:
+            orders.append(self._prober.ping(record.member))
+
+    def _hear(self, rumour: Rumour, orders: list[FleetOrder]) -> None:
+        if (rumour.origin, rumour.incarnation, rumour.number) in self._seen:
+            return
+        self._pass_on(rumour)
+        orders.append(RumourHeard(rumour.kind, rumour.body, rumour.origin))
+
+    def _pass_on(self, rumour: Rumour) -> None:
+        self._seen[(rumour.origin, rumour.incarnation, rumour.number)] = None
+        if len(self._seen) > MAX_SEEN_RUMOURS:
+            self._seen.popitem(last=False)
+        self._queue.add_rumour(rumour)
+
+    def _gossip(self, now: float, fanout: int) -> list[FleetOrder]:
+        self._gossip_due = now + GOSSIP_PERIOD_S
+        orders: list[FleetOrder] = []
+        for member in self._table.sample(fanout):
+            if not self._queue:
+                break
+            orders.append(self._outbox.send(member.address, DatagramKind.GOSSIP))
+        return orders
+
+    def _check_pause(self, now: float) -> None:
+        """Blames nobody for the time in which this process did not run."""
+        if self._last_tick is None:
+            self._probe_due = now + self._random.uniform(0.0, PROBE_PERIOD_S)
+            return
+        gap = now - self._last_tick
+        if 0.0 <= gap <= PAUSE_S:
+            return
+        self._log.log(PAUSE_DETECTED, seconds=round(gap, 3))
+        self._prober.drop()
+        self._sync.reset()
+        self._queue.drop_rumours()
+        self._probe_due = now
+        self._reconnect_due = now
+        self._gossip_due = now
+        self._housekeeping_due = now
+        self._view.shift_times(gap, now)
+        self._view.renew(self.me.state)
