Record service-level burn, keep recent log events, and add the commands that show them

Operators need to see how fast a service spends its error budget over the whole fleet, what a node logged lately, and what a caller would get. Parts of nodes add up, and a node that does not answer is named. A page alert needs a long and a short window.

--- /dev/null
+++ b/src/sequoiapulley/cli/events_command.py
@@ -0,0 +1,55 @@
+"""The latest log events of nodes."""
+
+from __future__ import annotations
+
+from time import sleep
+from typing import Final
+
+from sequoiapulley.cli.config_commands import format_time
+from sequoiapulley.cli.exit_code import ExitCode
+from sequoiapulley.cli.node_client import NodeClient
+from sequoiapulley.cli.options import DEFAULT_OPTIONS, Options
+from sequoiapulley.cli.output import print_json
+from sequoiapulley.entry.operators_messages import EventsView
+
+POLL_INTERVAL: Final = 1.0
+"""Seconds between two questions while following."""
+
+
+def events(*, after: int = 0, follow: bool = False, opts: Options = DEFAULT_OPTIONS) -> int:
+    """Show the log events that a node keeps in memory; docs/EVENTS.md tells what to do about each.
+
+    Example: sequoiapulley events --node 10.0.0.5:9300 --follow
+
+    Parameters
+    ----------
+    after
+        Sequence number; earlier events are left out.
+    follow
+        Go on until interrupted.
+    opts
+        Options of every command.
+    """
+    client = NodeClient(opts.node, opts.timeout)
+    while True:
+        view = client.get("/v1/events", after=str(after)).expect(EventsView)
+        _print_events(view, after, opts.json)
+        after = view.events[-1].sequence if view.events else after
+        if not follow:
+            return ExitCode.OK
+        try:
+            sleep(POLL_INTERVAL)
+        except KeyboardInterrupt:
+            return ExitCode.OK
+
+
+def _print_events(view: EventsView, after: int, as_json: bool) -> None:
+    if as_json:
+        print_json(view)
+        return
+    if view.dropped and after:
+        print(f"({view.dropped} events are no longer kept)")
+    for event in view.events:
+        fields = " ".join(f"{key}={value}" for key, value in event.fields.items())
+        severity = event.severity.upper().ljust(7)
+        print(f"{format_time(event.at)} {severity} {event.code} {event.name} {fields}".rstrip())
--- a/src/sequoiapulley/cli/main.py
+++ b/src/sequoiapulley/cli/main.py
@@ -8,8 +8,11 @@
 from cyclopts import App, CycloptsError
 
 from sequoiapulley.cli.config_commands import config_app
+from sequoiapulley.cli.events_command import events
 from sequoiapulley.cli.exit_code import CliError, ExitCode
 from sequoiapulley.cli.output import print_error
+from sequoiapulley.cli.report_commands import report_app
+from sequoiapulley.cli.search_commands import entries, search
 from sequoiapulley.cli.status_command import status
 
 app = App(
@@ -18,6 +21,10 @@
 )
 app.command(config_app)
 app.command(status)
+app.command(entries)
+app.command(search)
+app.command(report_app)
+app.command(events)
 app.register_install_completion_command()
 
 
--- a/src/sequoiapulley/cli/node_client.py
+++ b/src/sequoiapulley/cli/node_client.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from sequoiapulley.cli.exit_code import CliError, ExitCode
-from sequoiapulley.entry.operators_messages import ErrorView
+from sequoiapulley.entry.error_messages import ErrorBody
 
 MAX_ANSWER_BYTES: Final = 16 * 1024 * 1024
 
@@ -63,7 +63,7 @@
     def error(self) -> str:
         """Returns the node's error message in one line."""
         try:
-            return json.decode(self.body, type=ErrorView).error.message
+            return json.decode(self.body, type=ErrorBody).error.message
         except DecodeError:
             return f"HTTP status {self.status}"
 
--- /dev/null
+++ b/src/sequoiapulley/cli/report_commands.py
@@ -0,0 +1,68 @@
+"""Reports over all nodes."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from cyclopts import App
+from result import Err
+
+from sequoiapulley.cli.burn_page import render_burn_page
+from sequoiapulley.cli.burn_table import format_burn
+from sequoiapulley.cli.exit_code import CliError, ExitCode
+from sequoiapulley.cli.fan_out import ask_each, live_members
+from sequoiapulley.cli.node_client import NodeClient
+from sequoiapulley.cli.options import DEFAULT_OPTIONS, Options
+from sequoiapulley.cli.output import print_json
+from sequoiapulley.entry.operators_messages import MemberView, StatusView
+from sequoiapulley.observe.burn_messages import BurnShard
+from sequoiapulley.observe.burn_report import BurnReport, SilentNode, merge_shards
+
+report_app = App(name="report", help="Reports over all nodes.")
+
+
+@report_app.command
+def burn(*, html: Path | None = None, opts: Options = DEFAULT_OPTIONS) -> int:
+    """Show how fast each service spends its error budget, over all live nodes.
+
+    Example: sequoiapulley report burn --html burn.html
+
+    Parameters
+    ----------
+    html
+        File that receives the report as one page with plots.
+    opts
+        Options of every command.
+    """
+    client = NodeClient(opts.node, opts.timeout)
+    status = client.get("/v1/status").expect(StatusView)
+    report = _collect(live_members(status.members), opts.timeout)
+    if html is not None:
+        _write(html, render_burn_page(report))
+    if opts.json:
+        print_json(report)
+    else:
+        print(format_burn(report))
+    return ExitCode.PARTIAL if report.silent else ExitCode.OK
+
+
+def _collect(members: list[MemberView], timeout: float) -> BurnReport:
+    shards: list[BurnShard] = []
+    silent: list[SilentNode] = []
+    for member, result in ask_each(members, "/v1/burn", timeout):
+        if isinstance(result, Err):
+            silent.append(SilentNode(member.node, member.address, result.err_value))
+            continue
+        try:
+            shards.append(result.ok_value.expect(BurnShard))
+        except CliError as exc:
+            silent.append(SilentNode(member.node, member.address, exc.message))
+    return merge_shards(shards, silent)
+
+
+def _write(file: Path, page: str) -> None:
+    try:
+        file.write_text(page, encoding="utf-8")
+    except OSError as exc:
+        message = f'cannot write file "{file}": {exc.strerror}'
+        raise CliError(ExitCode.USAGE, message, "Name a file in a directory you own.") from exc
--- a/src/sequoiapulley/cli/rollout.py
+++ b/src/sequoiapulley/cli/rollout.py
@@ -2,23 +2,20 @@
 
 from __future__ import annotations
 
-from concurrent.futures import ThreadPoolExecutor
 from time import monotonic, sleep
 from typing import Final
 
 from msgspec import Struct
-from result import Err
+from result import Err, Result
 
 from sequoiapulley.cli.exit_code import CliError
-from sequoiapulley.cli.node_client import NodeClient, call_node
+from sequoiapulley.cli.fan_out import ask_each, live_members
+from sequoiapulley.cli.node_client import Answer, NodeClient
 from sequoiapulley.entry.operators_messages import MemberView, StatusView
 from sequoiapulley.ids import ConfigVersion, NodeId
 
 POLL_INTERVAL: Final = 0.1
 """Seconds between two rounds of questions."""
-MOST_CALLS_AT_ONCE: Final = 32
-GONE_STATES: Final = frozenset({"dead", "left"})
-"""States of members that no edit waits for."""
 
 
 class LaggingNode(Struct, frozen=True):
@@ -70,29 +67,23 @@
         members = client.get("/v1/status").expect(StatusView).members
     except CliError as exc:
         return [LaggingNode(NodeId("all"), "", exc.message)]
-    pending = [
-        member
-        for member in members
-        if member.state not in GONE_STATES and member.node not in in_force
-    ]
+    pending = [member for member in live_members(members) if member.node not in in_force]
     lagging: list[LaggingNode] = []
-    with ThreadPoolExecutor(MOST_CALLS_AT_ONCE) as pool:
-        details = pool.map(lambda member: _ask_member(member, version, timeout), pending)
-        for member, detail in zip(pending, details, strict=True):
-            if detail is None:
-                in_force[member.node] = None
-                continue
-            lagging.append(LaggingNode(member.node, member.address, detail))
+    for member, result in ask_each(pending, "/v1/status", timeout):
+        detail = _why_lagging(member, result, version)
+        if detail is None:
+            in_force[member.node] = None
+            continue
+        lagging.append(LaggingNode(member.node, member.address, detail))
     return lagging
 
 
-def _ask_member(member: MemberView, version: ConfigVersion, timeout: float) -> str | None:
+def _why_lagging(
+    member: MemberView, result: Result[Answer, str], version: ConfigVersion
+) -> str | None:
     """Returns why a member lags, or None if it reports the version."""
-    if not member.address:
-        return f"reported version {member.config_version} to its peers, address unknown"
-    result = call_node(member.address, "GET", "/v1/status", None, timeout)
     if isinstance(result, Err):
-        return f"no answer ({result.err_value})"
+        return f"{result.err_value}; peers have heard of version {member.config_version}"
     try:
         status = result.ok_value.expect(StatusView)
     except CliError as exc:
--- a/src/sequoiapulley/entry/guarded_server.py
+++ b/src/sequoiapulley/entry/guarded_server.py
@@ -11,27 +11,15 @@
 from circuits.web.events import response
 from circuits.web.http import HTTP
 from circuits.web.wrappers import Request, Response
-from msgspec import Struct, json
+from msgspec import json
 
 from sequoiapulley.entry.connection_guard import ConnectionGuard
+from sequoiapulley.entry.error_messages import ErrorBody, ErrorDetail
 from sequoiapulley.runtime import TimerQueue
 
 LISTEN_BACKLOG: Final = 1_024
 
 
-class ErrorDetail(Struct, frozen=True):
-    """What went wrong, for programs and for people."""
-
-    code: str
-    message: str
-
-
-class ErrorBody(Struct, frozen=True):
-    """The body of every error answer."""
-
-    error: ErrorDetail
-
-
 class GuardedServer(BaseComponent):
     """Accepts connections and answers whole requests in JSON.
 
--- a/src/sequoiapulley/entry/operators_messages.py
+++ b/src/sequoiapulley/entry/operators_messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from sequoiapulley.ids import ConfigVersion, CustomerName, EditId, NodeId, PlaceName, RegionName
+from sequoiapulley.observe.event_ring import EventRecord
 from sequoiapulley.settings.finding import Finding
 
 
@@ -115,19 +116,6 @@
     """What is missing while it is not ready."""
 
 
-class EventRecord(Struct, frozen=True):
-    """One log event that a node kept."""
-
-    sequence: int
-    """Rises by one with each event of the process."""
-    at: float
-    """Seconds since the Unix epoch."""
-    code: str
-    name: str
-    severity: str
-    fields: dict[str, str]
-
-
 class EventsView(Struct, frozen=True):
     """Log events of a node after a sequence number."""
 
@@ -135,16 +123,3 @@
     events: tuple[EventRecord, ...]
     dropped: int
     """Events after the asked number that are no longer kept."""
-
-
-class ErrorDetail(Struct, frozen=True):
-    """What went wrong, for programs and for people."""
-
-    code: str
-    message: str
-
-
-class ErrorView(Struct, frozen=True):
-    """The body of every error answer."""
-
-    error: ErrorDetail
--- /dev/null
+++ b/src/sequoiapulley/observe/burn.py
@@ -0,0 +1,120 @@
+"""Records how a node meets the service-level objectives."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+from sequoiapulley.ids import NodeId, ServiceName
+from sequoiapulley.model.service import Service
+from sequoiapulley.observe._burn_counts import (
+    ADMITTED_GOOD,
+    ADMITTED_TOTAL,
+    COVERAGE_GOOD,
+    COVERAGE_TOTAL,
+    IN_TIME_GOOD,
+    IN_TIME_TOTAL,
+    LATENCY_WINDOWS,
+    WINDOW_LEVELS,
+    ServiceCounts,
+)
+from sequoiapulley.observe.burn_messages import (
+    BurnShard,
+    BurnWindow,
+    ObjectiveCount,
+    ServiceBurn,
+)
+from sequoiapulley.runtime import Clock
+
+MOST_SERVICES: Final = 256
+
+
+class BurnRecorder:
+    """Counts the outcomes of one node, per service and rolling window."""
+
+    def __init__(self, node: NodeId, clock: Clock) -> None:
+        """Initialise the recorder without services.
+
+        Args:
+            node: The node that counts.
+            clock: Clock of the process.
+        """
+        self._node = node
+        self._clock = clock
+        self._started_at = clock.now()
+        self._services: dict[ServiceName, Service] = {}
+        self._counts: dict[ServiceName, ServiceCounts] = {}
+
+    def configure(self, services: Iterable[Service]) -> None:
+        """Takes the services and objectives in force; counts of removed services go."""
+        kept = list(services)[:MOST_SERVICES]
+        self._services = {service.name: service for service in kept}
+        now = self._clock.now()
+        self._counts = {
+            name: self._counts.get(name) or ServiceCounts(now) for name in self._services
+        }
+
+    def search_answered(
+        self, service: ServiceName, seconds: float, in_time: bool, full_coverage: bool
+    ) -> None:
+        """Counts a search that got an answer.
+
+        Args:
+            service: The service asked; others than the configured ones are ignored.
+            seconds: Time from the request to the answer.
+            in_time: Whether the answer came before the deadline.
+            full_coverage: Whether it lacks no shard.
+        """
+        counts = self._counts.get(service)
+        if counts is None:
+            return
+        now = self._clock.now()
+        indices = [IN_TIME_TOTAL, COVERAGE_TOTAL, ADMITTED_TOTAL, ADMITTED_GOOD]
+        if in_time:
+            indices.append(IN_TIME_GOOD)
+        if full_coverage:
+            indices.append(COVERAGE_GOOD)
+        counts.add(now, *indices)
+        counts.add_latency(now, seconds)
+
+    def request_run(self, service: ServiceName) -> None:
+        """Counts a non-idempotent request that was not refused."""
+        counts = self._counts.get(service)
+        if counts is not None:
+            counts.add(self._clock.now(), ADMITTED_TOTAL, ADMITTED_GOOD)
+
+    def refused(self, service: ServiceName) -> None:
+        """Counts a search or request that was refused."""
+        counts = self._counts.get(service)
+        if counts is not None:
+            counts.add(self._clock.now(), ADMITTED_TOTAL)
+
+    def shard(self) -> BurnShard:
+        """Returns this node's part of the report."""
+        now = self._clock.now()
+        services = tuple(self._service_burn(name, now) for name in self._services)
+        uptime = now - self._started_at
+        return BurnShard(self._node, self._clock.wall(), uptime, services)
+
+    def _service_burn(self, name: ServiceName, now: float) -> ServiceBurn:
+        objectives = self._services[name].objectives
+        counts = self._counts[name]
+        counts.roll(now)
+        return ServiceBurn(
+            service=name,
+            in_time=objectives.in_time,
+            full_coverage=objectives.full_coverage,
+            not_refused=objectives.not_refused,
+            windows=tuple(_window(counts, seconds) for seconds in WINDOW_LEVELS),
+        )
+
+
+def _window(counts: ServiceCounts, seconds: int) -> BurnWindow:
+    sums = counts.counts(seconds)
+    return BurnWindow(
+        seconds=seconds,
+        in_time=ObjectiveCount(sums[IN_TIME_TOTAL], sums[IN_TIME_GOOD]),
+        full_coverage=ObjectiveCount(sums[COVERAGE_TOTAL], sums[COVERAGE_GOOD]),
+        not_refused=ObjectiveCount(sums[ADMITTED_TOTAL], sums[ADMITTED_GOOD]),
+        latency=counts.latency(seconds) if seconds in LATENCY_WINDOWS else "",
+    )
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -4,34 +4,45 @@
 
 import contextlib
 import io
+import re
 import tempfile
 from collections.abc import Iterator
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from pathlib import Path
 from threading import Thread
 from unittest import TestCase
+from xml.etree import ElementTree
 
 from msgspec import Struct, json
 
 from sequoiapulley.cli.exit_code import ExitCode
 from sequoiapulley.cli.main import run
+from sequoiapulley.entry.callers_messages import EntriesView, EntryView, LackingView, SearchView
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
     EditAccepted,
     EditRefused,
     EditRequest,
     EditUnavailable,
+    EventsView,
     MemberView,
     StatusView,
 )
 from sequoiapulley.ids import (
     ConfigVersion,
+    ContractName,
     CustomerName,
     EditId,
     NodeId,
     PlaceName,
     RegionName,
+    ServiceName,
 )
+from sequoiapulley.model.service import Service
+from sequoiapulley.observe.burn import BurnRecorder
+from sequoiapulley.observe.burn_report import BurnReport
+from sequoiapulley.observe.event_ring import EventRecord
+from sequoiapulley.runtime import PausedClock
 from tools.write_examples import EXAMPLES
 
 OLD = '{"customer": "old"}\n'
@@ -87,7 +98,15 @@
             return 200, ConfigView(self.version, EditId("e"), "ana", 1.0, OLD)
         if path == "/v1/status":
             return 200, StatusView(
-                self.name, CustomerName("c"), self.version, 5.0, self.members, 0, 4, True
+                self.name,
+                CustomerName("c"),
+                self.version,
+                5.0,
+                self.members,
+                0,
+                4,
+                True,
+                self.address,
             )
         return 404, {"error": {"code": "not_found", "message": f"no {path}"}}
 
@@ -200,3 +219,73 @@
     def test_wrong_usage(self) -> None:
         self.assertEqual(call("status", "--bogus")[0], ExitCode.USAGE)
         self.assertEqual(call("nonsense")[0], ExitCode.USAGE)
+
+
+class CallersCommandsTest(TestCase):
+    """Entry addresses and searches."""
+
+    def test_entries(self) -> None:
+        with fake_nodes("n1") as [node]:
+            entry = EntryView("10.0.0.5", 9100, NodeId("n1"), PlaceName("p"))
+            path = "/v1/entries?caller=desk&place=p"
+            node.answers[path] = (200, EntriesView((entry,), 30.0))
+            code, out, _ = call(
+                "entries", "--caller", "desk", "--place", "p", "--node", node.address
+            )
+            self.assertEqual(code, ExitCode.OK)
+            self.assertIn("10.0.0.5:9100  n1    p", out)
+
+    def test_search_tells_what_is_lacking(self) -> None:
+        with fake_nodes("n1") as [node]:
+            view = SearchView(
+                "r1", "1.2", False, ("s-1",), (LackingView("s-2", "deadline"),), (), 9.5
+            )
+            node.answers["/v1/services/s/search"] = (200, view)
+            arguments = ("search", "s", "tile", "--node", node.address)
+            code, out, _ = call(*arguments)
+            self.assertEqual(code, ExitCode.PARTIAL)
+            self.assertIn("INCOMPLETE: 1 of 2 shards at snapshot 1.2", out)
+            self.assertIn("lacking s-2: deadline", out)
+            code, out, _ = call(*arguments, "--json", "--callers", node.address)
+            self.assertEqual(json.decode(out, type=SearchView), view)
+            code, _, err = call("search", "ghost", "tile", "--node", node.address)
+            self.assertEqual((code, "no /v1/services/ghost/search" in err), (ExitCode.USAGE, True))
+
+
+class EventsCommandTest(TestCase):
+    """Log events of a node."""
+
+    def test_events_are_one_line_each(self) -> None:
+        with fake_nodes("n1") as [node]:
+            record = EventRecord(7, 0.0, "SP1001", "node_started", "info", {"node": "n1"})
+            node.answers["/v1/events?after=5"] = (200, EventsView(node.name, (record,), 1))
+            code, out, _ = call("events", "--after", "5", "--node", node.address)
+            self.assertEqual(code, ExitCode.OK)
+            self.assertIn("1970-01-01 00:00:00 INFO    SP1001 node_started node=n1", out)
+
+
+class BurnCommandTest(TestCase):
+    """The burn report over nodes, some of them silent."""
+
+    def test_names_silent_nodes_and_adds_up_the_others(self) -> None:
+        service = Service(ServiceName("s<b>"), ContractName("k"), ())
+        with fake_nodes("n1", "n2", "n3") as nodes, tempfile.TemporaryDirectory() as folder:
+            for node in nodes[:2]:
+                recorder = BurnRecorder(node.name, PausedClock())
+                recorder.configure([service])
+                recorder.search_answered(service.name, 0.02, False, True)
+                node.answers["/v1/burn"] = (200, recorder.shard())
+            page = Path(folder, "burn.html")
+            arguments = ("report", "burn", "--node", nodes[0].address)
+            code, out, _ = call(*arguments, "--html", str(page))
+            self.assertEqual(code, ExitCode.PARTIAL)
+            self.assertIn("MISSING n3", out)
+            self.assertRegex(out, r"s<b> +in time +99% +-9900.0% +100.00 .* page: over 14.4x")
+            self.assertRegex(out, r"s<b> +5m +2 +20\.")
+            text = page.read_text(encoding="utf-8")
+            self.assertIn("MISSING n3", text)
+            self.assertNotIn("s<b>", text)
+            plots = re.findall(r"<svg.*?</svg>", text)
+            self.assertEqual([ElementTree.fromstring(plot).tag[-3:] for plot in plots], ["svg"] * 2)
+            _, out, _ = call(*arguments, "--json")
+            self.assertEqual(json.decode(out, type=BurnReport).nodes, ("n1", "n2"))
