Define metrics once, count samples of a node in one place, render the catalogues

A node's outcomes become metrics, burn and kept log events through one observer, so that the daemon calls one object per outcome.

--- /dev/null
+++ b/tests/test_node_observer.py
@@ -0,0 +1,102 @@
+"""Tests of what samples become in metrics, burn and events."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.ids import ConfigVersion, ContractName, NodeId, ServiceName
+from sequoiapulley.model.service import Service
+from sequoiapulley.observe.log_event import LogEvent, MemoryLog, Severity
+from sequoiapulley.observe.metric_set import MOST_SERIES, MetricSet
+from sequoiapulley.observe.metrics import CONFIG_VERSION, LOG_EVENTS, SEARCHES
+from sequoiapulley.observe.node_observer import (
+    NodeObserver,
+    NodeSample,
+    RequestSample,
+    SearchSample,
+)
+from sequoiapulley.runtime import PausedClock
+
+DESK = ServiceName("desk")
+EVENT = LogEvent(8999, "sample", Severity.INFO, "A test logs it.", "Nothing.")
+
+
+class NodeObserverTest(TestCase):
+    """Each sample is counted once in every place that it belongs to."""
+
+    def setUp(self) -> None:
+        self.log = MemoryLog()
+        self.observer = NodeObserver(NodeId("n"), PausedClock(), self.log)
+        self.observer.configure([Service(DESK, ContractName("k"), ())], 0.25)
+
+    def lines(self, *states: str) -> set[str]:
+        """Returns the rendered series without comments."""
+        sample = NodeSample(ConfigVersion(7), states, 2, 3, True, 9.5)
+        text = self.observer.render(sample).decode()
+        return {line for line in text.splitlines() if line[:1] != "#"}
+
+    def test_searches(self) -> None:
+        lacking = ("deadline", "deadline", "no_replica")
+        self.observer.search_answered(SearchSample(DESK, 0.06, False, 5, lacking, False))
+        self.observer.search_answered(SearchSample(DESK, 0.01, True, 8, (), True))
+        refusal = SearchSample(DESK, 0.0, True, 0, ("overload",), False, refused=True)
+        self.observer.search_answered(refusal)
+        expected = {
+            'sequoiapulley_searches_total{outcome="complete",service="desk"} 1',
+            'sequoiapulley_searches_total{outcome="incomplete",service="desk"} 1',
+            'sequoiapulley_searches_total{outcome="refused",service="desk"} 1',
+            'sequoiapulley_searches_late_total{service="desk"} 1',
+            'sequoiapulley_shards_covered_total{service="desk"} 13',
+            'sequoiapulley_shards_lacking_total{reason="deadline",service="desk"} 2',
+            'sequoiapulley_search_seconds_count{service="desk"} 2.0',
+            'sequoiapulley_search_seconds_bucket{le="0.063",service="desk"} 2.0',
+            'sequoiapulley_search_seconds_bucket{le="0.05",service="desk"} 1.0',
+        }
+        self.assertLessEqual(expected, self.lines())
+        window = self.observer.burn_shard().services[0].windows[0]
+        self.assertEqual((window.in_time.total, window.in_time.good), (2, 1))
+        self.assertEqual((window.not_refused.total, window.not_refused.good), (3, 2))
+
+    def test_requests(self) -> None:
+        self.observer.request_finished(RequestSample(DESK, 0.02, "done"))
+        refusal = RequestSample(DESK, 0.0, "not_run", "store_unavailable", refused=True)
+        self.observer.request_finished(refusal)
+        expected = {
+            'sequoiapulley_requests_total{service="desk",state="done"} 1',
+            'sequoiapulley_requests_refused_total{reason="store_unavailable",service="desk"} 1',
+        }
+        self.assertLessEqual(expected, self.lines())
+        window = self.observer.burn_shard().services[0].windows[0]
+        self.assertEqual((window.not_refused.total, window.not_refused.good), (2, 1))
+
+    def test_node_state_and_members_that_went(self) -> None:
+        first = self.lines("alive", "alive", "suspect")
+        self.assertIn('sequoiapulley_members{state="suspect"} 1', first)
+        second = self.lines("alive")
+        self.assertIn('sequoiapulley_members{state="suspect"} 0', second)
+        self.assertIn("sequoiapulley_config_version 7", second)
+        self.assertIn("sequoiapulley_store_reachable 1", second)
+
+    def test_log_events_are_counted_kept_and_handed_on(self) -> None:
+        self.observer.log(EVENT, node="n")
+        self.assertIn('sequoiapulley_log_events_total{code="SP8999"} 1', self.lines())
+        self.assertEqual(self.observer.recent_events(0).events[0].fields, {"node": "n"})
+        self.assertEqual(self.log.entries, [(EVENT, {"node": "n"})])
+
+
+class MetricSetTest(TestCase):
+    """Series are bounded and labels are checked."""
+
+    def test_series_are_bounded(self) -> None:
+        metrics = MetricSet()
+        for index in range(MOST_SERIES + 50):
+            metrics.count(LOG_EVENTS, f"SP{index}")
+        text = metrics.render().decode()
+        self.assertEqual(text.count("sequoiapulley_log_events_total{"), MOST_SERIES + 1)
+        self.assertIn('sequoiapulley_log_events_total{code="other"} 50', text)
+
+    def test_labels_are_checked(self) -> None:
+        with self.assertRaisesRegex(ValueError, "takes the labels"):
+            MetricSet().count(SEARCHES, "desk")
+        with self.assertRaisesRegex(ValueError, "takes the labels"):
+            MetricSet().set(CONFIG_VERSION, 1, "extra")
--- /dev/null
+++ b/tools/render_pages.py
@@ -0,0 +1,95 @@
+"""Writes the pages that are rendered from definitions: docs/EVENTS.md and docs/METRICS.md."""
+
+from __future__ import annotations
+
+import sys
+from importlib import import_module
+from pathlib import Path
+from typing import Final
+
+import sequoiapulley
+import sequoiapulley.observe.metrics
+from sequoiapulley.observe.log_event import LogEvent, all_events
+from sequoiapulley.observe.metric import Metric, all_metrics
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+PACKAGE: Final = Path(sequoiapulley.__file__).resolve().parent
+COMMAND: Final = "python -m tools.render_pages"
+NOTE: Final = f"Rendered by `{COMMAND}` from the definitions in the code; do not edit."
+
+
+def import_events() -> None:
+    """Imports every module that defines log events."""
+    for path in sorted(PACKAGE.rglob("log_events.py")):
+        parts = path.relative_to(PACKAGE).with_suffix("").parts
+        import_module(".".join(("sequoiapulley", *parts)))
+
+
+def render_events(events: tuple[LogEvent, ...]) -> str:
+    """Writes the catalogue of log events.
+
+    Args:
+        events: Every event, by number.
+
+    Returns:
+        A page in Markdown.
+    """
+    lines = ["# Log events", "", NOTE, ""]
+    lines.append("`sequoiapulley events --node HOST:PORT` shows the latest of a node.")
+    for event in events:
+        lines += ["", f"## {event.code} {event.name}", ""]
+        lines.append(f"Severity: {event.severity.value}")
+        lines += ["", f"Cause: {event.cause}", "", f"What to do: {event.remedy}"]
+    return "\n".join(lines) + "\n"
+
+
+def render_metrics(metrics: tuple[Metric, ...]) -> str:
+    """Writes the catalogue of metrics.
+
+    Args:
+        metrics: Every metric, by name.
+
+    Returns:
+        A page in Markdown.
+    """
+    lines = ["# Metrics", "", NOTE, ""]
+    lines.append("Every node serves them at `/metrics` on its operators' port. Label values are")
+    lines.append("services of the configuration, log event codes, or values of an enumeration.")
+    for metric in metrics:
+        lines += ["", f"## {metric.name}", ""]
+        labels = ", ".join(f"`{label}`" for label in metric.labels) or "none"
+        lines.append(f"Kind: {metric.kind.value}. Labels: {labels}.")
+        if metric.bounds:
+            lines.append(f"Bucket bounds: {', '.join(f'{bound:g}' for bound in metric.bounds)}.")
+        lines += ["", metric.summary, "", f"Use: {metric.use}"]
+    return "\n".join(lines) + "\n"
+
+
+def render_pages() -> dict[Path, str]:
+    """Renders every page.
+
+    Returns:
+        Text by path.
+    """
+    import_events()
+    return {
+        ROOT / "docs" / "EVENTS.md": render_events(all_events()),
+        ROOT / "docs" / "METRICS.md": render_metrics(all_metrics()),
+    }
+
+
+def main() -> int:
+    """Writes the pages, or with `--check` tells whether one differs."""
+    status = 0
+    for path, text in render_pages().items():
+        if "--check" not in sys.argv:
+            path.write_text(text, encoding="utf-8")
+            continue
+        if not path.exists() or path.read_text(encoding="utf-8") != text:
+            print(f"{path}: differs; run `{COMMAND}`")
+            status = 1
+    return status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
