Count outcomes, keep events and check texts in steps in the daemon

Cause: /metrics, events and burn were empty; a long text would have stalled the loop while it was checked.

--- a/src/sequoiapulley/daemon/callers_backend.py
+++ b/src/sequoiapulley/daemon/callers_backend.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from itertools import count
+from typing import Final
 
 from sequoiapulley.daemon.config_task import ConfigTask
 from sequoiapulley.daemon.request_task import RequestTask
@@ -12,9 +13,21 @@
 from sequoiapulley.fleet.entry_directory import EntryDirectory
 from sequoiapulley.ids import CallerId, Incarnation, NodeId, PlaceName, RequestId, ServiceName
 from sequoiapulley.model import Service
-from sequoiapulley.requests.messages import KeyedRequest, RequestOutcome
+from sequoiapulley.observe.node_observer import NodeObserver, RequestSample, SearchSample
+from sequoiapulley.requests.messages import (
+    KeyedRequest,
+    RefusalReason,
+    RequestOutcome,
+    RunState,
+)
 from sequoiapulley.runtime import Clock
-from sequoiapulley.search.messages import SearchAnswer, SearchRequest
+from sequoiapulley.search.messages import LackReason, SearchAnswer, SearchRequest
+
+REFUSED_REASONS: Final = frozenset({LackReason.OVERLOAD, LackReason.QUARANTINED})
+CALLER_FAULTS: Final = frozenset(
+    {RefusalReason.KEY_REUSED, RefusalReason.IN_PROGRESS, RefusalReason.QUARANTINED}
+)
+"""Reasons that do not count against the tier."""
 
 
 class NodeCallersBackend:
@@ -29,6 +42,7 @@
         searches: SearchTask,
         requests: RequestTask,
         directory: EntryDirectory,
+        observer: NodeObserver,
     ) -> None:
         """Initialise the backend.
 
@@ -40,6 +54,7 @@
             searches: Where searches go.
             requests: Where non-idempotent requests go.
             directory: Chooses entry addresses.
+            observer: Takes a sample of each outcome.
         """
         self._prefix = f"{node}-{incarnation:x}-"
         self._numbers = count(1)
@@ -48,6 +63,7 @@
         self._searches = searches
         self._requests = requests
         self._directory = directory
+        self._observer = observer
 
     def service(self, name: ServiceName) -> Service | None:
         """Finds a service of the configuration in force."""
@@ -59,12 +75,27 @@
         return RequestId(f"{self._prefix}{next(self._numbers):x}")
 
     def search(self, request: SearchRequest, done: Callable[[SearchAnswer], None]) -> None:
-        """Starts a search."""
-        self._searches.start(request, done)
+        """Starts a search and takes a sample of its answer."""
+        began = self._clock.now()
+
+        def finish(answer: SearchAnswer) -> None:
+            now = self._clock.now()
+            sample = search_sample(request, answer, now - began, now <= request.deadline)
+            self._observer.search_answered(sample)
+            done(answer)
+
+        self._searches.start(request, finish)
 
     def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
-        """Starts a non-idempotent request."""
-        self._requests.start(request, done)
+        """Starts a non-idempotent request and takes a sample of its outcome."""
+        began = self._clock.now()
+
+        def finish(outcome: RequestOutcome) -> None:
+            sample = request_sample(request, outcome, self._clock.now() - began)
+            self._observer.request_finished(sample)
+            done(outcome)
+
+        self._requests.start(request, finish)
 
     def caller_left(self, request_id: RequestId) -> None:
         """Gives a search up whose caller left."""
@@ -78,3 +109,44 @@
             for address in answer.addresses
         )
         return EntriesView(views, answer.lifetime_s)
+
+
+def search_sample(
+    request: SearchRequest, answer: SearchAnswer, seconds: float, in_time: bool
+) -> SearchSample:
+    """Describes the answer to a search for metrics and burn.
+
+    Args:
+        request: The search.
+        answer: Its answer.
+        seconds: Time from arrival to answer.
+        in_time: Whether the answer came before the deadline.
+    """
+    reasons = [lacking.reason for lacking in answer.lacking]
+    return SearchSample(
+        service=request.service,
+        seconds=seconds,
+        in_time=in_time,
+        covered=len(answer.covered),
+        lacking=tuple(reason.value for reason in reasons),
+        complete=answer.complete,
+        refused=not answer.covered and bool(reasons) and REFUSED_REASONS.issuperset(reasons),
+    )
+
+
+def request_sample(request: KeyedRequest, outcome: RequestOutcome, seconds: float) -> RequestSample:
+    """Describes the outcome of a non-idempotent request for metrics and burn.
+
+    Args:
+        request: The request.
+        outcome: Its outcome.
+        seconds: Time from arrival to outcome.
+    """
+    not_run = outcome.state is RunState.NOT_RUN
+    return RequestSample(
+        service=request.service,
+        seconds=seconds,
+        state=outcome.state.value,
+        reason=outcome.reason.value if outcome.reason is not None else "",
+        refused=not_run and outcome.reason not in CALLER_FAULTS,
+    )
--- a/src/sequoiapulley/daemon/config_task.py
+++ b/src/sequoiapulley/daemon/config_task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Generator, Iterable
 from typing import Any
 
 from circuits import BaseComponent, handler
@@ -34,7 +34,35 @@
 from sequoiapulley.observe import LogSink
 from sequoiapulley.platform.store import Store, StoreErrorKind, StoreReply
 from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
-from sequoiapulley.settings.text import parse_text
+from sequoiapulley.settings.text import ParsedText, parse_in_steps
+
+
+class TextCheck:
+    """The check of one text, done in steps."""
+
+    def __init__(
+        self, version: ConfigVersion, edit_id: EditId, steps: Generator[None, None, ParsedText]
+    ) -> None:
+        """Initialise a check without a step done.
+
+        Args:
+            version: Version of the text.
+            edit_id: Its edit.
+            steps: The check.
+        """
+        self.version = version
+        self.edit_id = edit_id
+        self.seconds = 0.0
+        self._steps = steps
+
+    def step(self) -> ParsedText | None:
+        """Does one step; returns the result after the last one."""
+        try:
+            next(self._steps)
+        except StopIteration as stop:
+            result: ParsedText = stop.value
+            return result
+        return None
 
 
 class ConfigTask(BaseComponent):
@@ -63,6 +91,9 @@
         """
         super().__init__()
         self._clock = clock
+        self._timers = timers
+        self._check: TextCheck | None = None
+        self.check_s = 0.0
         self._postbox = postbox
         self._store = store
         self._spread = spread
@@ -131,16 +162,35 @@
             self._perform(self._spread.on_message(node, message, self._clock.now()))
 
     def _apply(self, order: ApplyText) -> None:
-        """Checks a text and brings it into force."""
-        result = parse_text(order.text, order.version, CONFIG_KEY)
+        """Starts to check a text; a check of an older one is given up."""
+        steps = parse_in_steps(order.text, order.version, CONFIG_KEY)
+        self._check = TextCheck(order.version, order.edit_id, steps)
+        self._continue_check(self._check)
+
+    def _continue_check(self, check: TextCheck) -> None:
+        """Does one step of a check and lets the event loop go on before the next."""
+        if check is not self._check:
+            return
+        began = self._clock.now()
+        result = check.step()
+        check.seconds += self._clock.now() - began
+        if result is None:
+            self._timers.call_later(0.0, lambda: self._continue_check(check))
+            return
+        self._check = None
+        self._finish_check(check, result)
+
+    def _finish_check(self, check: TextCheck, result: ParsedText) -> None:
+        """Brings a checked text into force."""
         if isinstance(result, Err):
             findings = "; ".join(str(finding) for finding in result.err_value)
-            self._log.log(CONFIGURATION_UNREADABLE, version=order.version, findings=findings)
+            self._log.log(CONFIGURATION_UNREADABLE, version=check.version, findings=findings)
             return
         self.configuration = result.ok_value
-        self._log.log(CONFIGURATION_APPLIED, version=order.version, edit=order.edit_id)
+        self.check_s = check.seconds
+        self._log.log(CONFIGURATION_APPLIED, version=check.version, edit=check.edit_id)
         self.fire(ConfigurationApplied(result.ok_value))
-        self.on_version(order.version)
+        self.on_version(check.version)
 
     def _send_peer(self, order: SendPeer) -> None:
         """Sends a message of the spread; its loss is covered by anti-entropy."""
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -42,6 +42,7 @@
 from sequoiapulley.link.tls_files import TlsFiles
 from sequoiapulley.model import Configuration
 from sequoiapulley.observe import LogSink
+from sequoiapulley.observe.node_observer import NodeObserver
 from sequoiapulley.platform.http_store import HttpStore
 from sequoiapulley.platform.http_vm_list import HttpVmList
 from sequoiapulley.requests.coordinator import RequestCoordinator
@@ -85,8 +86,9 @@
         super().__init__()
         EPoll().register(self)
         self._cfg = cfg
-        self._log = log
         self.clock = SystemClock()
+        self.observer = NodeObserver(cfg.node, self.clock, log)
+        self._log: LogSink = self.observer
         self.timers = TimerQueue(self.clock)
         self.incarnation = Incarnation(int(self.clock.wall() * MS_PER_S))
         self.homes = HomeMap()
@@ -203,6 +205,7 @@
             self.searches,
             self.requests,
             self.directory,
+            self.observer,
         )
         self.callers_port = CallersPort(
             cfg.callers.host, cfg.callers.port, self.timers, self.clock, callers
@@ -216,6 +219,7 @@
             self.requests,
             callers,
             self._count_homes,
+            self.observer,
         )
         server = GuardedServer(cfg.operators.host, cfg.operators.port, "operators", self.timers)
         self.operators_server = server.register(self)
@@ -257,6 +261,7 @@
     @handler("ConfigurationApplied", priority=1)
     def _on_configuration_applied(self, configuration: Configuration) -> None:
         """Takes a configuration before the tasks do."""
+        self.observer.configure(configuration.services.values(), self.config.check_s)
         self.homes.configure(configuration)
         self._share_upstreams()
 
--- a/src/sequoiapulley/daemon/operators_backend.py
+++ b/src/sequoiapulley/daemon/operators_backend.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Final
 
-from aioprometheus import REGISTRY, render
 from msgspec import Struct
 from result import Err, Ok
 
@@ -34,6 +33,7 @@
 from sequoiapulley.fleet.member import Member
 from sequoiapulley.ids import CallerId, ConfigVersion, EditId, PlaceName
 from sequoiapulley.observe.burn_messages import BurnShard
+from sequoiapulley.observe.node_observer import NodeObserver, NodeSample
 from sequoiapulley.platform.store import StoreErrorKind
 from sequoiapulley.runtime import Clock
 from sequoiapulley.settings.daemon_settings import DaemonSettings
@@ -55,6 +55,7 @@
         requests: RequestTask,
         callers: NodeCallersBackend,
         homes: Callable[[], int],
+        observer: NodeObserver,
     ) -> None:
         """Initialise the backend.
 
@@ -67,6 +68,7 @@
             requests: Non-idempotent requests in flight.
             callers: Chooses entry addresses.
             homes: Counts the upstreams whose preferred home is this node.
+            observer: Metrics, burn and kept log events.
         """
         self._cfg = cfg
         self._clock = clock
@@ -77,6 +79,7 @@
         self._requests = requests
         self._callers = callers
         self._homes = homes
+        self._observer = observer
         self.leaving = False
 
     def config(self) -> ConfigView:
@@ -113,9 +116,9 @@
             node=self._cfg.node,
             customer=self._cfg.customer,
             version=self._version_in_force(),
-            uptime_s=self._clock.now() - self._started_at,
+            uptime_s=self._uptime(),
             members=tuple(_member_view(member) for member in self._fleet.members()),
-            in_flight=self._searches.in_flight() + self._requests.in_flight(),
+            in_flight=self._in_flight(),
             homes=self._homes(),
             store_reachable=self._config.store_reachable,
             callers_address=str(self._cfg.callers),
@@ -127,12 +130,12 @@
 
     def events(self, after: int) -> EventsView:
         """Returns the kept log events after a sequence number."""
-        return EventsView(self._cfg.node, (), 0)
+        recent = self._observer.recent_events(after)
+        return EventsView(self._cfg.node, recent.events, recent.dropped)
 
     def burn(self) -> BurnShard:
         """Returns this node's part of the burn report."""
-        uptime = self._clock.now() - self._started_at
-        return BurnShard(self._cfg.node, self._clock.wall(), uptime, ())
+        return self._observer.burn_shard()
 
     def ready(self) -> ReadyView:
         """Returns whether this node should receive callers."""
@@ -145,8 +148,23 @@
 
     def metrics(self) -> bytes:
         """Returns the metrics in the Prometheus text format."""
-        body, _headers = render(REGISTRY, [])
-        return bytes(body)
+        sample = NodeSample(
+            config_version=self._version_in_force(),
+            member_states=tuple(member.state.value for member in self._fleet.members()),
+            in_flight=self._in_flight(),
+            homes=self._homes(),
+            store_reachable=self._config.store_reachable,
+            uptime_s=self._uptime(),
+        )
+        return self._observer.render(sample)
+
+    def _uptime(self) -> float:
+        """Returns the seconds since the start."""
+        return self._clock.now() - self._started_at
+
+    def _in_flight(self) -> int:
+        """Counts searches and requests without an outcome."""
+        return int(self._searches.in_flight() + self._requests.in_flight())
 
     def _version_in_force(self) -> ConfigVersion:
         """Returns the version that passed this node's check, 0 for none."""
