--- a/src/sequoiapulley/requests/attempt.py
+++ b/src/sequoiapulley/requests/attempt.py
@@ -6,9 +6,9 @@
 
 from msgspec import Struct
 
-from sequoiapulley.ids import NodeId, Revision
+from sequoiapulley.ids import InstanceName, NodeId, Revision
 from sequoiapulley.requests.claim_record import ClaimRecord
-from sequoiapulley.requests.messages import KeyedRequest
+from sequoiapulley.requests.messages import KeyedRequest, RunOrder
 
 
 class AttemptState(Enum):
@@ -49,3 +49,26 @@
     """Clock reading after which a late report is not waited for any more."""
     answered: bool = False
     """Whether the caller has its outcome."""
+
+    def run_order(self, instance: InstanceName, time_left: float) -> RunOrder:
+        """Makes the order that a home runs once.
+
+        Args:
+            instance: The instance whose upstreams run it.
+            time_left: Seconds until the deadline, less the way to the home.
+
+        Returns:
+            The order.
+        """
+        request = self.request
+        return RunOrder(
+            run_id=self.run_id,
+            caller=request.caller,
+            service=request.service,
+            instance=instance,
+            body=request.body,
+            fingerprint=request.fingerprint,
+            key=request.key,
+            time_left=time_left,
+            incarnation=self.record.incarnation,
+        )
--- a/src/sequoiapulley/requests/claim_record.py
+++ b/src/sequoiapulley/requests/claim_record.py
@@ -59,6 +59,31 @@
     return blake2b(request.body.encode(), digest_size=DIGEST_BYTES).hexdigest()
 
 
+def make_claim(
+    request: KeyedRequest, node: NodeId, incarnation: Incarnation, expires: float
+) -> ClaimRecord:
+    """Makes the claim of a new attempt.
+
+    Args:
+        request: The request.
+        node: The node that holds the claim.
+        incarnation: Its incarnation.
+        expires: Epoch seconds after which a repeat may record the outcome as unknown.
+
+    Returns:
+        A claim whose id is still the same for all attempts of the node's incarnation.
+    """
+    return ClaimRecord(
+        claim_id=f"{node}/{incarnation}",
+        node=node,
+        incarnation=incarnation,
+        caller=request.caller,
+        digest=body_digest(request),
+        state=ClaimState.CLAIMED,
+        expires=expires,
+    )
+
+
 def encode_claim(record: ClaimRecord) -> bytes:
     """Writes a record as JSON."""
     return json.encode(record)
--- a/src/sequoiapulley/requests/coordinator.py
+++ b/src/sequoiapulley/requests/coordinator.py
@@ -13,7 +13,7 @@
 from sequoiapulley.ids import Incarnation, InstanceName, NodeId, Revision, ServiceName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.observe import LogSink
-from sequoiapulley.platform.store import Store, StoreReply
+from sequoiapulley.platform.store import Store
 from sequoiapulley.requests.attempt import Attempt, AttemptState
 from sequoiapulley.requests.claim_acquirer import (
     ClaimAcquirer,
@@ -23,17 +23,16 @@
     ClaimUnreadable,
     ClaimWon,
 )
+from sequoiapulley.requests.claim_expiry import ClaimExpiry
 from sequoiapulley.requests.claim_record import (
     MAX_OUTCOME_BYTES,
     ClaimRecord,
     ClaimState,
-    body_digest,
     claim_key,
-    encode_claim,
+    make_claim,
 )
 from sequoiapulley.requests.claim_settler import ClaimSettler
 from sequoiapulley.requests.log_events import (
-    CLAIM_EXPIRED,
     CLAIM_UNAVAILABLE,
     CLAIM_UNREADABLE,
     RUN_UNKNOWN,
@@ -47,7 +46,7 @@
     RunState,
 )
 from sequoiapulley.requests.outcome_memory import OutcomeMemory
-from sequoiapulley.requests.refusals import retry_after_ms
+from sequoiapulley.requests.outcomes import done, of_earlier, refused, unknown
 from sequoiapulley.requests.retention_lease import RetentionLease
 from sequoiapulley.runtime import Clock
 from sequoiapulley.search.home_resolver import HomeResolver
@@ -56,7 +55,7 @@
 HOP_MARGIN_S: Final = 0.002
 MIN_RUN_S: Final = 0.005
 LATE_REPORT_S: Final = 30.0
-CLAIM_GRACE_S: Final = 30.0
+CLAIM_LIFE_S: Final = 2 * LATE_REPORT_S
 MAX_CLAIM_AGE_S: Final = 300.0
 ID_RANDOM_BITS: Final = 31
 ID_COUNTER_BITS: Final = 32
@@ -98,6 +97,7 @@
         self._log = log
         self._lease = RetentionLease(store, clock)
         self._settler = ClaimSettler(store, clock.now, self._lease.current, log)
+        self._expiry = ClaimExpiry(store, node, incarnation, clock.wall, self._lease.current, log)
         self._memory = OutcomeMemory()
         # A random start keeps reports to an earlier incarnation of this node apart.
         self._run_ids = count(randbits(ID_RANDOM_BITS) << ID_COUNTER_BITS)
@@ -117,18 +117,19 @@
     def start(self, request: KeyedRequest) -> None:
         """Starts a request, or gives its repeat the first outcome."""
         key = claim_key(request.service, request.key)
-        record = self._new_record(request)
+        expires = self._clock.wall() + request.deadline - self._clock.now() + CLAIM_LIFE_S
+        record = make_claim(request, self._node, self._incarnation, expires)
         known = self._memory.get(key)
         if known is not None:
-            self._answer_held(request, record, known)
+            self._finish(of_earlier(request, record, known))
             return
         earlier = self._by_key.get(key)
         if earlier is not None:
-            self._answer_held(request, record, earlier.record)
+            self._finish(of_earlier(request, record, earlier.record))
             return
         reason = self._refusal_of(request)
         if reason is not None:
-            self._refuse(request, reason, key_checked=False)
+            self._finish(refused(request, reason, key_checked=False))
             return
         run_id = next(self._run_ids)
         record = replace(record, claim_id=f"{record.claim_id}/{run_id}")
@@ -201,18 +202,6 @@
         """Returns the number of outcomes not yet known to be in the store."""
         return self._settler.pending()
 
-    def _new_record(self, request: KeyedRequest) -> ClaimRecord:
-        time_left = max(0.0, request.deadline - self._clock.now())
-        return ClaimRecord(
-            claim_id=f"{self._node}/{self._incarnation}",
-            node=self._node,
-            incarnation=self._incarnation,
-            caller=request.caller,
-            digest=body_digest(request),
-            state=ClaimState.CLAIMED,
-            expires=self._clock.wall() + time_left + LATE_REPORT_S + CLAIM_GRACE_S,
-        )
-
     def _refusal_of(self, request: KeyedRequest) -> RefusalReason | None:
         if self._stopping:
             return RefusalReason.SHUTTING_DOWN
@@ -239,7 +228,7 @@
         if isinstance(result, ClaimUnreadable):
             self._log.log(CLAIM_UNREADABLE, key=attempt.key)
             self._close(attempt)
-            self._answer(attempt, RunState.UNKNOWN, RefusalReason.STORE_UNAVAILABLE)
+            self._answer(attempt, unknown(attempt.request, RefusalReason.STORE_UNAVAILABLE))
             return
         self._log.log(CLAIM_UNAVAILABLE, key=attempt.key)
         self._answer_not_run(attempt, RefusalReason.STORE_UNAVAILABLE)
@@ -256,29 +245,10 @@
         self._close(attempt)
 
     def _on_held(self, attempt: Attempt, held: ClaimHeld) -> None:
-        record = held.record
-        ours = record.node == self._node and record.incarnation < self._incarnation
-        lapsed = ours or self._clock.wall() > record.expires
-        same = record.digest == attempt.record.digest and record.caller == attempt.record.caller
-        if record.state is not ClaimState.CLAIMED or not lapsed or not same:
-            self._answer_held(attempt.request, attempt.record, record)
-            return
-        # Recording `unknown` is safe at any time: it never lets the key run again.
-        unknown = replace(record, state=ClaimState.UNKNOWN)
-        self._log.log(CLAIM_EXPIRED, key=attempt.key, holder=record.node)
-        self._store.put(
-            attempt.key,
-            encode_claim(unknown),
-            held.revision,
-            lambda reply: self._on_expired(attempt, unknown, reply),
-            self._lease.current(),
-        )
+        def tell(record: ClaimRecord) -> None:
+            self._answer(attempt, of_earlier(attempt.request, attempt.record, record))
 
-    def _on_expired(self, attempt: Attempt, unknown: ClaimRecord, reply: StoreReply) -> None:
-        if reply.is_ok():
-            self._answer_held(attempt.request, attempt.record, unknown)
-            return
-        self._answer(attempt, RunState.UNKNOWN, RefusalReason.IN_PROGRESS)
+        self._expiry.resolve(attempt.key, held, tell)
 
     def _run(self, attempt: Attempt) -> None:
         request = attempt.request
@@ -295,17 +265,7 @@
             self._release(attempt)
             return
         instance = instances[int(attempt.key[-8:], 16) % len(instances)]
-        order = RunOrder(
-            run_id=attempt.run_id,
-            caller=request.caller,
-            service=request.service,
-            instance=instance,
-            body=request.body,
-            fingerprint=request.fingerprint,
-            key=request.key,
-            time_left=time_left,
-            incarnation=self._incarnation,
-        )
+        order = attempt.run_order(instance, time_left)
         attempt.state = AttemptState.RUNNING
         for home in self._homes.homes_of(request.service, instance):
             attempt.home = home
@@ -324,13 +284,13 @@
             return
         if attempt.state is AttemptState.RUNNING:
             self._log.log(RUN_UNKNOWN, key=attempt.key, home=attempt.home)
-            self._answer(attempt, RunState.UNKNOWN, RefusalReason.DEADLINE)
+            self._answer(attempt, unknown(attempt.request, RefusalReason.DEADLINE))
             attempt.state = AttemptState.LATE
             attempt.closes_at = now + LATE_REPORT_S
             heappush(self._timers, (attempt.closes_at, attempt.run_id))
             return
         if attempt.state is AttemptState.RECORDING:
-            self._answer(attempt, RunState.DONE, None, attempt.answer)
+            self._answer(attempt, done(attempt.request, attempt.answer))
             return
         if attempt.state is AttemptState.LATE and now >= attempt.closes_at:
             self._record_unknown(attempt, RefusalReason.DEADLINE)
@@ -351,14 +311,14 @@
         )
 
     def _on_recorded(self, attempt: Attempt) -> None:
-        self._answer(attempt, RunState.DONE, None, attempt.answer)
+        self._answer(attempt, done(attempt.request, attempt.answer))
         self._close(attempt)
 
     def _record_unknown(self, attempt: Attempt, reason: RefusalReason | None) -> None:
         self._log.log(RUN_UNKNOWN, key=attempt.key, home=attempt.home)
         attempt.record = replace(attempt.record, state=ClaimState.UNKNOWN, reason=reason)
         self._memory.put(attempt.key, attempt.record)
-        self._answer(attempt, RunState.UNKNOWN, reason)
+        self._answer(attempt, unknown(attempt.request, reason))
         self._settle(attempt, attempt.revision)
 
     def _release(self, attempt: Attempt) -> None:
@@ -375,50 +335,12 @@
         if self._by_key.get(attempt.key) is attempt:
             del self._by_key[attempt.key]
 
-    def _answer_held(self, request: KeyedRequest, asked: ClaimRecord, held: ClaimRecord) -> None:
-        if held.digest != asked.digest or held.caller != asked.caller:
-            self._refuse(request, RefusalReason.KEY_REUSED)
-            return
-        outcome = RequestOutcome(request.request_id, RunState.UNKNOWN, held.reason, repeated=True)
-        if held.state is ClaimState.DONE:
-            outcome = replace(outcome, state=RunState.DONE, reason=None, body=held.body)
-        elif held.state is ClaimState.CLAIMED:
-            # The earlier attempt may be running, so this is not a "not run".
-            reason = RefusalReason.IN_PROGRESS
-            outcome = replace(outcome, reason=reason, retry_after_ms=retry_after_ms(reason))
-        self._finish(outcome)
-
-    def _refuse(
-        self, request: KeyedRequest, reason: RefusalReason, key_checked: bool = True
-    ) -> None:
-        self._finish(
-            RequestOutcome(
-                request.request_id,
-                RunState.NOT_RUN,
-                reason,
-                retry_after_ms=retry_after_ms(reason),
-                key_checked=key_checked,
-            )
-        )
-
     def _answer_not_run(self, attempt: Attempt, reason: RefusalReason) -> None:
-        if not attempt.answered:
-            attempt.answered = True
-            self._refuse(attempt.request, reason, key_checked=attempt.revision is not None)
+        won = attempt.revision is not None
+        self._answer(attempt, refused(attempt.request, reason, key_checked=won))
 
-    def _answer(
-        self, attempt: Attempt, state: RunState, reason: RefusalReason | None, body: str = ""
-    ) -> None:
+    def _answer(self, attempt: Attempt, outcome: RequestOutcome) -> None:
         if attempt.answered:
             return
         attempt.answered = True
-        may_repeat = reason in (RefusalReason.IN_PROGRESS, RefusalReason.DEADLINE)
-        self._finish(
-            RequestOutcome(
-                attempt.request.request_id,
-                state,
-                reason,
-                body,
-                retry_after_ms=retry_after_ms(reason) if may_repeat else None,
-            )
-        )
+        self._finish(outcome)
