Tell another caller with the same key and body that the outcome is unknown

Cause: a caller without X-Caller is known by its IP number. One that repeats an order from another address was told 'not run: key reused' although its first try may have run. Key and body are the same, so it may be the same request: it is now told 'unknown', and not the stored outcome, which may be another caller's.

The test asked for 'not run' in both cases; that was wrong for the second. It now asks for the true state of each, on both nodes as before.

--- a/src/sequoiapulley/requests/outcomes.py
+++ b/src/sequoiapulley/requests/outcomes.py
@@ -66,10 +66,14 @@
         held: The claim of the earlier attempt.
 
     Returns:
-        The first outcome for the same caller and body, a refusal for another.
+        The first outcome for the same caller and body, a refusal for another body. The same body
+        from another caller may be the same request, so it is neither told the outcome nor that
+        nothing ran.
     """
-    if held.digest != asked.digest or held.caller != asked.caller:
+    if held.digest != asked.digest:
         return refused(request, RefusalReason.KEY_REUSED)
+    if held.caller != asked.caller:
+        return unknown(request, RefusalReason.KEY_REUSED)
     if held.state is ClaimState.CLAIMED:
         # The earlier attempt may be running, so this is not a "not run".
         reason = RefusalReason.IN_PROGRESS
