--- a/bench/gather_cost.py
+++ b/bench/gather_cost.py
@@ -68,7 +68,8 @@
         return self._homes[instance]
 
 
-def _configuration(fan_out: int) -> Configuration:
+def make_configuration(fan_out: int) -> Configuration:
+    """Builds one service of `fan_out` instances."""
     place = Place(PlaceName("here"), RegionName("region"))
     upstream = Upstream(UpstreamName("only"), place.name, "127.0.0.1", 1)
     instances = tuple(
@@ -101,7 +102,7 @@
     """An entry and its homes without a network; upstreams answer at once."""
 
     def __init__(self, fan_out: int) -> None:
-        configuration = _configuration(fan_out)
+        configuration = make_configuration(fan_out)
         homes = _SpreadHomes(configuration.services[SERVICE].instances)
         self.entry = SearchCoordinator(homes, MemoryLog())
         self.entry.configure(configuration, 0.0)
