--- /dev/null
+++ b/bench/home_balance.py
@@ -0,0 +1,99 @@
+"""Balance and movement of homes, and balance of callers over entry nodes."""
+
+from __future__ import annotations
+
+from collections import Counter
+from json import dumps
+from random import Random
+from time import perf_counter
+from typing import Any, Final
+
+from sequoiapulley.fleet.entry_directory import EntryDirectory
+from sequoiapulley.fleet.home_map import HomeMap
+from sequoiapulley.fleet.member import Member
+from sequoiapulley.ids import CallerId, NodeId, PlaceName
+from tests.fleet_net import PLACES, make_member
+from tests.test_homes_and_entries import assigned, make_map
+
+HOME_CASES: Final = ((15, 50), (30, 400), (60, 400), (590, 2150))
+LOSSES_TRIED: Final = 15
+ENTRY_TRIALS: Final = 50
+ENTRY_NODES: Final = 15
+ENTRY_CALLERS: Final = 300
+
+
+def run() -> dict[str, Any]:
+    """Measures every case."""
+    return {
+        "homes": [measure_homes(nodes, instances) for nodes, instances in HOME_CASES],
+        "entries": [measure_entries(asked) for asked in (1, 3, ENTRY_NODES)],
+    }
+
+
+def measure_homes(nodes: int, instances: int) -> dict[str, float]:
+    """Measures one fleet: load of the busiest home, moved share, and time to recompute."""
+    members = [make_member(number) for number in range(nodes)]
+    started = perf_counter()
+    homes = make_map(members, instances)
+    built = perf_counter() - started
+    before = assigned(homes, instances)
+    loads = Counter(before)
+    moved = [_moved(homes, members, lost, before) for lost in range(min(nodes, LOSSES_TRIED))]
+    update = [seconds for _own, _moved_too, seconds in moved]
+    own = sum(lost for lost, _more, _seconds in moved)
+    more = sum(other for _own, other, _seconds in moved)
+    return {
+        "nodes": nodes,
+        "instances": instances,
+        "busiest_over_mean": round(max(loads.values()) * nodes / instances, 3),
+        "own_share_moved": round(own / len(moved) / instances, 5),
+        "other_share_moved": round(more / len(moved) / instances, 5),
+        "build_ms": round(built * 1e3, 1),
+        "update_ms": round(1e3 * sum(update) / len(update), 2),
+    }
+
+
+def _moved(
+    homes: HomeMap, members: list[Member], lost: int, before: list[NodeId]
+) -> tuple[int, int, float]:
+    """Removes one node and puts it back; returns its own groups, others moved, seconds."""
+    rest = [member for number, member in enumerate(members) if number != lost]
+    started = perf_counter()
+    homes.update_members(tuple(rest))
+    seconds = perf_counter() - started
+    after = assigned(homes, len(before))
+    homes.update_members(tuple(members))
+    gone = members[lost].node
+    own = sum(home == gone for home in before)
+    moved = sum(old != new for old, new in zip(before, after, strict=True))
+    return own, moved - own, seconds
+
+
+def measure_entries(asked: int) -> dict[str, float]:
+    """Measures the busiest node when callers ask one, some or all nodes at random."""
+    ratios = sorted(_busiest(asked, seed) for seed in range(ENTRY_TRIALS))
+    return {
+        "nodes_asked": asked,
+        "trials": ENTRY_TRIALS,
+        "busiest_over_mean_median": round(ratios[len(ratios) // 2], 3),
+        "busiest_over_mean_worst": round(ratios[-1], 3),
+    }
+
+
+def _busiest(asked: int, seed: int) -> float:
+    random = Random(seed)
+    members = tuple(make_member(number) for number in range(ENTRY_NODES))
+    directories = [EntryDirectory(member.node) for member in members]
+    for directory in directories:
+        directory.update_members(members)
+    loads: Counter[NodeId] = Counter()
+    for number in range(ENTRY_CALLERS):
+        place = random.choice([None, *map(PlaceName, PLACES)])
+        directory = random.choice(directories[:asked])
+        answer = directory.answer(CallerId(f"c{number}"), place, 0.0)
+        loads[answer.addresses[0].node] += 1
+    return max(loads.values()) * ENTRY_NODES / ENTRY_CALLERS
+
+
+if __name__ == "__main__":
+    print(dumps(run(), indent=2))
--- /dev/null
+++ b/bench/link_cost.py
@@ -0,0 +1,121 @@
+"""Cost of one message between two nodes, with 1, 8 and 32 messages handed over at once.
+
+Both ends run in this process over loopback. The time covers sending, grpc, receiving and the
+hand-over at both ends; a round waits for the answers to all messages of its batch.
+"""
+
+from __future__ import annotations
+
+from json import dumps
+from queue import SimpleQueue
+from statistics import median
+from time import perf_counter, process_time
+from typing import Any, Final
+
+from msgspec.structs import replace
+
+from sequoiapulley.fleet.member import Member
+from sequoiapulley.ids import (
+    CallerId,
+    CustomerName,
+    Fingerprint,
+    Incarnation,
+    InstanceName,
+    NodeId,
+    ServiceName,
+    ShardId,
+)
+from sequoiapulley.link.messages import LinkMessage
+from sequoiapulley.link.peer_link import LinkHandlers, LinkIdentity, PeerLink
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.search.messages import GroupReply, GroupSearch, Hit, ShardReply, ShardTarget
+from tests.fleet_net import make_member
+
+BATCHES: Final = (1, 8, 32)
+MESSAGES: Final = 6400
+WARM_UP_ROUNDS: Final = 50
+PATIENCE_S: Final = 10.0
+
+
+class _End:
+    """One started link."""
+
+    def __init__(self, number: int, answers: bool) -> None:
+        """Start on a free port; an end that answers replies to each search."""
+        self.inbox: SimpleQueue[LinkMessage] = SimpleQueue()
+        self.member = replace(make_member(number), host="127.0.0.1")
+        self._answers = answers
+        handlers = LinkHandlers(self._on_message, lambda *_: None, lambda *_: None)
+        identity = LinkIdentity(CustomerName("c"), self.member.node, Incarnation(1))
+        self.link = PeerLink(identity, ("127.0.0.1", 0), lambda call: call(), handlers, MemoryLog())
+        self.member = replace(self.member, link_port=self.link.start())
+
+    def _on_message(self, node: NodeId, _inc: Incarnation, message: LinkMessage) -> None:
+        if self._answers and isinstance(message, GroupSearch):
+            self.link.send(node, _reply(message))
+            return
+        self.inbox.put(message)
+
+
+def run() -> dict[str, Any]:
+    """Measures every batch size.
+
+    Returns:
+        Per batch size: processor time of both ends per message, and times of a round.
+    """
+    asker, answerer = _End(1, answers=False), _End(2, answers=True)
+    asker.link.update_members((answerer.member,))
+    try:
+        points = [_measure(asker, answerer.member, batch) for batch in BATCHES]
+    finally:
+        asker.link.stop(0.2)
+        answerer.link.stop(0.2)
+    return {"both_ends": "in one process over loopback, plaintext", "points": points}
+
+
+def _measure(asker: _End, target: Member, batch: int) -> dict[str, float]:
+    for _ in range(WARM_UP_ROUNDS):
+        _round(asker, target, batch)
+    rounds = MESSAGES // batch
+    frames = asker.link.counters.frames_sent
+    started = process_time()
+    times = sorted(_round(asker, target, batch) for _ in range(rounds))
+    used = process_time() - started
+    return {
+        "batch": batch,
+        "processor_us_per_message": round(used / (2 * rounds * batch) * 1e6, 1),
+        "round_trip_us_p50": round(median(times) * 1e6, 1),
+        "round_trip_us_p99": round(times[int(len(times) * 0.99)] * 1e6, 1),
+        "frames_per_round": round((asker.link.counters.frames_sent - frames) / rounds, 2),
+    }
+
+
+def _round(asker: _End, target: Member, batch: int) -> float:
+    started = perf_counter()
+    for number in range(batch):
+        asker.link.send(target.node, _search(number))
+    for _ in range(batch):
+        asker.inbox.get(timeout=PATIENCE_S)
+    return perf_counter() - started
+
+
+def _search(number: int) -> GroupSearch:
+    targets = tuple(
+        ShardTarget(ShardId(f"i{n}"), ServiceName("planner-desk"), InstanceName(f"i{n}"))
+        for n in range(4)
+    )
+    return GroupSearch(
+        number, CallerId("desk-1"), "tiles", 20, Fingerprint("f" * 16), None, 0.05, targets
+    )
+
+
+def _reply(search: GroupSearch) -> GroupReply:
+    replies = tuple(
+        ShardReply(t.shard, hits=(Hit("plan-1", 0.5, t.shard), Hit("plan-2", 0.4, t.shard)))
+        for t in search.targets
+    )
+    return GroupReply(search.search_id, replies)
+
+
+if __name__ == "__main__":
+    print(dumps(run(), indent=2))
--- a/src/sequoiapulley/fleet/home_map.py
+++ b/src/sequoiapulley/fleet/home_map.py
@@ -105,6 +105,9 @@
             regions=frozenset(place.region for place in known),
             candidates=[],
         )
+        old = self._groups.get(key)
+        if old is not None and (old.places, old.regions) == (group.places, group.regions):
+            return old
         self._rank_all(group)
         return group
 
--- a/tests/test_homes_and_entries.py
+++ b/tests/test_homes_and_entries.py
@@ -101,6 +101,25 @@
                 key = (ServiceName("s"), InstanceName(f"i{number}"))
                 self.assertEqual(homes.homes_of(*key), fresh.homes_of(*key))
 
+    def test_edit_that_moves_an_instance_moves_only_its_home(self) -> None:
+        members = [make_member(n) for n in range(15)]
+        homes = make_map(members, 50)
+        before = assigned(homes)
+        configuration = make_configuration(50)
+        service = configuration.services[ServiceName("s")]
+        upstreams = tuple(replace(u, place=PLACES[0]) for u in service.instances[1].upstreams)
+        changed = replace(service.instances[1], upstreams=upstreams)
+        instances = (service.instances[0], changed, *service.instances[2:])
+        services = {service.name: replace(service, instances=instances)}
+        homes.configure(replace(configuration, services=services))
+        after = assigned(homes)
+        fresh = make_map([])
+        fresh.configure(replace(configuration, services=services))
+        fresh.update_members(tuple(members))
+        self.assertEqual(after, assigned(fresh))
+        self.assertEqual(next(m.place for m in members if m.node == after[1]), PLACES[0])
+        self.assertLessEqual(sum(a != b for a, b in zip(before, after, strict=True)), 4)
+
     def test_leaving_and_dead_nodes_are_no_homes_but_suspects_are(self) -> None:
         members = [make_member(n) for n in range(4)]
         members[0] = replace(members[0], state=MemberState.LEAVING)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -147,6 +147,13 @@
         net.run(30)
         self.assertTrue(net.agreed())
 
+    def test_member_that_one_node_cannot_reach_is_not_suspected(self) -> None:
+        net = FleetNet(9)
+        net.run(5)
+        net.cut = lambda a, b: {a, b} == {"n1", "n5"}
+        net.run(60)
+        self.assertEqual(net.changes(MemberState.SUSPECT), [])
+
     def test_clock_jumps_blame_nobody(self) -> None:
         net = FleetNet(9)
         net.run(5)
