Bound message sizes on the link and replace streams of an earlier incarnation at once

A message above grpc's frame limit would have broken the stream each time it was tried; it now comes back as unsent. A node that starts again under its name used to wait behind its dead stream for the silence check (2.25 s at most); the old stream is now closed when the new hello names another incarnation, and what was in flight on it is reported as lost.

--- a/src/sequoiapulley/link/_transport.py
+++ b/src/sequoiapulley/link/_transport.py
@@ -5,13 +5,14 @@
 import asyncio
 from asyncio import Task, create_task, gather, sleep, wait_for
 from collections import deque
+from collections.abc import Iterable
 from time import monotonic
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 import grpc
 from grpc import aio
 
-from sequoiapulley.ids import Incarnation, NodeId
+from sequoiapulley.link._peer import Peer, TransportOwner
 from sequoiapulley.link._stream import Stream
 from sequoiapulley.link.frame_codec import (
     MAX_FRAME_BYTES,
@@ -24,6 +25,7 @@
 from sequoiapulley.link.log_events import (
     LINK_DOWN,
     LINK_FRAME_REFUSED,
+    LINK_MESSAGE_TOO_LARGE,
     LINK_QUEUE_FULL,
     LINK_REFUSED,
     LINK_UNKNOWN_MESSAGE,
@@ -58,62 +60,6 @@
 )
 
 
-class Peer:
-    """What is known of the way to one node."""
-
-    def __init__(self, node: NodeId) -> None:
-        """Initialise a peer without address and stream."""
-        self.node = node
-        self.address: tuple[str, int] | None = None
-        self.queue: deque[StreamMessage] = deque()
-        self.streams: list[Stream] = []
-        self.dialing: Task[None] | None = None
-        self.retry_at = 0.0
-        self.refusals = 0
-
-    def accepts(self, limit: int) -> bool:
-        """Whether a message may be queued now."""
-        if len(self.queue) >= limit:
-            self.refusals += 1
-            return False
-        if self.streams or self.dialing is not None:
-            return True
-        return self.address is not None and monotonic() >= self.retry_at
-
-
-class Counters(Protocol):
-    """Totals that the transport adds to."""
-
-    messages_sent: int
-    frames_sent: int
-    frames_received: int
-    bytes_sent: int
-    bytes_received: int
-    unknown_messages: int
-    refused_frames: int
-    refused_peers: int
-
-
-class TransportOwner(Protocol):
-    """What the transport reports to, from its own thread."""
-
-    @property
-    def counters(self) -> Counters:
-        """Totals since the start."""
-
-    def peer_of(self, node: NodeId) -> Peer:
-        """Returns the state of a node, which is made if it is not known."""
-
-    def queue_length(self) -> int:
-        """Returns how many calls wait for the event loop's thread."""
-
-    def received(self, node: NodeId, incarnation: Incarnation, messages: list[LinkMessage]) -> None:
-        """Takes the messages of one frame."""
-
-    def lost(self, node: NodeId, unsent: list[LinkMessage]) -> None:
-        """Takes the news that a node has no stream left."""
-
-
 class Transport:
     """Opens, accepts, reads, writes and closes streams."""
 
@@ -252,11 +198,25 @@
         self._log.log(LINK_REFUSED, peer=peer, reason=reason)
 
     def _attach(self, peer: Peer, stream: Stream) -> None:
+        for other in peer.streams:
+            if other.incarnation != stream.incarnation:
+                # The peer started again; whatever served the old stream is gone.
+                other.silent.set()
         self._streams.add(stream)
         peer.streams.append(stream)
         stream.wake.set()
         self._log.log(LINK_UP, node=peer.node, incarnation=stream.incarnation)
 
+    def _detach(self, peer: Peer, stream: Stream) -> None:
+        was_active = peer.streams[0] is stream
+        self._streams.discard(stream)
+        peer.streams.remove(stream)
+        if not peer.streams:
+            self._report_if_lost(peer)
+        elif was_active:
+            peer.streams[0].wake.set()
+            self._owner.lost(peer.node)
+
     async def _exchange(self, peer: Peer, stream: Stream) -> None:
         """Reads and writes until either direction ends."""
         tasks = {
@@ -269,23 +229,19 @@
         finally:
             for task in tasks:
                 task.cancel()
-            self._streams.discard(stream)
-            peer.streams.remove(stream)
-            self._report_if_lost(peer)
+            self._detach(peer, stream)
 
     def _report_if_lost(self, peer: Peer) -> None:
         if peer.streams or peer.dialing is not None:
             return
-        unsent: list[LinkMessage] = []
-        while peer.queue:
-            message = peer.queue.popleft()
-            if not isinstance(message, LinkPing | LinkPong):
-                unsent.append(message)
+        unsent = _without_pings(peer.queue)
+        peer.queue.clear()
         self._log.log(LINK_DOWN, node=peer.node, unsent=len(unsent))
         if peer.refusals:
             self._log.log(LINK_QUEUE_FULL, node=peer.node, refused=peer.refusals)
             peer.refusals = 0
-        self._owner.lost(peer.node, unsent)
+        self._owner.unsent(peer.node, unsent)
+        self._owner.lost(peer.node)
 
     async def _write(self, peer: Peer, stream: Stream) -> None:
         """Writes the queue of a peer in as few frames as possible."""
@@ -294,17 +250,21 @@
             await stream.wake.wait()
             stream.wake.clear()
             if stream.control:
-                await self._write_frames(stream, stream.control)
+                await self._write_queue(stream, stream.control)
             if peer.streams and peer.streams[0] is stream and peer.queue:
                 counters.messages_sent += len(peer.queue)
                 stream.note_write()
-                await self._write_frames(stream, peer.queue)
+                await self._write_queue(stream, peer.queue)
             if stream.closing:
                 return
 
-    async def _write_frames(self, stream: Stream, queue: deque[StreamMessage]) -> None:
+    async def _write_queue(self, stream: Stream, queue: deque[StreamMessage]) -> None:
         counters = self._owner.counters
-        for frame in encode_frames(queue):
+        encoded = encode_frames(queue)
+        if encoded.oversized:
+            self._log.log(LINK_MESSAGE_TOO_LARGE, node=stream.node, count=len(encoded.oversized))
+            self._owner.unsent(stream.node, _without_pings(encoded.oversized))
+        for frame in encoded.frames:
             await stream.call.write(frame)
             counters.frames_sent += 1
             counters.bytes_sent += len(frame)
@@ -354,6 +314,10 @@
                     stream.silent.set()
 
 
+def _without_pings(messages: Iterable[StreamMessage]) -> list[LinkMessage]:
+    return [message for message in messages if not isinstance(message, LinkPing | LinkPong)]
+
+
 def _frame_bytes(frame: Any) -> bytes:
     """Returns a frame's bytes; the end marker of a stream is no frame."""
     if not isinstance(frame, bytes):
--- a/src/sequoiapulley/link/frame_codec.py
+++ b/src/sequoiapulley/link/frame_codec.py
@@ -11,6 +11,7 @@
 from sequoiapulley.link.messages import LinkHello, StreamMessage
 
 MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
+MAX_MESSAGE_BYTES: Final = 2 * 1024 * 1024
 FRAME_TARGET_BYTES: Final = 256 * 1024
 MAX_FRAME_MESSAGES: Final = 512
 
@@ -51,13 +52,26 @@
         raise BadFrameError(f"frame is not a hello: {exc}") from exc
 
 
-def encode_frames(messages: deque[StreamMessage]) -> list[bytes]:
+class EncodedFrames(Struct):
+    """What became of a queue of messages."""
+
+    frames: list[bytes]
+    oversized: list[StreamMessage]
+    """Messages above `MAX_MESSAGE_BYTES`, which are not sent."""
+
+
+def encode_frames(messages: deque[StreamMessage]) -> EncodedFrames:
     """Empties a queue into as few frames as the size bounds allow."""
     frames: list[bytes] = []
+    oversized: list[StreamMessage] = []
     parts: list[Raw] = []
     size = 0
     while messages:
-        part = _ENCODER.encode(messages.popleft())
+        message = messages.popleft()
+        part = _ENCODER.encode(message)
+        if len(part) > MAX_MESSAGE_BYTES:
+            oversized.append(message)
+            continue
         full = len(parts) == MAX_FRAME_MESSAGES or size + len(part) > FRAME_TARGET_BYTES
         if parts and full:
             frames.append(_ENCODER.encode(parts))
@@ -67,7 +81,7 @@
         size += len(part)
     if parts:
         frames.append(_ENCODER.encode(parts))
-    return frames
+    return EncodedFrames(frames, oversized)
 
 
 def decode_frame(frame: bytes) -> DecodedFrame:
--- a/src/sequoiapulley/link/log_events.py
+++ b/src/sequoiapulley/link/log_events.py
@@ -59,3 +59,10 @@
 LINK_TLS_CHANGED: Final = define_event(
     6009, "link_tls_changed", Severity.INFO, "The TLS files changed and were read again."
 )
+LINK_MESSAGE_TOO_LARGE: Final = define_event(
+    6010,
+    "link_message_too_large",
+    Severity.ERROR,
+    "A message above the size bound of the link was not sent.",
+    "Lower the limit on hits per search, or split the configuration.",
+)
--- a/src/sequoiapulley/link/peer_link.py
+++ b/src/sequoiapulley/link/peer_link.py
@@ -13,7 +13,8 @@
 
 from sequoiapulley.fleet.member import Member
 from sequoiapulley.ids import CustomerName, Incarnation, NodeId
-from sequoiapulley.link._transport import Peer, Transport
+from sequoiapulley.link._peer import Peer
+from sequoiapulley.link._transport import Transport
 from sequoiapulley.link.log_events import LINK_PLAINTEXT
 from sequoiapulley.link.messages import LinkHello, LinkMessage
 from sequoiapulley.link.tls_files import TlsFiles, TlsSource
@@ -39,7 +40,7 @@
     on_unsent: Callable[[NodeId, LinkMessage], None]
     """A message that `send` accepted and that never left this process."""
     on_peer_lost: Callable[[NodeId], None]
-    """No stream to the node is left; whatever it had not answered may or may not have run."""
+    """A stream to the node broke; whatever it had not answered may or may not have run."""
 
 
 class LinkCounters(Struct):
@@ -141,9 +142,12 @@
 
     def update_members(self, members: tuple[Member, ...]) -> None:
         """Takes the addresses of the nodes."""
+        known = {member.node for member in members}
+        for node, peer in list(self._peers.items()):
+            if node not in known and peer.idle:
+                del self._peers[node]
         for member in members:
-            peer = self._peer(member.node)
-            peer.address = (member.host, member.link_port)
+            self._peer(member.node).address = (member.host, member.link_port)
 
     def send(self, node: NodeId, message: LinkMessage) -> bool:
         """Queues a message for a node; the stream is opened if there is none.
@@ -222,16 +226,21 @@
 
         self._hand_over(deliver)
 
-    def lost(self, node: NodeId, unsent: list[LinkMessage]) -> None:
-        """Reports a node without a stream to the event loop's thread."""
+    def unsent(self, node: NodeId, messages: list[LinkMessage]) -> None:
+        """Hands messages that never left back to the event loop's thread."""
+        if not messages:
+            return
 
         def deliver() -> None:
-            for message in unsent:
+            for message in messages:
                 self._handlers.on_unsent(node, message)
-            self._handlers.on_peer_lost(node)
 
         self._hand_over(deliver)
 
+    def lost(self, node: NodeId) -> None:
+        """Reports a lost stream to the event loop's thread."""
+        self._hand_over(lambda: self._handlers.on_peer_lost(node))
+
     def _hand_over(self, deliver: Callable[[], None]) -> None:
         self._inbound.append(deliver)
         if not self._drain_pending:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -17,6 +17,7 @@
 from sequoiapulley.ids import ConfigVersion, CustomerName, EditId, Incarnation, NodeId
 from sequoiapulley.link.frame_codec import (
     FRAME_TARGET_BYTES,
+    MAX_MESSAGE_BYTES,
     BadFrameError,
     decode_frame,
     encode_frames,
@@ -34,7 +35,9 @@
 class LinkEnd:
     """A started link and what it reported; `fire` runs at once in grpc's thread."""
 
-    def __init__(self, number: int, customer: str = "cedarline", **options: Any) -> None:
+    def __init__(
+        self, number: int, customer: str = "cedarline", incarnation: int = 5, **options: Any
+    ) -> None:
         """Start the link on a free port."""
         self.number = number
         self.node = NodeId(f"n{number}")
@@ -47,7 +50,7 @@
             on_unsent=lambda _node, message: self.unsent.append(message),
             on_peer_lost=self.lost.put,
         )
-        identity = LinkIdentity(CustomerName(customer), self.node, Incarnation(5))
+        identity = LinkIdentity(CustomerName(customer), self.node, Incarnation(incarnation))
         self.link = PeerLink(
             identity, ("127.0.0.1", 0), lambda call: call(), handlers, self.log, **options
         )
@@ -139,6 +142,34 @@
         one.link.send(two.node, CancelSearch(3))
         self.assertEqual(two.messages.get(timeout=PATIENCE_S)[2], CancelSearch(3))
 
+    def test_message_too_large_comes_back_and_the_stream_goes_on(self) -> None:
+        one, two = self.start(1), self.start(2)
+        one.knows(two)
+        huge = ConfigRequest(ConfigVersion(1), EditId("x" * MAX_MESSAGE_BYTES))
+        one.link.send(two.node, huge)
+        one.link.send(two.node, CancelSearch(1))
+        self.assertEqual(two.messages.get(timeout=PATIENCE_S)[2], CancelSearch(1))
+        self.assertEqual(one.unsent, [huge])
+        self.assertTrue(one.lost.empty())
+
+    def test_node_that_started_again_replaces_its_silent_stream_at_once(self) -> None:
+        two = self.start(2)
+        relay = SilencingRelay(two.port)
+        self.addCleanup(relay.close)
+        one = self.start(1)
+        two.port = relay.port
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(1))
+        two.messages.get(timeout=PATIENCE_S)
+        relay.silent = True
+        again = self.start(2, incarnation=6)
+        again.knows(one)
+        again.link.send(one.node, CancelSearch(2))
+        self.assertEqual(one.messages.get(timeout=PATIENCE_S), (two.node, 6, CancelSearch(2)))
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        one.link.send(two.node, CancelSearch(3))
+        self.assertEqual(again.messages.get(timeout=PATIENCE_S)[2], CancelSearch(3))
+
     def test_taken_port_is_an_error(self) -> None:
         with create_server(("127.0.0.1", 0)) as taken:
             port = taken.getsockname()[1]
@@ -228,5 +259,7 @@
 
     def test_frames_are_bounded(self) -> None:
         big = ConfigRequest(ConfigVersion(1), EditId("x" * (FRAME_TARGET_BYTES // 2)))
-        frames = encode_frames(deque([big, big, big, CancelSearch(1)]))
-        self.assertEqual([len(decode_frame(frame).messages) for frame in frames], [1, 1, 2])
+        huge = ConfigRequest(ConfigVersion(1), EditId("x" * MAX_MESSAGE_BYTES))
+        encoded = encode_frames(deque([big, huge, big, big, CancelSearch(1)]))
+        counts = [len(decode_frame(frame).messages) for frame in encoded.frames]
+        self.assertEqual((counts, encoded.oversized), ([1, 1, 2], [huge]))
