--- /dev/null
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -0,0 +1,253 @@
+"""Decides which upstream serves each sub-request of a home, when, and how often."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sequoiapulley.ids import ExchangeId, Fingerprint, PlaceName, UpstreamName
+from sequoiapulley.model.configuration import Configuration
+from sequoiapulley.model.snapshot import Snapshot
+from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.requests.messages import RefusalReason
+from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream.codec import ExchangeCodec
+from sequoiapulley.upstream.directory import InstanceState
+from sequoiapulley.upstream.dispatch_core import DispatchCore
+from sequoiapulley.upstream.dispatch_counts import DispatchCounts
+from sequoiapulley.upstream.hedging import Hedging
+from sequoiapulley.upstream.log_events import UPSTREAM_LEAVING, UPSTREAM_STAYS
+from sequoiapulley.upstream.messages import (
+    Action,
+    CloseUpstream,
+    LossKind,
+    SubRun,
+    SubSearch,
+    UpstreamReply,
+)
+from sequoiapulley.upstream.outcomes import lacking, not_run
+from sequoiapulley.upstream.queue_pump import QueuePump
+from sequoiapulley.upstream.recovery import Recovery
+from sequoiapulley.upstream.upstream_state import UpstreamState
+from sequoiapulley.upstream.work import Work, WorkState
+
+
+class Dispatcher:
+    """Dispatch decisions of one home; every method returns orders for its surroundings."""
+
+    def __init__(
+        self,
+        codec: ExchangeCodec,
+        log: LogSink,
+        seed: int = 0,
+        place: PlaceName | None = None,
+    ) -> None:
+        """Initialise a dispatcher without upstreams.
+
+        Args:
+            codec: Encodes requests and decodes replies.
+            log: Sink of numbered events.
+            seed: Seed of the random choices.
+            place: Failure domain of this home, whose upstreams are preferred.
+        """
+        self._core = DispatchCore(codec, log, seed)
+        self._core.choice.place = place
+        self._pump = QueuePump(self._core)
+        self._hedging = Hedging(self._core, self._pump)
+        self._recovery = Recovery(self._core, self._pump)
+
+    def configure(
+        self,
+        configuration: Configuration,
+        now: float,
+        connections: Callable[[UpstreamName], int],
+        slots: Callable[[UpstreamName], int],
+    ) -> list[Action]:
+        """Takes over an accepted configuration.
+
+        Args:
+            configuration: The configuration in force.
+            now: Clock reading in seconds.
+            connections: This home's share of the connections of an upstream.
+            slots: This home's share of the slots of an upstream.
+
+        Returns:
+            Orders; queued work of instances that left is finished.
+        """
+        core = self._core
+        place = configuration.places.get(core.choice.place) if core.choice.place else None
+        core.choice.region = place.region if place else None
+        left, gone = core.directory.apply(configuration, now, connections, slots)
+        actions: list[Action] = [CloseUpstream(state.name) for state in left]
+        for state in left:
+            state.drain.configure(True)
+            self._free_reservation(state)
+        for instance in gone:
+            for work in instance.queue.drain():
+                core.give_up(work, LackReason.NO_REPLICA, now, actions)
+        for instance in core.directory.instances():
+            self._pump.pump(instance, now, actions)
+        return actions
+
+    def submit_search(self, sub: SubSearch, now: float) -> list[Action]:
+        """Accepts one shard's part of a search."""
+        instance = self._core.directory.instance(sub.target.service, sub.target.instance)
+        if instance is None:
+            return [lacking(sub, LackReason.NO_REPLICA)]
+        return self._submit(sub, instance, now)
+
+    def submit_run(self, sub: SubRun, now: float) -> list[Action]:
+        """Accepts one non-idempotent request, of which at most one copy leaves."""
+        instance = self._core.directory.instance(sub.service, sub.instance)
+        if instance is None:
+            return [not_run(sub, RefusalReason.NO_REPLICA)]
+        return self._submit(sub, instance, now)
+
+    def cancel(self, sub_id: int, now: float) -> list[Action]:
+        """Drops a search that nobody waits for; it gets no outcome.
+
+        Runs are not cancelled, because their outcome is kept for repeats of their key.
+
+        Args:
+            sub_id: The id of the sub-search; unknown ids are ignored.
+            now: Clock reading in seconds.
+
+        Returns:
+            Orders.
+        """
+        work = self._core.ledger.searches.get(sub_id)
+        if work is None:
+            return []
+        actions: list[Action] = []
+        self._core.ledger.close(work, now, actions)
+        self._pump.pump(work.instance, now, actions)
+        return actions
+
+    def on_reply(self, exchange_id: ExchangeId, reply: UpstreamReply, now: float) -> list[Action]:
+        """Takes the reply to an exchange; replies to unknown exchanges are ignored."""
+        exchange = self._core.ledger.release(exchange_id)
+        if exchange is None:
+            return []
+        actions: list[Action] = []
+        self._recovery.on_reply(exchange, reply, now, actions)
+        self._pump.pump(exchange.work.instance, now, actions)
+        return actions
+
+    def on_lost(self, exchange_id: ExchangeId, loss: LossKind, now: float) -> list[Action]:
+        """Takes the news that an exchange ended without a reply."""
+        exchange = self._core.ledger.release(exchange_id)
+        if exchange is None:
+            return []
+        actions: list[Action] = []
+        self._recovery.on_lost(exchange, loss, now, actions)
+        self._pump.pump(exchange.work.instance, now, actions)
+        return actions
+
+    def on_load_report(
+        self,
+        upstream: UpstreamName,
+        load: float | None,
+        draining: bool,
+        available: tuple[Snapshot, ...],
+        now: float,
+    ) -> list[Action]:
+        """Takes an upstream's own report, which may lag or mislead.
+
+        Args:
+            upstream: Name of the upstream.
+            load: Reported load, 0 to 1; a hint that moves no traffic by itself.
+            draining: Whether the upstream asks for no new work.
+            available: Snapshots that it serves.
+            now: Clock reading in seconds.
+
+        Returns:
+            Orders.
+        """
+        core = self._core
+        state = core.directory.upstreams.get(upstream)
+        if state is None:
+            return []
+        state.reported_load = load
+        state.on_available(available, now)
+        if draining and state.drain.on_sign(now):
+            core.log.log(UPSTREAM_LEAVING, upstream=upstream)
+        if not draining and state.drain.on_cleared_report(now):
+            state.on_restart(now)
+            core.log.log(UPSTREAM_STAYS, upstream=upstream)
+        actions: list[Action] = []
+        instance = core.directory.instance(state.service, state.instance)
+        if instance is not None:
+            self._pump.pump(instance, now, actions)
+        return actions
+
+    def on_strike(
+        self, fingerprint: Fingerprint, upstream: UpstreamName, now: float, strikes: int = 1
+    ) -> list[Action]:
+        """Takes a strike that another node saw.
+
+        Args:
+            fingerprint: The request.
+            upstream: The upstream that went down.
+            now: Clock reading in seconds.
+            strikes: Strikes that the other node counts; at two the request is refused here too.
+
+        Returns:
+            Orders; all work with a refused fingerprint is finished.
+        """
+        core = self._core
+        state = core.directory.upstreams.get(upstream)
+        key = (state.service, state.instance) if state else None
+        actions: list[Action] = []
+        if core.quarantine.on_strike(fingerprint, upstream, key, strikes, now):
+            core.refuse_everywhere(fingerprint, now, actions)
+            for instance in core.directory.instances():
+                self._pump.pump(instance, now, actions)
+        return actions
+
+    def tick(self, now: float) -> list[Action]:
+        """Does what is due: deadlines, hedges, and queues that wait for a pause to end."""
+        core = self._core
+        actions: list[Action] = []
+        due = core.ledger.timers.take_due(now)
+        for work in due:
+            if work.state is not WorkState.FINISHED:
+                self._hedging.on_due(work, now, actions)
+        instances = {work.instance: None for work in due}
+        for instance in core.wakes.take_due(now):
+            instances[instance] = None
+        for instance in instances:
+            self._pump.pump(instance, now, actions)
+        return actions
+
+    def next_due(self) -> float | None:
+        """Returns the clock reading at which `tick` is next needed, or None."""
+        work_due = self._core.ledger.timers.next_due()
+        wake_due = self._core.wakes.next_due()
+        if work_due is None or wake_due is None:
+            return work_due if wake_due is None else wake_due
+        return min(work_due, wake_due)
+
+    def sub_of(self, exchange_id: ExchangeId) -> SubSearch | SubRun | None:
+        """Returns the sub-request that an open exchange serves, or None."""
+        exchange = self._core.ledger.exchanges.get(exchange_id)
+        return exchange.work.sub if exchange is not None else None
+
+    def counts(self) -> DispatchCounts:
+        """Returns the counters, for metrics and status."""
+        return self._core.counts
+
+    def upstream_states(self) -> tuple[UpstreamState, ...]:
+        """Returns the state of every upstream, for metrics and status; not to be changed."""
+        return tuple(self._core.directory.upstreams.values())
+
+    def _submit(self, sub: SubSearch | SubRun, instance: InstanceState, now: float) -> list[Action]:
+        actions: list[Action] = []
+        self._pump.submit(Work(sub, instance), now, actions)
+        return actions
+
+    def _free_reservation(self, upstream: UpstreamState) -> None:
+        """Queues suspected work again that waited for an upstream that left."""
+        work = upstream.exclusive
+        if work is None or work.state is not WorkState.RESERVED:
+            return
+        self._core.ledger.unreserve(work)
+        work.instance.queue.push(work)
--- /dev/null
+++ b/standins/local_fleet.py
@@ -0,0 +1,283 @@
+"""Starts stand-ins and nodes as processes on loopback, for the demo, tests and benchmarks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from re import sub
+from signal import SIGKILL, SIGTERM
+from socket import SOCK_DGRAM, SOCK_STREAM, socket
+from subprocess import DEVNULL, Popen, TimeoutExpired
+from sys import executable
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from typing import Any, Final
+
+from msgspec import Struct, json
+from result import Ok
+
+from sequoiapulley.ids import ConfigVersion
+from sequoiapulley.model import Configuration
+from sequoiapulley.settings.text import parse_text
+from standins.http_call import HOST, http_json
+from standins.upstream_processes import (
+    StandInProcess,
+    UpstreamProcesses,
+    environment,
+    specs_of,
+)
+
+START_TIMEOUT_S: Final = 30.0
+STOP_TIMEOUT_S: Final = 10.0
+POLL_S: Final = 0.05
+ENTRY_LIFETIME_S: Final = 2.0
+
+
+class FleetError(Exception):
+    """A process did not start or a call failed."""
+
+
+class NodePorts(Struct, frozen=True):
+    """Ports of one node."""
+
+    callers: int
+    operators: int
+    link: int
+    membership: int
+
+
+class LocalNode(Struct):
+    """One daemon process."""
+
+    name: str
+    place: str
+    region: str
+    ports: NodePorts
+    process: Popen[bytes]
+    log_path: Path
+
+
+def free_port(kind: int = SOCK_STREAM) -> int:
+    """Returns a port that the operating system says is free."""
+    with socket(type=kind) as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+class LocalFleet:
+    """The platform's stand-ins, the upstreams of a text and any number of nodes."""
+
+    def __init__(self, text: str, folder: Path, faults: dict[str, Any] | None = None) -> None:
+        """Starts the stand-ins.
+
+        Args:
+            text: Operators' text; its addresses are replaced by free ports.
+            folder: Folder for settings and logs.
+            faults: Behaviour of all upstreams at the start.
+
+        Raises:
+            FleetError: If the text has findings or a stand-in does not start.
+        """
+        self.folder = folder
+        self.nodes: dict[str, LocalNode] = {}
+        self._processes: list[Popen[bytes]] = []
+        self.configuration = _parse(text)
+        self._platform = [StandInProcess("standins.store"), StandInProcess("standins.vm_list")]
+        self.store_port, self.vm_list_port = (process.line["port"] for process in self._platform)
+        specs = specs_of(self.configuration)
+        self.upstreams = UpstreamProcesses(specs, folder, faults)
+        self.text = _with_ports(text, self.upstreams.ports)
+
+    def start_node(self, number: int) -> LocalNode:
+        """Starts one daemon; its place follows from its number.
+
+        Args:
+            number: From 1.
+
+        Returns:
+            The node, which may not be ready yet.
+        """
+        places = list(self.configuration.places.values())
+        place = places[(number - 1) % len(places)]
+        name = f"{self.configuration.customer}-{number:02d}"
+        ports = NodePorts(free_port(), free_port(), free_port(), free_port(SOCK_DGRAM))
+        settings = {
+            "node": name,
+            "customer": self.configuration.customer,
+            "place": place.name,
+            "region": place.region,
+            "callers": {"host": HOST, "port": ports.callers},
+            "operators": {"host": HOST, "port": ports.operators},
+            "link": {"host": HOST, "port": ports.link},
+            "membership": {"host": HOST, "port": ports.membership},
+            "store": {"host": HOST, "port": self.store_port},
+            "vm_list": {"host": HOST, "port": self.vm_list_port},
+            "log": {"json": True},
+            "entry_lifetime_s": ENTRY_LIFETIME_S,
+        }
+        path = self.folder / f"{name}.json5"
+        path.write_bytes(json.encode(settings))
+        log_path = self.folder / f"{name}.log"
+        with log_path.open("ab") as log:
+            process = Popen(
+                [executable, "-m", "sequoiapulley.daemon.main", str(path)],
+                stdout=log,
+                stderr=log,
+                stdin=DEVNULL,
+                env=environment(),
+            )
+        self._processes.append(process)
+        node = LocalNode(name, place.name, place.region, ports, process, log_path)
+        self.nodes[name] = node
+        return node
+
+    def publish_vms(self) -> None:
+        """Writes the nodes that run into the VM list."""
+        vms = [
+            {
+                "name": node.name,
+                "host": HOST,
+                "port": node.ports.membership,
+                "place": node.place,
+                "state": "live",
+            }
+            for node in self.nodes.values()
+            if node.process.poll() is None
+        ]
+        http_json(self.vm_list_port, "POST", "/control/vms", vms)
+
+    def wait_for_members(self, count: int) -> float:
+        """Waits until every running node sees that many live members.
+
+        Returns:
+            Seconds waited.
+
+        Raises:
+            FleetError: If it takes longer than `START_TIMEOUT_S`.
+        """
+
+        def converged() -> bool:
+            return all(self._live_members(node) == count for node in self.running())
+
+        return wait_until(converged, f"{count} live members on every node")
+
+    def wait_until_ready(self) -> float:
+        """Waits until every running node is ready for callers; returns the seconds waited."""
+
+        def ready() -> bool:
+            return all(self._status(node, "/readyz")[0] == 200 for node in self.running())
+
+        return wait_until(ready, "every node ready")
+
+    def running(self) -> list[LocalNode]:
+        """Returns the nodes whose process runs."""
+        return [node for node in self.nodes.values() if node.process.poll() is None]
+
+    def kill(self, node: LocalNode) -> None:
+        """Ends a node at once."""
+        node.process.send_signal(SIGKILL)
+        node.process.wait(STOP_TIMEOUT_S)
+
+    def leave(self, node: LocalNode) -> None:
+        """Asks a node to leave gracefully; does not wait."""
+        node.process.send_signal(SIGTERM)
+
+    def set_store_faults(self, **fields: object) -> None:
+        """Changes the faults of the store."""
+        http_json(self.store_port, "POST", "/control/faults", fields)
+
+    def stop(self) -> None:
+        """Ends every process that this fleet started."""
+        for process in reversed(self._processes):
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait(STOP_TIMEOUT_S)
+        self.upstreams.stop()
+        for standin in self._platform:
+            standin.stop()
+
+    def _live_members(self, node: LocalNode) -> int:
+        """Counts the members that a node believes alive."""
+        status, view = self._status(node, "/v1/status")
+        if status != 200:
+            return -1
+        return sum(member["state"] == "alive" for member in view["members"])
+
+    def _status(self, node: LocalNode, path: str) -> tuple[int, Any]:
+        """Asks a node's operators' port; status 0 when it does not answer."""
+        try:
+            return http_json(node.ports.operators, "GET", path, timeout=2.0)
+        except OSError:
+            return 0, None
+
+
+@contextmanager
+def local_fleet(
+    text: str, nodes: int, faults: dict[str, Any] | None = None
+) -> Iterator[LocalFleet]:
+    """Runs stand-ins and nodes, and ends them all on leaving.
+
+    Args:
+        text: Operators' text.
+        nodes: How many nodes to start.
+        faults: Behaviour of all upstreams at the start.
+
+    Yields:
+        The fleet, with every node in the VM list but no text applied yet.
+    """
+    with TemporaryDirectory(prefix="sequoiapulley-") as folder:
+        fleet = LocalFleet(text, Path(folder), faults)
+        try:
+            for number in range(1, nodes + 1):
+                fleet.start_node(number)
+            fleet.publish_vms()
+            yield fleet
+        finally:
+            fleet.stop()
+
+
+def wait_until(condition: Any, what: str) -> float:
+    """Polls a condition.
+
+    Args:
+        condition: Function without arguments.
+        what: Words for the error.
+
+    Returns:
+        Seconds waited.
+
+    Raises:
+        FleetError: If it does not hold within `START_TIMEOUT_S`.
+    """
+    start = monotonic()
+    while not condition():
+        if monotonic() - start > START_TIMEOUT_S:
+            raise FleetError(f"not reached within {START_TIMEOUT_S:.0f} s: {what}")
+        sleep(POLL_S)
+    return monotonic() - start
+
+
+def terminate(process: Popen[bytes]) -> int | None:
+    """Waits for a process that was asked to leave; returns its exit code, or None."""
+    try:
+        return process.wait(START_TIMEOUT_S)
+    except TimeoutExpired:
+        return None
+
+
+def _parse(text: str) -> Configuration:
+    """Parses a text that must be free of findings."""
+    result = parse_text(text, ConfigVersion(1), "text")
+    if not isinstance(result, Ok):
+        raise FleetError("; ".join(str(finding) for finding in result.err_value))
+    return result.ok_value
+
+
+def _with_ports(text: str, ports: dict[str, int]) -> str:
+    """Replaces the address of every upstream by the port of its stand-in."""
+    for name, port in ports.items():
+        pattern = rf'("{name}":\s*\{{[^}}]*"address":\s*")[^"]*"'
+        text = sub(pattern, rf'\g<1>{HOST}:{port}"', text)
+    return text
