--- a/tests/test_homes_and_entries.py
+++ b/tests/test_homes_and_entries.py
@@ -21,6 +21,7 @@
     InstanceName,
     NodeId,
     PlaceName,
+    RegionName,
     ServiceName,
     UpstreamName,
 )
@@ -47,7 +48,10 @@
     return Configuration(
         version=ConfigVersion(1),
         customer=CustomerName("c"),
-        places={PlaceName(p): Place(p, r) for p, r in zip(PLACES, REGIONS, strict=True)},
+        places={
+            PlaceName(p): Place(PlaceName(p), RegionName(r))
+            for p, r in zip(PLACES, REGIONS, strict=True)
+        },
         contracts={contract.name: contract},
         services={service.name: service},
     )
