Define metrics of the work sent to upstreams

Extra load on upstreams is one of the three things users measure; the totals that dispatcher and transport keep are copied when metrics are read.

--- a/src/sequoiapulley/observe/metric_set.py
+++ b/src/sequoiapulley/observe/metric_set.py
@@ -50,6 +50,10 @@
         values = self._admit(metric, values)
         counts[values] = counts.get(values, 0) + amount
 
+    def set_total(self, metric: Metric, total: int, *values: str) -> None:
+        """Sets a counter to a total that is counted elsewhere."""
+        self._counts[metric.name][self._admit(metric, values)] = total
+
     def observe(self, metric: Metric, value: float, *values: str) -> None:
         """Adds one value to a histogram."""
         key = (metric.name, *values)
--- a/src/sequoiapulley/observe/node_observer.py
+++ b/src/sequoiapulley/observe/node_observer.py
@@ -32,6 +32,7 @@
     STORE_REACHABLE,
     UPTIME_SECONDS,
 )
+from sequoiapulley.observe.upstream_metrics import UpstreamSample, set_upstream_metrics
 from sequoiapulley.runtime import Clock
 
 
@@ -77,6 +78,7 @@
     homes: int
     store_reachable: bool
     uptime_s: float
+    upstreams: UpstreamSample = UpstreamSample()
 
 
 class NodeObserver:
@@ -154,6 +156,7 @@
         metrics.set(HOMES, sample.homes)
         metrics.set(STORE_REACHABLE, int(sample.store_reachable))
         metrics.set(UPTIME_SECONDS, sample.uptime_s)
+        set_upstream_metrics(metrics, sample.upstreams)
         numbers = Counter(sample.member_states)
         self._member_states.update(numbers)
         for state in self._member_states:
--- a/tests/test_node_observer.py
+++ b/tests/test_node_observer.py
@@ -15,6 +15,7 @@
     RequestSample,
     SearchSample,
 )
+from sequoiapulley.observe.upstream_metrics import UpstreamSample
 from sequoiapulley.runtime import PausedClock
 
 DESK = ServiceName("desk")
@@ -77,6 +78,21 @@
         self.assertIn("sequoiapulley_config_version 7", second)
         self.assertIn("sequoiapulley_store_reachable 1", second)
 
+    def test_upstream_totals(self) -> None:
+        upstreams = UpstreamSample(
+            first_tries=100, hedges=3, connections=9, idle=4, silent_closed=1
+        )
+        sample = NodeSample(ConfigVersion(1), (), 0, 0, False, 0.0, upstreams)
+        text = self.observer.render(sample).decode()
+        for line in (
+            'sequoiapulley_upstream_tries_total{kind="first"} 100',
+            'sequoiapulley_upstream_tries_total{kind="hedge"} 3',
+            'sequoiapulley_upstream_connections{state="busy"} 5',
+            'sequoiapulley_upstream_faults_total{kind="silent"} 1',
+            "sequoiapulley_store_reachable 0",
+        ):
+            self.assertIn(line + "\n", text)
+
     def test_log_events_are_counted_kept_and_handed_on(self) -> None:
         self.observer.log(EVENT, node="n")
         self.assertIn('sequoiapulley_log_events_total{code="SP8999"} 1', self.lines())
