Take an edit's base from the line that config show writes

An operator who saves the text, edits it and applies it later overwrote an edit made meanwhile, because the base defaulted to the version in force at that moment. The text now carries its version in its first line; the stored text does not.

--- a/src/sequoiapulley/cli/config_commands.py
+++ b/src/sequoiapulley/cli/config_commands.py
@@ -31,6 +31,8 @@
 from sequoiapulley.settings.finding import Finding
 from sequoiapulley.settings.text import parse_text
 
+BASE_LINE: Final = "// version "
+"""Start of the first line of `config show`; `config apply` takes its base from it."""
 NO_CONFIG: Final = ConfigView(ConfigVersion(0), EditId(""), "", 0.0, "")
 
 config_app = App(name="config", help="Check, show and change the operators' text.")
@@ -85,9 +87,14 @@
 
 @config_app.command
 def show(*, opts: Options = DEFAULT_OPTIONS) -> int:
-    """Print the text that is in force on a node.
+    """Print the text that is in force on a node, below a line that names its version.
 
     Example: sequoiapulley config show --node 10.0.0.5:9300 > now.json5
+
+    Parameters
+    ----------
+    opts
+        Options of every command.
     """
     view = fetch_config(NodeClient(opts.node, opts.timeout))
     if opts.json:
@@ -96,6 +103,7 @@
     if view.version == 0:
         message = "no configuration has been applied yet"
         raise CliError(ExitCode.FINDINGS, message, "Apply one: sequoiapulley config apply FILE")
+    print(f"{BASE_LINE}{view.version}")
     print(view.text, end="" if view.text.endswith("\n") else "\n")
     return ExitCode.OK
 
@@ -141,7 +149,8 @@
     opts
         Options of every command.
     base
-        Version that the text was edited from; without it, the version in force now.
+        Version that the text was edited from; without it, the one that its first line names, as
+        `config show` writes it; without that, the one in force now.
     author
         Name for the history; without it, the user's own.
     edit_id
@@ -149,18 +158,19 @@
     wait
         Seconds to wait for the nodes; 0 returns as soon as the edit is accepted.
     """
-    text = read_file(file)
-    result = parse_text(text, ConfigVersion(0), str(file))
+    content = read_file(file)
+    result = parse_text(content, ConfigVersion(0), str(file))
     if isinstance(result, Err):
         _print_findings(CheckReport(str(file), result.err_value, 0, 0, 0), opts.json)
         return ExitCode.FINDINGS
+    named_base, text = _split_base(content)
     client = NodeClient(opts.node, opts.timeout)
     current = fetch_config(client)
     difference = format_difference(current.text, text, f"version {current.version}", str(file))
     if not opts.json:
         print(difference or "no difference")
     req = EditRequest(
-        base_version=ConfigVersion(current.version if base is None else base),
+        base_version=_choose_base(base, named_base, current.version),
         edit_id=EditId(edit_id or uuid4().hex),
         author=author or getuser(),
         text=text,
@@ -210,6 +220,23 @@
     return strftime("%Y-%m-%d %H:%M:%S", gmtime(seconds))
 
 
+def _split_base(content: str) -> tuple[ConfigVersion | None, str]:
+    """Splits the line that names the version, if there is one, from the text."""
+    first, _, rest = content.partition("\n")
+    number = first.removeprefix(BASE_LINE).strip()
+    if not first.startswith(BASE_LINE) or not number.isascii() or not number.isdigit():
+        return None, content
+    return ConfigVersion(int(number)), rest
+
+
+def _choose_base(
+    given: int | None, named: ConfigVersion | None, current: ConfigVersion
+) -> ConfigVersion:
+    if given is not None:
+        return ConfigVersion(given)
+    return current if named is None else named
+
+
 def _read_outcome(answer: Answer, req: EditRequest, file: str) -> EditAccepted:
     """Returns the accepted edit or raises what became of it."""
     if answer.status == 200:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -161,7 +161,7 @@
     def test_show_tries_the_next_node(self) -> None:
         with fake_nodes("n1") as [node]:
             code, out, _ = call("config", "show", "--node", "127.0.0.1:1", "--node", node.address)
-            self.assertEqual((code, out), (ExitCode.OK, OLD))
+            self.assertEqual((code, out), (ExitCode.OK, f"// version 3\n{OLD}"))
             code, _, err = call("config", "show", "--node", "127.0.0.1:1", "--json")
             self.assertEqual(code, ExitCode.UNREACHABLE)
             self.assertIn("127.0.0.1:1", json.decode(err)["error"]["message"])
@@ -183,6 +183,21 @@
             self.assertEqual([edit.base_version for edit in nodes[0].edits], [3, 3])
             self.assertEqual(nodes[0].edits[0].text, Path(EXAMPLE).read_text(encoding="utf-8"))
 
+    def test_apply_takes_its_base_from_the_first_line(self) -> None:
+        text = Path(EXAMPLE).read_text(encoding="utf-8")
+        with fake_nodes("n1") as [node], tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "now.json5")
+            arguments = ("config", "apply", str(file), "--wait", "0", "--node", node.address)
+            for content, more in (
+                (f"// version 2\n{text}", ()),
+                (f"// version 2\n{text}", ("--base", "1")),
+                (text, ()),
+            ):
+                file.write_text(content, encoding="utf-8")
+                self.assertEqual(call(*arguments, *more)[0], ExitCode.OK)
+            self.assertEqual([edit.base_version for edit in node.edits], [2, 1, 3])
+            self.assertEqual({edit.text for edit in node.edits}, {text})
+
     def test_apply_shows_the_other_editors_difference(self) -> None:
         with fake_nodes("n1") as [node]:
             other = ConfigView(ConfigVersion(9), EditId("x"), "bo", 1.0, '{"customer": "other"}\n')
