--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -36,12 +36,13 @@
 from sequoiapulley.fleet.member import Member
 from sequoiapulley.fleet.membership import Membership
 from sequoiapulley.fleet.udp_component import MembershipComponent, open_membership_socket
-from sequoiapulley.ids import Incarnation, NodeId
+from sequoiapulley.ids import Incarnation, NodeId, UpstreamName
 from sequoiapulley.link.messages import LinkMessage
 from sequoiapulley.link.peer_link import LinkHandlers, LinkIdentity, PeerLink
 from sequoiapulley.link.tls_files import TlsFiles
 from sequoiapulley.model import Configuration
 from sequoiapulley.observe import LogSink
+from sequoiapulley.observe.node_observer import NodeObserver
 from sequoiapulley.platform.http_store import HttpStore
 from sequoiapulley.platform.http_vm_list import HttpVmList
 from sequoiapulley.requests.coordinator import RequestCoordinator
@@ -52,6 +53,7 @@
 from sequoiapulley.search.home_service import HomeService
 from sequoiapulley.settings.daemon_settings import DaemonSettings
 from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.health_poller import HealthPoller, HealthReport
 from sequoiapulley.upstream.http_codec import HttpExchangeCodec
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.reactor import Reactor
@@ -84,8 +86,9 @@
         super().__init__()
         EPoll().register(self)
         self._cfg = cfg
-        self._log = log
         self.clock = SystemClock()
+        self.observer = NodeObserver(cfg.node, self.clock, log)
+        self._log: LogSink = self.observer
         self.timers = TimerQueue(self.clock)
         self.incarnation = Incarnation(int(self.clock.wall() * MS_PER_S))
         self.homes = HomeMap()
@@ -102,6 +105,7 @@
         self._reactor = Reactor(self.clock, self.timers)
         ReactorComponent(self._reactor, self.timers).register(self)
         http = HttpClient(self._reactor, self.clock, self.timers)
+        self._health = HealthPoller(http, self.timers, self._on_health, randbits(SEED_BITS))
         self._store = HttpStore(http, self._cfg.store.host, self._cfg.store.port)
         self._vm_list = HttpVmList(http, self._cfg.vm_list.host, self._cfg.vm_list.port)
 
@@ -201,6 +205,7 @@
             self.searches,
             self.requests,
             self.directory,
+            self.observer,
         )
         self.callers_port = CallersPort(
             cfg.callers.host, cfg.callers.port, self.timers, self.clock, callers
@@ -214,6 +219,7 @@
             self.requests,
             callers,
             self._count_homes,
+            self.observer,
         )
         server = GuardedServer(cfg.operators.host, cfg.operators.port, "operators", self.timers)
         self.operators_server = server.register(self)
@@ -255,6 +261,7 @@
     @handler("ConfigurationApplied", priority=1)
     def _on_configuration_applied(self, configuration: Configuration) -> None:
         """Takes a configuration before the tasks do."""
+        self.observer.configure(configuration.services.values(), self.config.check_s)
         self.homes.configure(configuration)
         self._share_upstreams()
 
@@ -265,6 +272,11 @@
             return
         self._shares = UpstreamShares(self._cfg.node, configuration, self.homes)
         self.upstreams.configure(configuration, self._shares.connections, self._shares.slots)
+        self._health.configure(configuration, self._shares.home_upstreams())
+
+    def _on_health(self, upstream: UpstreamName, report: HealthReport) -> None:
+        """Hands an upstream's own report to the dispatcher."""
+        self.upstreams.take_report(upstream, report)
 
     def _count_homes(self) -> int:
         """Counts the upstreams whose preferred home is this node."""
--- a/tests/test_dispatch_traces.py
+++ b/tests/test_dispatch_traces.py
@@ -4,7 +4,7 @@
 
 from unittest import TestCase
 
-from tests.trace_replay import TRACES, TraceReplay
+from tests.dispatch_replay import TRACES, TraceReplay
 
 
 class DispatchTraceTest(TestCase):
--- a/tests/trace_replay.py
+++ b/tests/trace_replay.py
@@ -1,148 +1,244 @@
-"""Replays dispatch traces: JSON lines of events at clock readings and of stated outcomes.
-
-Each line has `at` (seconds) and one of `do` or `expect`. `do`: `configure` (instances, replicas,
-slots, draining), `search` and `run` (id, wait, instance, fingerprint, caller), `reply` (to, kind,
-snapshot, available, draining), `lose` (to, loss), `restart` (upstream), `report` (upstream, load,
-draining), `strike` (fingerprint, upstream, strikes), `cancel` (id). `to` is a sub-request's id,
-`<id>@<upstream>`, `*` or `*@<upstream>`; upstreams are `<first>`, the first one that got a
-sub-request (`first:<id>`), the other one (`other:<id>`) or a name. `expect`: `answer` (id),
-`lacking` (id, reason), `run` (id, state, reason), `open` (id, count, fresh), `sent` (upstream,
-count), `quarantined` (fingerprint), `nothing_open`.
+"""Replays traces of searches and non-idempotent requests on the paused clock.
+
+The schema of a trace stands in docs/TRACES.md; the structs below are its types.
 """
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
-from typing import Any, Final
+from typing import Final, Protocol
+
+from msgspec import Struct, json
 
-from sequoiapulley.ids import ExchangeId, Fingerprint, UpstreamName
+from sequoiapulley.ids import NodeId, RequestId, ShardId
 from sequoiapulley.model import Snapshot
-from sequoiapulley.upstream.messages import LossKind, ReplyKind, UpstreamReply
-from tests.upstream_fakes import SNAPSHOT, Probe, configuration, run, search
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.requests.messages import RefusalReason, RequestOutcome, RunReport, RunState
+from sequoiapulley.runtime import PausedClock
+from sequoiapulley.search.coordinator import SearchCoordinator
+from sequoiapulley.search.messages import GroupReply, Hit, LackReason, ShardReply
+from sequoiapulley.search.orders import FinishSearchRequest, SearchOrder, SendCancel, SendGroup
+from tests.fake_store import FakeStore, Fault
+from tests.search_fixtures import FixedHomes, make_configuration, make_keyed, make_search
+from tests.test_request_coordinator import EntryNode
 
 TRACES: Final = Path(__file__).parent / "traces"
+START_S: Final = 1_000.0
+
+
+class TraceError(Exception):
+    """A trace did not go as it states."""
+
+
+class Header(Struct, forbid_unknown_fields=True):
+    """First line of a trace."""
+
+    trace: str
+    """`search` or `request`."""
+    about: str
+    homes: tuple[NodeId, ...] = (NodeId("home-a"), NodeId("home-b"))
+    entries: tuple[str, ...] = ("entry-1", "entry-2")
+
+
+class Expected(Struct, forbid_unknown_fields=True, omit_defaults=True):
+    """One thing that a step makes the node do."""
+
+    ask: NodeId | None = None
+    cancel: NodeId | None = None
+    answer: RequestId | None = None
+    run: NodeId | None = None
+    outcome: RequestId | None = None
+    group: int | None = None
+    order: int | None = None
+    shards: tuple[ShardId, ...] | None = None
+    snapshot: str | None = None
+    covered: tuple[ShardId, ...] | None = None
+    lacking: dict[ShardId, LackReason] | None = None
+    complete: bool | None = None
+    hits: tuple[str, ...] | None = None
+    state: RunState | None = None
+    reason: RefusalReason | None = None
+    body: str | None = None
+    repeated: bool | None = None
+    retry: bool | None = None
+
+
+class Step(Struct, forbid_unknown_fields=True):
+    """One later line of a trace."""
+
+    at: float
+    """Seconds since the start of the trace."""
+    do: str
+    expect: tuple[Expected, ...] = ()
+    request: RequestId = RequestId("")
+    deadline: float = 0.06
+    """Seconds since the start of the trace."""
+    min_coverage: float = 0.0
+    early: float | None = None
+    node: NodeId = NodeId("")
+    group: int = 0
+    shards: dict[ShardId, str] = {}
+    """Outcome of each shard: a snapshot, or `lacking <reason>`."""
+    available: tuple[str, ...] = ()
+    entry: str = "entry-1"
+    key: str = "key-1"
+    body: str = "{}"
+    fault: Fault = Fault.NONE
+    order: int = 0
+    state: RunState = RunState.DONE
+    reason: RefusalReason | None = None
+
+
+class Player(Protocol):
+    """Takes the steps of one kind of trace."""
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the node did."""
+
+
+class SearchPlayer:
+    """Plays an entry; groups are numbered from 1 in the order they are sent."""
+
+    def __init__(self, header: Header) -> None:
+        self.coordinator = SearchCoordinator(FixedHomes(*header.homes), MemoryLog(), first_id=1)
+        self.coordinator.configure(make_configuration(), START_S)
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the entry did."""
+        return [self._seen(order) for order in self._orders(step, START_S + step.at)]
+
+    def _orders(self, step: Step, now: float) -> list[SearchOrder]:
+        if step.do == "start":
+            early = None if step.early is None else START_S + step.early
+            deadline = START_S + step.deadline
+            request = make_search(step.request, deadline, step.min_coverage, early)
+            return self.coordinator.start(request, now)
+        if step.do == "reply":
+            replies = tuple(self._reply(step, shard) for shard in step.shards)
+            return self.coordinator.on_group_reply(step.node, GroupReply(step.group, replies), now)
+        if step.do == "lost":
+            return self.coordinator.on_node_lost(step.node, now)
+        if step.do == "cancel":
+            return self.coordinator.cancel(step.request, now)
+        if step.do == "tick":
+            return self.coordinator.tick(now)
+        raise TraceError(f"unknown step {step.do!r}")
+
+    def _reply(self, step: Step, shard: ShardId) -> ShardReply:
+        available = tuple(Snapshot.parse(text) for text in step.available)
+        outcome = step.shards[shard]
+        if outcome.startswith("lacking "):
+            reason = LackReason(outcome.removeprefix("lacking "))
+            return ShardReply(shard, reason=reason, available=available)
+        hit = Hit(f"{shard}@{outcome}", 1.0, shard)
+        return ShardReply(shard, Snapshot.parse(outcome), (hit,), None, available)
+
+    def _seen(self, order: SearchOrder) -> Expected:
+        if isinstance(order, SendGroup):
+            message = order.message
+            shards = tuple(target.shard for target in message.targets)
+            snapshot = None if message.snapshot is None else str(message.snapshot)
+            return Expected(
+                ask=order.node, group=message.search_id, shards=shards, snapshot=snapshot
+            )
+        if isinstance(order, SendCancel):
+            return Expected(cancel=order.node, group=order.message.search_id)
+        assert isinstance(order, FinishSearchRequest)
+        answer = order.answer
+        return Expected(
+            answer=answer.request_id,
+            snapshot=None if answer.snapshot is None else str(answer.snapshot),
+            covered=answer.covered,
+            lacking={each.shard: each.reason for each in answer.lacking},
+            complete=answer.complete,
+            hits=tuple(hit.id for hit in answer.hits),
+        )
 
 
-class TraceReplay:
-    """One replay of one trace; the probe checks every order besides."""
-
-    def __init__(self, path: Path) -> None:
-        """Reads a trace whose first line is a `configure` at 0."""
-        self.lines = [json.loads(line) for line in path.read_text().splitlines() if line]
-        self.probe = Probe(self._configuration(self.lines[0]), self.lines[0].get("slots", 2))
-
-    def play(self) -> None:
-        """Plays every line in order."""
-        for number, line in enumerate(self.lines[1:], start=2):
-            self.probe.advance(line["at"] - self.probe.now)
-            name = line.get("do") or line["expect"]
-            step = getattr(self, f"_{'do' if 'do' in line else 'expect'}_{name}")
-            try:
-                step(line)
-            except AssertionError as exc:
-                raise AssertionError(f"line {number}: {line}: {exc}") from exc
-
-    def _configuration(self, line: dict[str, Any]) -> Any:
-        draining = frozenset(line.get("draining", ()))
-        size = (line.get("instances", 1), line.get("replicas", 2), line.get("slots", 2))
-        return configuration(*size, draining)
-
-    def _upstream(self, text: str) -> str:
-        kind, _, sub_id = text.partition(":")
-        if kind == "first":
-            return str(self.probe.sent[int(sub_id)][0].upstream)
-        if kind == "other":
-            first = self.probe.sent[int(sub_id)][0].upstream
-            stem = first.rpartition("-")[0]
-            return f"{stem}-1" if first.endswith("-0") else f"{stem}-0"
-        return text
-
-    def _exchanges(self, to: str) -> list[ExchangeId]:
-        sub, _, upstream = str(to).partition("@")
-        found = list(self.probe.open) if sub == "*" else self.probe.exchanges_of(int(sub))
-        if upstream:
-            name = self._upstream(upstream)
-            found = [key for key in found if self.probe.open[key].upstream == name]
-        assert found, "nothing is in flight there"
-        return found
-
-    def _do_configure(self, line: dict[str, Any]) -> None:
-        line = {**line, "draining": [self._upstream(name) for name in line.get("draining", ())]}
-        self.probe.configure(self._configuration(line))
-
-    def _do_search(self, line: dict[str, Any]) -> None:
-        deadline = self.probe.now + line.get("wait", 0.06)
-        instance, caller = line.get("instance", 0), line.get("caller", "caller")
-        name = line.get("fingerprint", f"f{line['id']}")
-        self.probe.submit(search(line["id"], deadline, instance, caller, name))
-
-    def _do_run(self, line: dict[str, Any]) -> None:
-        deadline = self.probe.now + line.get("wait", 0.06)
-        name = line.get("fingerprint", f"f{line['id']}")
-        self.probe.submit(run(line["id"], deadline, line.get("instance", 0), name))
-
-    def _do_reply(self, line: dict[str, Any]) -> None:
-        reply = UpstreamReply(
-            ReplyKind(line.get("kind", "ok")),
-            Snapshot.parse(line["snapshot"]) if "snapshot" in line else SNAPSHOT,
-            tuple(Snapshot.parse(text) for text in line.get("available", ())),
-            b"ok",
-            line.get("draining", False),
+class RequestPlayer:
+    """Plays several entries and one store; run orders are numbered from 1 over all entries."""
+
+    def __init__(self, header: Header) -> None:
+        self.clock = PausedClock(START_S)
+        self.store = FakeStore()
+        self.incarnation = 1
+        self.entries = {name: EntryNode(self.store, self.clock, name) for name in header.entries}
+        self.orders: list[int] = []
+
+    def take(self, step: Step) -> list[Expected]:
+        """Carries a step out and returns what the entries did."""
+        self.clock.advance(START_S + step.at - self.clock.now())
+        before = {
+            name: (len(entry.orders), len(entry.outcomes)) for name, entry in self.entries.items()
+        }
+        self._act(step, self.entries[step.entry])
+        seen: list[Expected] = []
+        for name, (orders, outcomes) in before.items():
+            for home, order in self.entries[name].orders[orders:]:
+                self.orders.append(order.run_id)
+                seen.append(Expected(run=home, order=len(self.orders), body=order.body))
+            seen += [self._outcome(each) for each in self.entries[name].outcomes[outcomes:]]
+        return seen
+
+    def _act(self, step: Step, entry: EntryNode) -> None:
+        if step.do == "start":
+            deadline = START_S + step.deadline
+            request = make_keyed(step.key, step.body, deadline, name=step.request)
+            entry.coordinator.start(request)
+        elif step.do == "store":
+            self.store.step(fault=step.fault)
+        elif step.do == "store_all":
+            self.store.settle(step.fault)
+        elif step.do == "delayed":
+            self.store.take_delayed()
+        elif step.do == "report":
+            report = RunReport(self.orders[step.order - 1], step.state, step.reason, step.body)
+            entry.coordinator.on_report(step.node, report)
+        elif step.do == "lost":
+            entry.coordinator.on_node_lost(step.node)
+        elif step.do == "tick":
+            entry.coordinator.tick()
+        elif step.do == "restart":
+            self.incarnation += 1
+            self.store.calls.clear()
+            fresh = EntryNode(self.store, self.clock, step.entry, self.incarnation)
+            fresh.orders, fresh.outcomes = entry.orders, entry.outcomes
+            self.entries[step.entry] = fresh
+        else:
+            raise TraceError(f"unknown step {step.do!r}")
+
+    def _outcome(self, outcome: RequestOutcome) -> Expected:
+        return Expected(
+            outcome=outcome.request_id,
+            state=outcome.state,
+            reason=outcome.reason,
+            body=outcome.body,
+            repeated=outcome.repeated,
+            retry=outcome.retry_after_ms is not None,
         )
-        for exchange_id in self._exchanges(line["to"]):
-            if exchange_id in self.probe.open:
-                self.probe.reply(exchange_id, reply)
-
-    def _do_lose(self, line: dict[str, Any]) -> None:
-        for exchange_id in self._exchanges(line["to"]):
-            if exchange_id in self.probe.open:
-                self.probe.lose(exchange_id, LossKind(line.get("loss", "connection_lost")))
-
-    def _do_report(self, line: dict[str, Any]) -> None:
-        name = self._upstream(line["upstream"])
-        self.probe.report(name, line.get("draining", False), line.get("load"))
-
-    def _do_strike(self, line: dict[str, Any]) -> None:
-        name = Fingerprint(line["fingerprint"])
-        upstream = UpstreamName(line.get("upstream", "elsewhere"))
-        strikes = line.get("strikes", 1)
-        self.probe.take(self.probe.dispatcher.on_strike(name, upstream, self.probe.now, strikes))
-
-    def _do_cancel(self, line: dict[str, Any]) -> None:
-        self.probe.cancel(line["id"])
-
-    def _expect_answer(self, line: dict[str, Any]) -> None:
-        reply = self.probe.searches.get(line["id"])
-        assert reply is not None, "no outcome yet"
-        assert reply.reason is None, f"lacking: {reply.reason}"
-
-    def _expect_lacking(self, line: dict[str, Any]) -> None:
-        reply = self.probe.searches.get(line["id"])
-        assert reply is not None, "no outcome yet"
-        found = reply.reason.value if reply.reason else "answered"
-        assert found == line["reason"], f"found {found}"
-
-    def _expect_run(self, line: dict[str, Any]) -> None:
-        report = self.probe.runs.get(line["id"])
-        assert report is not None, "no outcome yet"
-        assert report.state.value == line["state"], f"found {report.state}"
-        reason = report.reason.value if report.reason else None
-        assert reason == line.get("reason"), f"found {reason}"
-
-    def _expect_open(self, line: dict[str, Any]) -> None:
-        found = [self.probe.open[key] for key in self.probe.exchanges_of(line["id"])]
-        assert len(found) == line["count"], f"found {len(found)}"
-        fresh = sum(order.fresh_connection for order in found)
-        assert fresh == line.get("fresh", fresh), f"{fresh} on fresh connections"
-
-    def _expect_sent(self, line: dict[str, Any]) -> None:
-        found = self.probe.sends[self._upstream(line["upstream"])]
-        assert found == line["count"], f"found {found}"
-
-    def _expect_strikes(self, line: dict[str, Any]) -> None:
-        found = [strike.strikes for strike in self.probe.strikes]
-        assert found == line["list"], f"found {found}"
-
-    def _expect_nothing_open(self, line: dict[str, Any]) -> None:
-        assert not self.probe.open, f"{len(self.probe.open)} open"
+
+
+def replay(path: Path) -> int:
+    """Replays one trace.
+
+    Args:
+        path: The trace.
+
+    Returns:
+        The number of steps.
+
+    Raises:
+        TraceError: If a step makes the node do anything else than the trace states.
+    """
+    lines = path.read_text(encoding="utf-8").splitlines()
+    header = json.decode(lines[0], type=Header)
+    players = {"search": SearchPlayer, "request": RequestPlayer}
+    player: Player = players[header.trace](header)
+    for number, line in enumerate(lines[1:], start=2):
+        step = json.decode(line, type=Step)
+        seen = player.take(step)
+        if seen == list(step.expect):
+            continue
+        found = json.encode(seen).decode()
+        raise TraceError(f"{path.name}:{number}: expected otherwise, seen {found}")
+    return len(lines) - 1
