--- a/src/sequoiapulley/upstream/dispatch_core.py
+++ b/src/sequoiapulley/upstream/_dispatch_core.py
@@ -8,18 +8,18 @@
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._ledger import Ledger
+from sequoiapulley.upstream._timer_heap import TimerHeap
+from sequoiapulley.upstream._work import Work
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.directory import Directory, InstanceState
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
-from sequoiapulley.upstream.ledger import Ledger
 from sequoiapulley.upstream.log_events import BUDGET_SPENT, REQUEST_QUARANTINED
 from sequoiapulley.upstream.messages import Action, SubRun
 from sequoiapulley.upstream.outcomes import REFUSAL_BY_LACK, lacking, not_run, unknown
 from sequoiapulley.upstream.quarantine import Quarantine
 from sequoiapulley.upstream.replica_choice import ReplicaChoice
 from sequoiapulley.upstream.retry_budget import RetryBudget
-from sequoiapulley.upstream.timer_heap import TimerHeap
-from sequoiapulley.upstream.work import Work
 
 
 class DispatchCore:
--- a/src/sequoiapulley/upstream/ledger.py
+++ b/src/sequoiapulley/upstream/_ledger.py
@@ -5,12 +5,12 @@
 from itertools import count
 
 from sequoiapulley.ids import ExchangeId
+from sequoiapulley.upstream._timer_heap import TimerHeap
+from sequoiapulley.upstream._work import Exchange, Work, WorkState
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.messages import Action, CancelExchange, SendExchange, SubRun
-from sequoiapulley.upstream.timer_heap import TimerHeap
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Exchange, Work, WorkState
 
 
 class Ledger:
--- a/src/sequoiapulley/upstream/queue_pump.py
+++ b/src/sequoiapulley/upstream/_queue_pump.py
@@ -7,8 +7,9 @@
 
 from sequoiapulley.ids import Fingerprint
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._work import Work, WorkState
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.ejection import may_eject
 from sequoiapulley.upstream.hedging import hedge_delay
 from sequoiapulley.upstream.log_events import EJECTION_WITHHELD, UPSTREAM_EJECTED
@@ -16,7 +17,6 @@
 from sequoiapulley.upstream.overload import Admission
 from sequoiapulley.upstream.upstream_health import HealthState
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Work, WorkState
 
 MAX_HELD: Final = 16
 """Queued work that is passed over in one turn, as the free replicas do not suit it."""
--- a/src/sequoiapulley/upstream/recovery.py
+++ b/src/sequoiapulley/upstream/_recovery.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from sequoiapulley.search.messages import LackReason, ShardReply
-from sequoiapulley.upstream.dispatch_core import DispatchCore
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._queue_pump import QueuePump
+from sequoiapulley.upstream._work import Exchange, Work, WorkState
 from sequoiapulley.upstream.hedging import MAX_TRIES
 from sequoiapulley.upstream.log_events import (
     REQUEST_SUSPECTED,
@@ -30,9 +32,7 @@
     unknown,
 )
 from sequoiapulley.upstream.quarantine import STRIKES_TO_REFUSE
-from sequoiapulley.upstream.queue_pump import QueuePump
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Exchange, Work, WorkState
 
 ERROR_WEIGHT: Final = 1
 LOST_WEIGHT: Final = 2
--- a/src/sequoiapulley/upstream/baseline.py
+++ b/src/sequoiapulley/upstream/baseline.py
@@ -18,6 +18,7 @@
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.requests.messages import RefusalReason
 from sequoiapulley.search.messages import LackReason, ShardReply
+from sequoiapulley.upstream._timer_heap import TimerHeap
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.messages import (
@@ -41,7 +42,6 @@
     run_outcome,
     unknown,
 )
-from sequoiapulley.upstream.timer_heap import TimerHeap
 
 
 class _Flight:
--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -14,7 +14,7 @@
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.work import Work
+    from sequoiapulley.upstream._work import Work
 
 DEFAULT_LATENCY_S: Final = 0.005
 """Assumed until an instance has replied."""
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -10,9 +10,12 @@
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.requests.messages import RefusalReason
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._queue_pump import QueuePump
+from sequoiapulley.upstream._recovery import Recovery
+from sequoiapulley.upstream._work import Work, WorkState
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.hedging import Hedging
 from sequoiapulley.upstream.log_events import UPSTREAM_LEAVING, UPSTREAM_STAYS
@@ -25,10 +28,7 @@
     UpstreamReply,
 )
 from sequoiapulley.upstream.outcomes import lacking, not_run
-from sequoiapulley.upstream.queue_pump import QueuePump
-from sequoiapulley.upstream.recovery import Recovery
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Work, WorkState
 
 
 class Dispatcher:
--- a/src/sequoiapulley/upstream/fair_queue.py
+++ b/src/sequoiapulley/upstream/fair_queue.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from sequoiapulley.ids import CallerId
-from sequoiapulley.upstream.work import Work, WorkState
+from sequoiapulley.upstream._work import Work, WorkState
 
 SHARE_SLACK: Final = 4
 """Requests by which a caller may be ahead of the one served least."""
--- a/src/sequoiapulley/upstream/hedging.py
+++ b/src/sequoiapulley/upstream/hedging.py
@@ -5,14 +5,14 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._work import Work, WorkState
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.log_events import CONNECTIONS_SUSPECTED
 from sequoiapulley.upstream.messages import Action
-from sequoiapulley.upstream.work import Work, WorkState
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.queue_pump import QueuePump
+    from sequoiapulley.upstream._queue_pump import QueuePump
 
 SHORTEST_HEDGE_S: Final = 0.001
 DEFAULT_HEDGE_S: Final = 0.02
--- a/src/sequoiapulley/upstream/overload.py
+++ b/src/sequoiapulley/upstream/overload.py
@@ -5,11 +5,11 @@
 from typing import Final
 
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._work import Work
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.log_events import OVERLOAD_BEGAN, OVERLOAD_ENDED
 from sequoiapulley.upstream.messages import Action
-from sequoiapulley.upstream.work import Work
 
 QUIET_S: Final = 2.0
 """Time without a refusal after which an overload is over."""
--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -12,7 +12,7 @@
 from sequoiapulley.upstream.upstream_health import HealthState, UpstreamHealth
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.work import Work
+    from sequoiapulley.upstream._work import Work
 
 RAMP_S: Final = 3.0
 """Time in which a new or restarted upstream comes to its full share."""
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -16,11 +16,11 @@
 )
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._work import Work
 from sequoiapulley.upstream.directory import InstanceState
 from sequoiapulley.upstream.dispatcher import Dispatcher
 from sequoiapulley.upstream.fair_queue import SHARE_SLACK, FairQueue
 from sequoiapulley.upstream.log_events import OVERLOAD_BEGAN, OVERLOAD_ENDED
-from sequoiapulley.upstream.work import Work
 from tests.upstream_fakes import Probe, configuration, ok, run, search
 
 CAPACITY_PER_S = 750.0
