--- a/src/sequoiapulley/upstream/_dispatch_core.py
+++ b/src/sequoiapulley/upstream/_dispatch_core.py
@@ -95,5 +95,8 @@
 
 def available_at(instance: InstanceState) -> tuple[Snapshot, ...]:
     """Returns the snapshots that the replicas of an instance were last seen to serve."""
-    found = {snapshot for replica in instance.replicas for snapshot in replica.available}
+    found: set[Snapshot] = set()
+    for replica in instance.replicas:
+        found.update(replica.available)
+        found.update(replica.reported_available)
     return tuple(sorted(found))
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -157,7 +157,7 @@
             upstream: Name of the upstream.
             load: Reported load, 0 to 1; a hint that moves no traffic by itself.
             draining: Whether the upstream asks for no new work.
-            available: Snapshots that it serves.
+            available: Snapshots that it serves; a hint for the outcome of searches that lack one.
             now: Clock reading in seconds.
 
         Returns:
@@ -168,7 +168,7 @@
         if state is None:
             return []
         state.reported_load = load
-        state.on_available(available, now)
+        state.reported_available = available
         if draining and state.drain.on_sign(now):
             core.log.log(UPSTREAM_LEAVING, upstream=upstream)
         if not draining and state.drain.on_cleared_report(now):
--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -62,7 +62,10 @@
         """Suspected work that has the upstream for itself."""
         self.reported_load: float | None = None
         self.available: tuple[Snapshot, ...] = ()
+        """Snapshots that its last reply listed."""
         self.available_at = float("-inf")
+        self.reported_available: tuple[Snapshot, ...] = ()
+        """Snapshots that its load report listed; a hint that keeps no search away."""
 
     @property
     def in_service(self) -> bool:
