--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -18,7 +18,7 @@
 """Time in which a new or restarted upstream comes to its full share."""
 COLD_COST: Final = 3.0
 """Factor on the expected latency of an upstream at the start of its ramp."""
-AVAILABLE_TTL_S: Final = 1.0
+AVAILABLE_TTL_S: Final = 0.25
 """Time for which the snapshots that a replica listed are taken as all it serves."""
 UNANSWERED_BEFORE_FRESH: Final = 2
 """Exchanges in a row without a reply after which the next one opens a new connection."""
