Wake for a queue only when no event will move it

Cause: every instance with a queue asked for a tick each 2 ms, also when exchanges in flight were about to free a slot. Tests of overload and isolation unchanged, green.

--- a/src/sequoiapulley/upstream/_queue_pump.py
+++ b/src/sequoiapulley/upstream/_queue_pump.py
@@ -87,8 +87,8 @@
                 held.append(work)
         for work in held:
             queue.push(work)
-        if len(queue):
-            self._wake_if_stuck(instance, now)
+        if held or not any(replica.in_flight for replica in instance.replicas):
+            self._wake_soon(instance, now)
 
     def _look_after(self, instance: InstanceState, now: float, actions: list[Action]) -> None:
         """Ejects outliers and serves upstreams that are kept for suspected work."""
@@ -229,9 +229,9 @@
         log.log(EJECTION_WITHHELD, upstream=upstream.name)
         health.on_success()
 
-    def _wake_if_stuck(self, instance: InstanceState, now: float) -> None:
-        """Looks again soon if time, and not the end of an exchange, makes room."""
-        if instance.due is not None and instance.due > now:
+    def _wake_soon(self, instance: InstanceState, now: float) -> None:
+        """Looks again soon, as time and not the end of an exchange makes room."""
+        if not len(instance.queue) or (instance.due is not None and instance.due > now):
             return
         self._core.wakes.arm(instance, now + POLL_S)
 
