Share a crowded home between services by weight

A service that floods a home with work took the processor and memory of the others. With it a direct test that a search and a run may have the same id, as only a slow shrink of the state machine told.

--- a/src/sequoiapulley/upstream/_ledger.py
+++ b/src/sequoiapulley/upstream/_ledger.py
@@ -10,6 +10,7 @@
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.messages import Action, CancelExchange, SendExchange, SubRun
+from sequoiapulley.upstream.service_shares import ServiceShares
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
 
@@ -29,12 +30,14 @@
         self.searches: dict[int, Work] = {}
         self.runs: dict[int, Work] = {}
         self.exchanges: dict[ExchangeId, Exchange] = {}
+        self.shares = ServiceShares()
         self.timers: TimerHeap[Work] = TimerHeap()
 
     def add(self, work: Work) -> None:
         """Takes new work; the ids of searches and of runs are counted apart."""
         books = self.runs if work.is_run else self.searches
         books[work.sub_id] = work
+        self.shares.add(work.instance.service)
 
     def all_work(self) -> list[Work]:
         """Returns all unfinished work."""
@@ -123,6 +126,7 @@
         work.state = WorkState.FINISHED
         work.due = None
         books = self.runs if work.is_run else self.searches
-        books.pop(work.sub_id, None)
+        if books.pop(work.sub_id, None) is not None:
+            self.shares.remove(work.instance.service)
         for exchange in list(work.exchanges):
             self.abandon(exchange, now, actions)
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -76,6 +76,7 @@
         core = self._core
         place = configuration.places.get(core.choice.place) if core.choice.place else None
         core.choice.region = place.region if place else None
+        core.ledger.shares.configure(configuration)
         left, gone = core.directory.apply(configuration, now, connections, slots)
         actions: list[Action] = [CloseUpstream(state.name) for state in left]
         for state in left:
--- a/src/sequoiapulley/upstream/overload.py
+++ b/src/sequoiapulley/upstream/overload.py
@@ -42,6 +42,10 @@
             Whether the work may be queued; otherwise it is finished.
         """
         instance = work.instance
+        if self._core.ledger.shares.exceeds(instance.service):
+            self._mark(instance, now)
+            self._core.give_up(work, LackReason.OVERLOAD, now, actions)
+            return False
         if self._fits(instance, work, now):
             return True
         self._mark(instance, now)
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -11,7 +11,14 @@
 from sequoiapulley.model import Snapshot
 from sequoiapulley.requests.messages import RefusalReason, RunState
 from sequoiapulley.search.messages import LackReason
-from sequoiapulley.upstream.messages import LossKind, ReplyKind, UpstreamReply
+from sequoiapulley.upstream.messages import (
+    CancelExchange,
+    FinishRun,
+    LossKind,
+    ReplyKind,
+    SendExchange,
+    UpstreamReply,
+)
 from tests.upstream_fakes import Probe, configuration, ok, run, search
 
 
@@ -88,6 +95,18 @@
         probe.reply(probe.exchanges_of(1)[0], ok())
         self.assertEqual(probe.runs[1].state, RunState.DONE)
 
+    def test_a_search_and_a_run_may_have_the_same_id(self) -> None:
+        dispatcher = Probe().dispatcher
+        dispatcher.submit_search(search(1, 1.0), 0.0)
+        [sent] = dispatcher.submit_run(run(1, 1.0), 0.0)
+        assert isinstance(sent, SendExchange)
+        [cancelled] = dispatcher.cancel(1, 0.0)
+        assert isinstance(cancelled, CancelExchange)
+        self.assertNotEqual(cancelled.exchange_id, sent.exchange_id)
+        [finished] = dispatcher.on_reply(sent.exchange_id, ok(), 0.0)
+        assert isinstance(finished, FinishRun)
+        self.assertIs(finished.report.state, RunState.DONE)
+
     def test_removed_and_draining_upstreams_get_no_new_work(self) -> None:
         probe = Probe()
         probe.configure(configuration(draining=frozenset({"ledger-0-0"})))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -14,6 +14,7 @@
     PausedUpstreams,
     small_configuration,
 )
+from sequoiapulley.ids import ServiceName
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.search.messages import LackReason
 from sequoiapulley.upstream._work import Work
@@ -21,6 +22,7 @@
 from sequoiapulley.upstream.dispatcher import Dispatcher
 from sequoiapulley.upstream.fair_queue import SHARE_SLACK, FairQueue
 from sequoiapulley.upstream.log_events import OVERLOAD_BEGAN, OVERLOAD_ENDED
+from sequoiapulley.upstream.service_shares import CONTENDED, MAX_UNFINISHED, ServiceShares
 from tests.upstream_fakes import Probe, configuration, ok, run, search
 
 CAPACITY_PER_S = 750.0
@@ -119,6 +121,45 @@
         self.assertEqual([work.deadline for work in queue.drain()], [1.0, 2.0, 3.0])
 
 
+class ServiceSharesTest(TestCase):
+    """A service that floods the home leaves their share to the others."""
+
+    def test_flooding_service_is_refused_at_its_weight_and_others_are_not(self) -> None:
+        shares = ServiceShares()
+        shares.configure(configuration(services={"flood": 1, "desk": 3}))
+        flood, desk = ServiceName("flood"), ServiceName("desk")
+        for _ in range(CONTENDED):
+            shares.add(flood)
+            self.assertFalse(shares.exceeds(flood))
+        shares.add(desk)
+        self.assertFalse(shares.exceeds(desk))
+        shares.add(flood)
+        self.assertTrue(shares.exceeds(flood))
+        for _ in range(MAX_UNFINISHED * 3 // 4 - 1):
+            shares.add(desk)
+            self.assertFalse(shares.exceeds(desk))
+        shares.add(desk)
+        self.assertTrue(shares.exceeds(desk))
+
+    def test_counts_follow_the_work(self) -> None:
+        probe = Probe(configuration(instances=1))
+        shares = probe.dispatcher._core.ledger.shares
+        for number in range(100):
+            probe.submit(search(number, 0.01 * number))
+        probe.cancel(50)
+        probe.advance(2.0)
+        self.assertEqual(shares._counts, {})
+
+    def test_excess_is_refused_through_the_dispatcher(self) -> None:
+        probe = Probe(configuration(services={"ledger": 1, "desk": 1}))
+        for _ in range(MAX_UNFINISHED):
+            probe.dispatcher._core.ledger.shares.add(ServiceName("ledger"))
+        probe.submit(search(1, 1.0))
+        probe.submit(search(2, 1.0, service="desk"))
+        self.assertEqual(probe.searches[1].reason, LackReason.OVERLOAD)
+        self.assertEqual(len(probe.exchanges_of(2)), 1)
+
+
 class LateWorkTest(TestCase):
     """Work that cannot finish in time is refused unsent."""
 
