Check strikes in the probe, and close the gap that one mutation found

The probe checks that no quarantined request is sent and no struck one hedged, and the state machine hears strikes of other nodes.

--- a/bench/dispatch_policies.py
+++ b/bench/dispatch_policies.py
@@ -6,7 +6,13 @@
 from collections.abc import Callable
 from typing import Final
 
-from bench.paused_upstreams import NullCodec, Outcome, PausedUpstreams, small_configuration
+from bench.paused_upstreams import (
+    DEADLINE_S,
+    NullCodec,
+    Outcome,
+    PausedUpstreams,
+    small_configuration,
+)
 from sequoiapulley.model import Snapshot
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.upstream.baseline import BaselineDispatcher
@@ -17,6 +23,8 @@
 """About a third of the capacity of two replicas; the first replica alone is at two thirds."""
 SECONDS: Final = 10.0
 FAULT_AT_S: Final = 2.0
+LONG_DEADLINE_S: Final = 1.0
+"""Shows the tail of the naive policy that the usual deadline cuts off."""
 MEASURED_FROM_S: Final = 1.0
 MS: Final = 1000.0
 
@@ -78,13 +86,19 @@
     return round(sorted_values[index] * MS, 2)
 
 
-def measure(dispatcher: Dispatcher, fault: Fault, seconds: float = SECONDS) -> dict[str, float]:
+def measure(
+    dispatcher: Dispatcher,
+    fault: Fault,
+    seconds: float = SECONDS,
+    deadline: float = DEADLINE_S,
+) -> dict[str, float]:
     """Runs searches over all shards with one fault.
 
     Args:
         dispatcher: The policy.
         fault: What happens after `FAULT_AT_S`.
         seconds: How long searches arrive.
+        deadline: Time limit of each search, in seconds.
 
     Returns:
         Quantiles in milliseconds, shares from 0 to 1.
@@ -93,14 +107,14 @@
     searches: list[list[Outcome]] = []
 
     def search() -> None:
-        ids = [world.search(instance) for instance in world.instances]
+        ids = [world.search(instance, deadline=deadline) for instance in world.instances]
         searches.append([world.outcomes[sub_id] for sub_id in ids])
 
     due = 0.0
     while (due := due + world.random.expovariate(SEARCHES_PER_S)) < seconds:
         world.at(due, search)
     world.at(FAULT_AT_S, lambda: fault(world))
-    world.run_until(seconds + 1.0)
+    world.run_until(seconds + 1.0 + deadline)
     counted = [search for search in searches if search[0].started_at >= MEASURED_FROM_S]
     times = sorted(max(_time(outcome) for outcome in search) for search in counted)
     subs = [outcome for search in counted for outcome in search]
@@ -134,6 +148,12 @@
             "baseline": measure(naive, fault),
             "dispatcher": measure(Dispatcher(NullCodec(), MemoryLog()), fault),
         }
+    slow: Dispatcher = BaselineDispatcher(NullCodec(), MemoryLog())  # type: ignore[assignment]
+    quick = Dispatcher(NullCodec(), MemoryLog())
+    results["1% stragglers, 1 s"] = {
+        "baseline": measure(slow, stragglers, deadline=LONG_DEADLINE_S),
+        "dispatcher": measure(quick, stragglers, deadline=LONG_DEADLINE_S),
+    }
     return results
 
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -107,6 +107,17 @@
         assert isinstance(finished, FinishRun)
         self.assertIs(finished.report.state, RunState.DONE)
 
+    def test_an_upstream_that_comes_back_still_counts_what_is_in_flight(self) -> None:
+        probe = Probe(configuration(replicas=1))
+        probe.submit(search(1, 1.0))
+        probe.submit(search(2, 1.0))
+        probe.configure(configuration(replicas=0))
+        probe.configure(configuration(replicas=1))
+        probe.submit(search(3, 1.0))
+        self.assertEqual(probe.exchanges_of(3), [])
+        probe.reply(probe.exchanges_of(1)[0], ok())
+        self.assertEqual(len(probe.exchanges_of(3)), 1)
+
     def test_removed_and_draining_upstreams_get_no_new_work(self) -> None:
         probe = Probe()
         probe.configure(configuration(draining=frozenset({"ledger-0-0"})))
@@ -171,6 +182,14 @@
             if order.upstream == upstream and exchange_id in self.probe.open:
                 self.probe.lose(exchange_id, loss)
 
+    @rule(
+        fingerprint=st.sampled_from(["a", "b", "c"]),
+        upstream=st.sampled_from(["ledger-0-0", "ledger-1-1", "elsewhere"]),
+        strikes=st.sampled_from([1, 1, 1, 2]),
+    )
+    def hear(self, fingerprint, upstream, strikes) -> None:  # type: ignore[no-untyped-def]
+        self.probe.hear(fingerprint, upstream, strikes)
+
     @rule(pick=st.integers(0, 100))
     def cancel(self, pick) -> None:  # type: ignore[no-untyped-def]
         sub_id = pick % (self.next_id + 1)
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -47,6 +47,7 @@
     SubSearch,
     UpstreamReply,
 )
+from sequoiapulley.upstream.quarantine import REFUSED_TTL_S
 
 SNAPSHOT: Final = Snapshot(1, 1)
 SERVICE: Final = ServiceName("ledger")
@@ -173,6 +174,8 @@
         self.runs: dict[int, RunReport] = {}
         self.received: dict[int, set[str]] = {}
         self.replaced: set[int] = set()
+        self.struck: set[Fingerprint] = set()
+        self.refused: dict[Fingerprint, float] = {}
         self.strikes: list[NewStrike] = []
         self.sends: Counter[str] = Counter()
         self.in_flight: Counter[str] = Counter()
@@ -193,7 +196,8 @@
         return self.take(self.dispatcher.submit_search(sub, self.now))
 
     def reply(self, exchange_id: ExchangeId, reply: UpstreamReply) -> list[Action]:
-        """Answers an exchange."""
+        """Answers an exchange; a good reply may clear its fingerprint."""
+        self.struck.discard(self.subs[self.sub_of[exchange_id]].fingerprint)
         self._ended(exchange_id, reply.kind not in REFUSALS)
         return self.take(self.dispatcher.on_reply(exchange_id, reply, self.now))
 
@@ -229,6 +233,19 @@
         """Lists the open exchanges of a sub-request, oldest first."""
         return [key for key in self.open if self.sub_of[key] == sub_id]
 
+    def hear(self, fingerprint: str, upstream: str, strikes: int = 1) -> list[Action]:
+        """Delivers a strike of another node."""
+        self.on_strike(Fingerprint(fingerprint), strikes)
+        name = UpstreamName(upstream)
+        orders = self.dispatcher.on_strike(Fingerprint(fingerprint), name, self.now, strikes)
+        return self.take(orders)
+
+    def on_strike(self, fingerprint: Fingerprint, strikes: int) -> None:
+        """Remembers what is suspected and refused from now on."""
+        self.struck.add(fingerprint)
+        if strikes > 1:
+            self.refused.setdefault(fingerprint, self.now + REFUSED_TTL_S)
+
     def take(self, orders: list[Action]) -> list[Action]:
         """Carries orders out and checks them."""
         for order in orders:
@@ -243,6 +260,7 @@
                 self._on_run_finished(order)
             elif isinstance(order, NewStrike):
                 self.strikes.append(order)
+                self.on_strike(order.fingerprint, order.strikes)
         for upstream, count in self.in_flight.items():
             assert count <= self.slots, f"more in flight at {upstream} than slots"
         return orders
@@ -254,6 +272,10 @@
         assert sub.deadline > self.now, "sent after the deadline"
         assert sub.sub_id not in self.may_have_run, "sent a run twice"
         before = self.sent.setdefault(sub.sub_id, [])
+        refused_until = self.refused.get(sub.fingerprint, 0.0)
+        assert self.now >= refused_until, "sent a quarantined request"
+        if sub.fingerprint in self.struck and before:
+            assert not self.exchanges_of(sub.sub_id), "hedged a struck request"
         if isinstance(sub, SubRun):
             assert not self.exchanges_of(sub.sub_id), "a run has two exchanges"
         if order.upstream in self.received.setdefault(sub.sub_id, set()):
