Keep silence out of the history that detects it

Cause: exchanges given up counted with all of their time, the 99th percentile rose to 487 ms and the delay for silent connections with it beyond every deadline; both replicas stayed full of silent exchanges, so hedges had no room; the slow estimate also cut the limits to one. Ruled out: the transport (a fresh connection answered at once) and, mostly, the budget (53 denials, as its cap rose only after five seconds; it rises at once now). Both new tests fail without the change.

--- a/src/sequoiapulley/upstream/_ledger.py
+++ b/src/sequoiapulley/upstream/_ledger.py
@@ -106,10 +106,10 @@
         self.release(exchange.exchange_id)
         self._counts.cancelled += 1
         exchange.work.instance.troubled = True
-        typical = exchange.work.instance.typical
+        instance = exchange.work.instance
         elapsed = now - exchange.sent_at
-        if exchange.upstream.on_unanswered(elapsed, typical, exchange.fresh, now):
-            exchange.work.instance.latency.record(elapsed, now)
+        if exchange.upstream.on_unanswered(elapsed, instance.typical, exchange.fresh, now):
+            instance.latency.record_unanswered(elapsed, now)
         actions.append(CancelExchange(exchange.exchange_id, exchange.upstream.name))
 
     def unreserve(self, work: Work) -> None:
--- a/src/sequoiapulley/upstream/hedging.py
+++ b/src/sequoiapulley/upstream/hedging.py
@@ -19,6 +19,8 @@
 """Delay of hedges until an instance has `MIN_SAMPLES`."""
 MIN_SAMPLES: Final = 32
 SILENT_FACTOR: Final = 3.0
+SILENT_MEDIANS: Final = 10.0
+"""A reply is never waited for longer than this many median latencies, or the 97th percentile."""
 SHORTEST_SILENT_S: Final = 0.015
 MAX_TRIES: Final = 3
 RECHECK_S: Final = 0.002
@@ -38,7 +40,8 @@
     figures = instance.latency.figures
     if figures is None or instance.latency.count < MIN_SAMPLES:
         return 2 * DEFAULT_HEDGE_S
-    return max(SHORTEST_SILENT_S, SILENT_FACTOR * figures.p99)
+    late = min(SILENT_FACTOR * figures.p99, SILENT_MEDIANS * figures.p50)
+    return max(SHORTEST_SILENT_S, late, figures.p97)
 
 
 class Hedging:
--- a/src/sequoiapulley/upstream/latency_window.py
+++ b/src/sequoiapulley/upstream/latency_window.py
@@ -17,6 +17,8 @@
 MIN_SAMPLES: Final = 32
 REFRESH_SAMPLES: Final = 32
 """Samples after which the figures are computed again."""
+INSIDE: Final = 0.95
+"""Factor that keeps a sample in the bucket whose upper edge a quantile is."""
 
 
 class LatencyFigures(Struct, frozen=True):
@@ -83,6 +85,20 @@
         if self._stale >= REFRESH_SAMPLES or self._starts():
             self._refresh(now)
 
+    def record_unanswered(self, elapsed: float, now: float) -> None:
+        """Adds an exchange that was given up, without moving the upper quantiles.
+
+        The time it took so far is a lower bound. It counts as just inside the 97th percentile:
+        left out, cancelling the late would pull the percentiles down; counted in full, silent
+        connections would push them up until silence looks usual.
+
+        Args:
+            elapsed: Seconds since the exchange was sent.
+            now: Clock reading in seconds.
+        """
+        if self.figures is not None:
+            self.record(min(elapsed, INSIDE * self.figures.p97), now)
+
     def quantile(self, share: float) -> float | None:
         """Returns the latency that a share of the samples does not exceed.
 
--- a/src/sequoiapulley/upstream/retry_budget.py
+++ b/src/sequoiapulley/upstream/retry_budget.py
@@ -44,6 +44,7 @@
     def on_first_try(self, now: float) -> None:
         """Earns a part of a token."""
         self._window_tries += 1
+        self._cap = max(self._cap, EARNED_PER_TRY * self._window_tries)
         if now - self._window_start >= CAP_WINDOW_S:
             self._cap = max(SMALLEST_CAP, EARNED_PER_TRY * self._window_tries)
             self._window_start = now
--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -20,6 +20,9 @@
 """Factor on the expected latency of an upstream at the start of its ramp."""
 AVAILABLE_TTL_S: Final = 0.25
 """Time for which the snapshots that a replica listed are taken as all it serves."""
+UNANSWERED_RATIO: Final = 2.0
+"""Most that an exchange given up adds to the estimate, over the typical latency; a silent
+connection must not make the upstream look slow."""
 UNANSWERED_BEFORE_FRESH: Final = 2
 """Exchanges in a row without a reply after which the next one opens a new connection."""
 
@@ -164,7 +167,7 @@
         """
         if elapsed <= self.expected(typical, now):
             return False
-        self.latency.record(elapsed, now)
+        self.latency.record(min(elapsed, UNANSWERED_RATIO * typical), now)
         self.unanswered += 1
         if fresh or self.health.state is HealthState.EJECTED:
             self.on_failure(1, False, now)
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -12,6 +12,7 @@
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.search.messages import LackReason
 from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.latency_window import LatencyWindow
 from sequoiapulley.upstream.messages import (
     CancelExchange,
     LossKind,
@@ -126,6 +127,32 @@
         probe.reply(exchange_id, ok())
         self.assertIsNone(probe.searches[1].reason)
 
+    def test_silence_does_not_become_usual(self) -> None:
+        window = LatencyWindow()
+        for number in range(200):
+            window.record(0.004 + 0.00001 * (number % 100), 0.0)
+        before = window.figures
+        assert before is not None
+        for _ in range(400):
+            window.record(0.005, 0.0)
+            window.record_unanswered(0.5, 0.0)
+        after = window.figures
+        assert after is not None
+        self.assertLessEqual(after.p97, before.p97)
+        self.assertLessEqual(after.p99, before.p99)
+
+    def test_silent_connections_do_not_make_the_upstream_look_slow(self) -> None:
+        probe = Probe(configuration(replicas=1))
+        warm(probe)
+        for sub_id in range(1, 20):
+            probe.submit(search(sub_id, probe.now + 0.5))
+            while len(probe.sent[sub_id]) < 2:
+                probe.advance(0.001)
+            probe.advance(0.004)
+            probe.reply(probe.exchanges_of(sub_id)[0], ok())
+        [upstream] = probe.dispatcher.upstream_states()
+        self.assertEqual(upstream.limit.current, 2)
+
     def test_runs_are_never_sent_again(self) -> None:
         probe = Probe(configuration(replicas=1))
         warm(probe)
