Look for silent homes at shared times

Cause: each home of a search had its own hedge timer, and each timer looked at all homes, so the work grew with the square of their number. Delays now come in steps of 4 ms and a search sets one timer per time.

--- a/src/sequoiapulley/search/coordinator.py
+++ b/src/sequoiapulley/search/coordinator.py
@@ -254,7 +254,11 @@
         )
         search.groups[search_id] = group
         self._groups[search_id] = group
-        if group.hedge_at < search.answer_at - MIN_ASK_S:
+        if (
+            group.hedge_at < search.answer_at - MIN_ASK_S
+            and group.hedge_at not in search.hedge_times
+        ):
+            search.hedge_times.add(group.hedge_at)
             heappush(self._timers, (group.hedge_at, request.request_id))
         message = GroupSearch(
             search_id=search_id,
--- a/src/sequoiapulley/search/home_health.py
+++ b/src/sequoiapulley/search/home_health.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import Final
 
 from sequoiapulley.ids import NodeId
@@ -13,6 +14,7 @@
 MAX_MARGIN_SHARE: Final = 0.5
 DEFAULT_FIRST_BATCH_S: Final = 0.020
 MIN_HEDGE_S: Final = 0.008
+HEDGE_STEP_S: Final = 0.004
 SILENT_GROUPS_TO_AVOID: Final = 3
 AVOID_S: Final = 1.0
 NO_NODES: Final[frozenset[NodeId]] = frozenset()
@@ -80,11 +82,15 @@
         return max(MIN_HOP_MARGIN_S, min(trip, MAX_MARGIN_SHARE * time_left))
 
     def hedge_delay(self, node: NodeId) -> float:
-        """Returns the seconds of silence after which another home is asked as well."""
+        """Returns the seconds of silence after which another home is asked as well.
+
+        Delays come in steps, so that the homes of one search share a few timers.
+        """
         home = self._homes.get(node)
         if home is None:
             return DEFAULT_FIRST_BATCH_S
-        return max(MIN_HEDGE_S, home.first_batch.upper(DEFAULT_FIRST_BATCH_S))
+        delay = max(MIN_HEDGE_S, home.first_batch.upper(DEFAULT_FIRST_BATCH_S))
+        return ceil(delay / HEDGE_STEP_S) * HEDGE_STEP_S
 
     def _record(self, node: NodeId) -> _Home:
         home = self._homes.get(node)
--- a/src/sequoiapulley/search/search_state.py
+++ b/src/sequoiapulley/search/search_state.py
@@ -43,6 +43,8 @@
     """Nodes that were lost or silent while a shard waited for them."""
     second_asks: dict[ShardId, int] = {}
     """Further groups that wait for a shard, beside the first."""
+    hedge_times: set[float] = set()
+    """Clock readings at which silent homes are looked for."""
     earlier: Gather | None = None
     """The first attempt, after a rerun."""
 
