--- a/tests/test_request_coordinator.py
+++ b/tests/test_request_coordinator.py
@@ -215,6 +215,17 @@
         self.start(restarted, make_keyed(deadline=1_200.0))
         self.assertEqual(restarted.orders + self.second.orders, [])
 
+    def test_repeat_that_closes_a_dead_claim_does_not_wait_for_a_silent_store(self) -> None:
+        self.start(self.first)
+        self.clock.advance(100)
+        self.second.coordinator.start(make_keyed(deadline=self.clock.now() + 1.0))
+        self.store.step()
+        self.clock.advance(1.0)
+        self.second.coordinator.tick()
+        self.assertEqual(self.last(self.second), (RunState.UNKNOWN, RefusalReason.IN_PROGRESS))
+        self.store.settle()
+        self.assertEqual((len(self.second.outcomes), self.second.orders), (1, []))
+
     def test_paused_holder_that_resumes_replaces_unknown_by_done(self) -> None:
         self.start(self.first)
         self.clock.advance(100)
