--- a/src/sequoiapulley/model/snapshot.py
+++ b/src/sequoiapulley/model/snapshot.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 
-class Snapshot(Struct, frozen=True, order=True):
+class Snapshot(Struct, frozen=True, order=True, array_like=True):
     """One consistent state of all shards of a service; later snapshots compare greater."""
 
     shard_map: int
--- a/src/sequoiapulley/search/messages.py
+++ b/src/sequoiapulley/search/messages.py
@@ -38,7 +38,7 @@
     """The upstream answered with an error."""
 
 
-class Hit(Struct, frozen=True):
+class Hit(Struct, frozen=True, array_like=True):
     """One result of a search; hits are merged by falling score, then by id."""
 
     id: str
@@ -67,7 +67,7 @@
     """Hash of service and query, the same on every node for the same request."""
 
 
-class ShardTarget(Struct, frozen=True):
+class ShardTarget(Struct, frozen=True, array_like=True):
     """One shard that a search must reach."""
 
     shard: ShardId
@@ -91,7 +91,7 @@
     targets: tuple[ShardTarget, ...]
 
 
-class ShardReply(Struct, frozen=True):
+class ShardReply(Struct, frozen=True, array_like=True):
     """The outcome of one shard of a group search."""
 
     shard: ShardId
