--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -134,9 +134,7 @@
     configuration = make_configuration(scenario.instances)
     with TemporaryDirectory(prefix="sequoiapulley-bench-") as folder:
         faults = {"latency_ms": scenario.latency_ms}
-        processes = UpstreamProcesses(
-            specs_of(configuration), Path(folder), faults, PROCESSES
-        )
+        processes = UpstreamProcesses(specs_of(configuration), Path(folder), faults, PROCESSES)
         try:
             yield with_ports(configuration, processes.ports), processes
         finally:
--- a/tests/fleet_net.py
+++ b/tests/fleet_net.py
@@ -61,6 +61,7 @@
         self.events: list[tuple[float, NodeId, FleetOrder]] = []
         self.sent: list[tuple[float, NodeId, int]] = []
         self._order = count()
+        self._ticks: list[tuple[float, int, NodeId]] = []
         self._flying: list[tuple[float, int, NodeId, NodeAddress, NodeAddress, bytes]] = []
         members = [make_member(number) for number in range(size)]
         for member in members:
@@ -94,6 +95,9 @@
     def run(self, seconds: float) -> None:
         """Advances the clock from event to event."""
         end = self.now + seconds
+        self._ticks = []
+        for name in self.nodes:
+            self._schedule(name)
         while True:
             due, node = self._next_tick()
             flight = self._flying[0][0] if self._flying else end
@@ -105,20 +109,26 @@
                 self._deliver(sender, source, address, payload)
             elif node is not None:
                 self.execute(node, self.nodes[node].tick(self._clock_of(node)))
+                self._schedule(node)
         self.now = end
 
+    def _due(self, node: NodeId) -> float:
+        return (self.nodes[node].next_due() or 0.0) - self.clock_offsets.get(node, 0.0)
+
+    def _schedule(self, node: NodeId) -> None:
+        if node not in self.stopped and node not in self.paused:
+            heappush(self._ticks, (self._due(node), next(self._order), node))
+
     def _clock_of(self, node: NodeId) -> float:
         return self.now + self.clock_offsets.get(node, 0.0)
 
     def _next_tick(self) -> tuple[float, NodeId | None]:
-        first, chosen = float("inf"), None
-        for name, node in self.nodes.items():
-            if name in self.stopped or name in self.paused:
-                continue
-            due = (node.next_due() or 0.0) - self.clock_offsets.get(name, 0.0)
-            if due < first:
-                first, chosen = due, name
-        return first, chosen
+        while self._ticks:
+            due, _order, node = self._ticks[0]
+            if due == self._due(node):
+                return due, node
+            heappop(self._ticks)
+        return float("inf"), None
 
     def _deliver(
         self, sender: NodeId, source: NodeAddress, address: NodeAddress, payload: bytes
@@ -127,6 +137,7 @@
         if name is None or name in self.stopped or name in self.paused or self.cut(sender, name):
             return
         self.execute(name, self.nodes[name].on_message(source, payload, self._clock_of(name)))
+        self._schedule(name)
 
     def running(self) -> list[NodeId]:
         """Lists the nodes that run."""
