--- a/src/sequoiapulley/fleet/home_map.py
+++ b/src/sequoiapulley/fleet/home_map.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from math import ceil
 from typing import Final
 
@@ -14,7 +15,8 @@
 from sequoiapulley.model.service import Instance
 
 HOMES_PER_GROUP: Final = 3
-CANDIDATES_PER_GROUP: Final = 12
+CANDIDATES_PER_GROUP: Final = 16
+CHOICES_PER_GROUP: Final = 8
 MAX_LOAD_RATIO: Final = 1.25
 HOME_STATES: Final = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
@@ -52,6 +54,7 @@
     def __init__(self) -> None:
         """Initialise a map without instances and members."""
         self._groups: dict[GroupKey, _Group] = {}
+        self._ordered: list[_Group] = []
         self._members: dict[NodeId, Member] = {}
 
     def configure(self, configuration: Configuration) -> None:
@@ -62,6 +65,7 @@
                 key = (service.name, instance.name)
                 groups[key] = self._make_group(key, instance, configuration)
         self._groups = groups
+        self._ordered = sorted(groups.values(), key=lambda group: group.seed)
         self._assign()
 
     def update_members(self, members: tuple[Member, ...]) -> None:
@@ -112,16 +116,16 @@
         return group
 
     def _rank_all(self, group: _Group) -> None:
-        group.candidates = self._ranked(group)[:CANDIDATES_PER_GROUP]
+        near = [member for member in self._members.values() if member.place in group.places]
+        enough = near if len(near) >= CANDIDATES_PER_GROUP else list(self._members.values())
+        group.candidates = _ranked(group, enough)[:CANDIDATES_PER_GROUP]
         group.complete = len(group.candidates) == len(self._members)
 
-    def _ranked(self, group: _Group) -> list[_Candidate]:
-        return sorted(_candidate(group, member) for member in self._members.values())
-
     def _adjust(self, group: _Group, gone: set[NodeId], added: list[Member]) -> None:
         """Updates the ranking of one group without hashing the nodes that stayed."""
         kept = [candidate for candidate in group.candidates if candidate.node not in gone]
-        if not group.complete and len(kept) < CANDIDATES_PER_GROUP // 2:
+        too_few = not group.complete and len(kept) < CHOICES_PER_GROUP
+        if too_few or len(added) > CANDIDATES_PER_GROUP:
             self._rank_all(group)
             return
         worst = kept[-1] if kept else None
@@ -135,40 +139,33 @@
         group.complete = len(group.candidates) == len(self._members)
 
     def _assign(self) -> None:
-        """Gives each group its best candidate that is not above the load bound."""
+        """Gives each group its best choice below the load bound, else the least loaded one."""
         if not self._members:
             for group in self._groups.values():
                 group.homes = ()
             return
         bound = ceil(MAX_LOAD_RATIO * len(self._groups) / len(self._members))
         loads: dict[NodeId, int] = dict.fromkeys(self._members, 0)
-        for group in sorted(self._groups.values(), key=lambda group: group.seed):
-            first = self._first_below(group.candidates, loads, bound)
-            if first is None:
-                first = self._first_below(self._ranked(group), loads, bound)
+        for group in self._ordered:
+            # The same choices on every node, however many candidates it happens to keep.
+            choices = [candidate.node for candidate in group.candidates[:CHOICES_PER_GROUP]]
+            first = next((node for node in choices if loads[node] < bound), None)
             if first is None:
-                raise AssertionError("the load bound leaves no room")
+                first = min(choices, key=loads.__getitem__)
             loads[first] += 1
-            others = [node for node in self._best(group) if node != first]
+            others = [node for node in choices if node != first]
             group.homes = (first, *others[: HOMES_PER_GROUP - 1])
 
-    def _first_below(
-        self, candidates: list[_Candidate], loads: dict[NodeId, int], bound: int
-    ) -> NodeId | None:
-        for candidate in candidates:
-            if loads[candidate.node] < bound:
-                return candidate.node
-        return None
-
-    def _best(self, group: _Group) -> list[NodeId]:
-        return [candidate.node for candidate in group.candidates[:HOMES_PER_GROUP]]
-
 
 def _moved(member: Member, other: Member | None) -> bool:
     """Whether a member is absent from the other view or stands in another place there."""
     return other is None or other.place != member.place or other.region != member.region
 
 
+def _ranked(group: _Group, members: Iterable[Member]) -> list[_Candidate]:
+    return sorted(_candidate(group, member) for member in members)
+
+
 def _candidate(group: _Group, member: Member) -> _Candidate:
     distance = 2
     if member.region in group.regions:
