--- a/src/sequoiapulley/link/_transport.py
+++ b/src/sequoiapulley/link/_transport.py
@@ -224,6 +224,8 @@
             create_task(self._read(stream)),
             create_task(stream.silent.wait()),
         }
+        for task in tasks:
+            task.add_done_callback(_take_exception)
         try:
             await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         finally:
@@ -314,6 +316,12 @@
                     stream.silent.set()
 
 
+def _take_exception(task: Task[Any]) -> None:
+    """Marks a task's exception as seen; a stream that broke is reported by its loss."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _without_pings(messages: Iterable[StreamMessage]) -> list[LinkMessage]:
     return [message for message in messages if not isinstance(message, LinkPing | LinkPong)]
 
--- a/src/sequoiapulley/link/peer_link.py
+++ b/src/sequoiapulley/link/peer_link.py
@@ -57,7 +57,7 @@
     refused_peers: int = 0
 
 
-class PeerLinkStartError(Exception):
+class PeerLinkStartError(OSError):
     """The link's port could not be bound."""
 
 
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 from queue import Queue
-from socket import create_connection, create_server
+from socket import SHUT_RDWR, create_connection, create_server
 from threading import Thread
 from typing import Any
 from unittest import TestCase
@@ -142,6 +143,21 @@
         one.link.send(two.node, CancelSearch(3))
         self.assertEqual(two.messages.get(timeout=PATIENCE_S)[2], CancelSearch(3))
 
+    def test_cut_connection_is_reported_at_once_and_a_new_one_works(self) -> None:
+        two = self.start(2)
+        relay = SilencingRelay(two.port)
+        one = self.start(1)
+        real_port, two.port = two.port, relay.port
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(1))
+        two.messages.get(timeout=PATIENCE_S)
+        relay.close()
+        self.assertEqual(one.lost.get(timeout=PATIENCE_S), two.node)
+        two.port = real_port
+        one.knows(two)
+        one.link.send(two.node, CancelSearch(2))
+        self.assertEqual(two.messages.get(timeout=PATIENCE_S)[2], CancelSearch(2))
+
     def test_message_too_large_comes_back_and_the_stream_goes_on(self) -> None:
         one, two = self.start(1), self.start(2)
         one.knows(two)
@@ -212,6 +228,8 @@
     def close(self) -> None:
         """Closes every socket."""
         for sock in self._sockets:
+            with suppress(OSError):
+                sock.shutdown(SHUT_RDWR)
             sock.close()
 
     def _accept(self) -> None:
