--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -5,9 +5,14 @@
 import re
 from unittest import TestCase
 
+from sequoiapulley.cli.config_commands import config_app
+from sequoiapulley.cli.exit_code import ExitCode
+from sequoiapulley.cli.main import app
+from sequoiapulley.cli.report_commands import report_app
 from sequoiapulley.observe.log_event import all_events
 from sequoiapulley.observe.metric import MetricKind, all_metrics, define_metric
-from tools.render_pages import COMMAND, PACKAGE, import_events, render_pages
+from sequoiapulley.search.messages import LackReason
+from tools.render_pages import COMMAND, PACKAGE, ROOT, import_events, render_pages
 
 UNITS = {
     MetricKind.COUNTER: "_total",
@@ -23,6 +28,41 @@
         for path, text in render_pages().items():
             self.assertEqual(path.read_text(encoding="utf-8"), text, f"run `{COMMAND}`")
 
+    def test_pages_name_only_what_exists(self) -> None:
+        import_events()
+        codes = {event.code for event in all_events()}
+        names = {metric.name for metric in all_metrics()}
+        for path in (ROOT / "docs").rglob("*.md"):
+            text = path.read_text(encoding="utf-8")
+            self.assertLessEqual(set(re.findall(r"\bSP\d{4}\b", text)), codes, path)
+            self.assertLessEqual(set(re.findall(r"`(sequoiapulley_\w+)", text)), names, path)
+
+    def test_links_lead_somewhere(self) -> None:
+        pages = [
+            *(ROOT / "docs" / "operators").glob("*.md"),
+            *(ROOT / "docs" / "guide").glob("*.md"),
+        ]
+        self.assertGreaterEqual(len(pages), 7)
+        for path in pages:
+            text = path.read_text(encoding="utf-8")
+            for link in re.findall(r"\]\(([^):#]+)(?:#[^)]*)?\)", text):
+                self.assertTrue((path.parent / link).exists(), f"{path}: {link}")
+
+    def test_command_line_page_lists_every_command_and_exit_code(self) -> None:
+        text = (ROOT / "docs" / "guide" / "cli.md").read_text(encoding="utf-8")
+        codes = {int(code) for code in re.findall(r"^\| (\d) \|", text, re.MULTILINE)}
+        self.assertEqual(codes, {int(code) for code in ExitCode})
+        listed = set(re.findall(r"^\| `([a-z ]+?)[ A-Z]*` \|", text, re.MULTILINE))
+        commands = {name for name in app if not name.startswith("-")} - {"config", "report"}
+        commands |= {f"config {name}" for name in config_app if not name.startswith("-")}
+        commands |= {f"report {name}" for name in report_app if not name.startswith("-")}
+        self.assertEqual(listed, commands)
+
+    def test_on_call_page_lists_every_reason(self) -> None:
+        text = (ROOT / "docs" / "operators" / "on-call.md").read_text(encoding="utf-8")
+        for reason in LackReason:
+            self.assertIn(f"\n| `{reason.value}` |", text)
+
     def test_events_are_defined_in_catalogue_modules_only(self) -> None:
         import_events()
         defined = sum(
