Test the samples of the callers' backend in place of a second wrapper

The daemon's own backend takes the samples, so the wrapping backend stood twice. Its test drives the daemon's backend now, with the same expectations and the same number of cases.

--- a/src/sequoiapulley/observe/node_observer.py
+++ b/src/sequoiapulley/observe/node_observer.py
@@ -78,7 +78,8 @@
     homes: int
     store_reachable: bool
     uptime_s: float
-    upstreams: UpstreamSample = UpstreamSample()
+    upstreams: UpstreamSample | None = None
+    """Work sent to upstreams; None leaves its metrics out."""
 
 
 class NodeObserver:
@@ -156,7 +157,8 @@
         metrics.set(HOMES, sample.homes)
         metrics.set(STORE_REACHABLE, int(sample.store_reachable))
         metrics.set(UPTIME_SECONDS, sample.uptime_s)
-        set_upstream_metrics(metrics, sample.upstreams)
+        if sample.upstreams is not None:
+            set_upstream_metrics(metrics, sample.upstreams)
         numbers = Counter(sample.member_states)
         self._member_states.update(numbers)
         for state in self._member_states:
--- a/tests/test_observed_backend.py
+++ b/tests/test_callers_backend.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Any, cast
 from unittest import TestCase
 
-from sequoiapulley.entry.callers_messages import EntriesView
-from sequoiapulley.entry.observed_backend import ObservedCallersBackend
+from sequoiapulley.daemon.callers_backend import NodeCallersBackend
+from sequoiapulley.daemon.config_task import ConfigTask
+from sequoiapulley.daemon.request_task import RequestTask
+from sequoiapulley.daemon.search_task import SearchTask
+from sequoiapulley.fleet.entry_directory import EntryDirectory
 from sequoiapulley.ids import (
     CallerId,
     ContractName,
     Fingerprint,
     IdempotencyKey,
+    Incarnation,
     NodeId,
-    PlaceName,
     RequestId,
     ServiceName,
     ShardId,
@@ -30,42 +34,38 @@
 ID = RequestId("r")
 
 
-class FakeBackend:
+class FakeTask:
     """Keeps callbacks until the test calls them."""
 
     def __init__(self) -> None:
-        self.searches: list[Callable[[SearchAnswer], None]] = []
-        self.runs: list[Callable[[RequestOutcome], None]] = []
-        self.left: list[RequestId] = []
+        self.started: list[Callable[[Any], None]] = []
+        self.cancelled: list[RequestId] = []
 
-    def service(self, name: ServiceName) -> Service | None:
-        return None
+    def start(self, request: object, done: Callable[[Any], None]) -> None:
+        self.started.append(done)
 
-    def new_request_id(self) -> RequestId:
-        return ID
+    def cancel(self, request_id: RequestId) -> None:
+        self.cancelled.append(request_id)
 
-    def search(self, request: SearchRequest, done: Callable[[SearchAnswer], None]) -> None:
-        self.searches.append(done)
 
-    def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
-        self.runs.append(done)
-
-    def caller_left(self, request_id: RequestId) -> None:
-        self.left.append(request_id)
-
-    def entries(self, caller: CallerId, place: PlaceName | None) -> EntriesView:
-        return EntriesView((), 1.0)
-
-
-class ObservedCallersBackendTest(TestCase):
-    """What the caller gets is what is counted."""
+class CallersBackendTest(TestCase):
+    """What the caller gets is what is counted, once."""
 
     def setUp(self) -> None:
         self.clock = PausedClock()
         self.observer = NodeObserver(NodeId("n"), self.clock, MemoryLog())
         self.observer.configure([Service(DESK, ContractName("k"), ())])
-        self.inner = FakeBackend()
-        self.backend = ObservedCallersBackend(self.inner, self.observer, self.clock)
+        self.searches, self.requests = FakeTask(), FakeTask()
+        self.backend = NodeCallersBackend(
+            NodeId("n"),
+            Incarnation(1),
+            self.clock,
+            cast("ConfigTask", None),
+            cast("SearchTask", self.searches),
+            cast("RequestTask", self.requests),
+            cast("EntryDirectory", None),
+            self.observer,
+        )
 
     def window(self) -> BurnWindow:
         return self.observer.burn_shard().services[0].windows[0]
@@ -81,7 +81,7 @@
         shards = tuple(ShardId(str(index)) for index in range(covered))
         lacking = tuple(Lacking(ShardId("x"), reason) for reason in reasons)
         answer = SearchAnswer(ID, Snapshot(1, 1), (), shards, lacking, after * 1e3, not lacking)
-        self.inner.searches.pop()(answer)
+        self.searches.started.pop()(answer)
         self.assertEqual(got, [answer])
 
     def test_searches(self) -> None:
@@ -97,7 +97,7 @@
 
     def test_a_caller_that_left_is_not_counted(self) -> None:
         self.backend.caller_left(ID)
-        self.assertEqual(self.inner.left, [ID])
+        self.assertEqual(self.searches.cancelled, [ID])
         self.assertEqual(self.window().not_refused.total, 0)
 
     def test_requests(self) -> None:
@@ -113,7 +113,7 @@
             got: list[RequestOutcome] = []
             self.backend.run(request, got.append)
             outcome = RequestOutcome(ID, state, reason)
-            self.inner.runs.pop()(outcome)
+            self.requests.started.pop()(outcome)
             self.assertEqual(got, [outcome])
         window = self.window()
         self.assertEqual((window.not_refused.total, window.not_refused.good), (4, 3))
