--- a/tests/test_operators_port.py
+++ b/tests/test_operators_port.py
@@ -146,6 +146,11 @@
         self.assertEqual(self.receive(client)[0], 200)
         self.assertEqual(self.backend.edits, [edit])
 
+    def test_refusals_tell_bad_json_from_a_bad_edit(self) -> None:
+        self.assertIn(b'"code":"bad_json"', self.ask("PUT", "/v1/config", b"{")[1])
+        status, body = self.ask("PUT", "/v1/config", b'{"base_version": "three"}')
+        self.assertEqual((status, b'"code":"bad_request"' in body), (400, True))
+
     @given(st.binary(max_size=40) | st.sampled_from([b'{"base_version": -1, "edit_id": "e", '
                                                      b'"author": "", "text": ""}']))  # fmt: skip
     def test_no_other_body_reaches_the_backend(self, body: bytes) -> None:
--- a/tests/test_operators_text.py
+++ b/tests/test_operators_text.py
@@ -83,6 +83,10 @@
             ],
         )
 
+    def test_a_repeated_key_alone_is_a_fault(self) -> None:
+        text = GOOD.replace('"slots": 2', '"slots": 2, "slots": 2')
+        self.assertEqual(findings_of(text), ['f:5:35: key "slots" stands twice'])
+
     def test_finds_wrong_types(self) -> None:
         text = GOOD.replace('"open_ms": 6', '"open_ms": "6", "reports_load": 1')
         text = text.replace('["t"]', '"t"').replace('{"region": "r"}', "5", 1)
