Let status ask every live member for its own version

What a node has heard of the others lags behind an edit by some gossip rounds, so that status named nodes as behind that were not (seen on three nodes right after an edit). It now asks each, and names those that do not answer.

--- a/src/sequoiapulley/cli/status_command.py
+++ b/src/sequoiapulley/cli/status_command.py
@@ -2,41 +2,87 @@
 
 from __future__ import annotations
 
-from sequoiapulley.cli.exit_code import ExitCode
+from msgspec import Struct
+from msgspec.structs import replace
+from result import Err
+
+from sequoiapulley.cli.exit_code import CliError, ExitCode
+from sequoiapulley.cli.fan_out import ask_each, live_members
 from sequoiapulley.cli.node_client import NodeClient
 from sequoiapulley.cli.options import DEFAULT_OPTIONS, Options
 from sequoiapulley.cli.output import format_table, print_json
-from sequoiapulley.entry.operators_messages import StatusView
+from sequoiapulley.entry.operators_messages import MemberView, StatusView
+from sequoiapulley.ids import NodeId
+from sequoiapulley.observe.burn_report import SilentNode
+
+
+class FleetStatus(Struct, frozen=True):
+    """What the asked node sees, and what every member says of itself."""
+
+    asked: StatusView
+    """Versions of members that answered are their own; the others' are what peers have heard."""
+    silent: tuple[SilentNode, ...]
+    """Live members that did not answer."""
 
 
 def status(*, opts: Options = DEFAULT_OPTIONS) -> int:
-    """Show a node's state and the members it knows.
+    """Show a node's state and every member it knows; each live member is asked for its version.
 
     Example: sequoiapulley status --node 10.0.0.5:9300
+
+    Parameters
+    ----------
+    opts
+        Options of every command.
     """
     view = NodeClient(opts.node, opts.timeout).get("/v1/status").expect(StatusView)
+    fleet = _ask_members(view, opts.timeout)
     if opts.json:
-        print_json(view)
-        return ExitCode.OK
+        print_json(fleet)
+    else:
+        _print_status(fleet)
+    return ExitCode.PARTIAL if fleet.silent else ExitCode.OK
+
+
+def _ask_members(view: StatusView, timeout: float) -> FleetStatus:
+    """Replaces what the asked node heard of the others by what they say."""
+    members = {member.node: member for member in sorted(view.members, key=lambda m: m.node)}
+    silent: list[SilentNode] = []
+    for member, result in ask_each(live_members(members.values()), "/v1/status", timeout):
+        if isinstance(result, Err):
+            silent.append(SilentNode(member.node, member.address, result.err_value))
+            continue
+        try:
+            own = result.ok_value.expect(StatusView)
+        except CliError as exc:
+            silent.append(SilentNode(member.node, member.address, exc.message))
+            continue
+        members[member.node] = replace(member, config_version=own.version)
+    return FleetStatus(replace(view, members=tuple(members.values())), tuple(silent))
+
+
+def _print_status(fleet: FleetStatus) -> None:
+    view = fleet.asked
     store = (
         "reachable" if view.store_reachable else "UNREACHABLE: edits are stopped, searches go on"
     )
     print(f"node {view.node} of {view.customer}, up {view.uptime_s:.0f} s")
     print(f"configuration version {view.version}; store {store}")
     print(f"{view.in_flight} in flight; home of {view.homes} upstreams")
-    rows = [
-        (
-            member.node,
-            member.state,
-            member.place,
-            member.region,
-            member.address or "-",
-            str(member.config_version),
-        )
-        for member in view.members
-    ]
+    silent = {node.node for node in fleet.silent}
+    rows = [_row(member, silent) for member in view.members]
     print(format_table(("NODE", "STATE", "PLACE", "REGION", "OPERATORS", "VERSION"), rows))
-    behind = [member.node for member in view.members if member.config_version < view.version]
+    for node in fleet.silent:
+        print(f"MISSING {node.node} at {node.address}: {node.detail}")
+    newest = max((member.config_version for member in view.members), default=view.version)
+    live = live_members(view.members)
+    behind = [member.node for member in live if member.config_version < newest]
     if behind:
-        print(f"behind version {view.version}: {', '.join(behind)}")
-    return ExitCode.OK
+        print(f"behind version {newest}: {', '.join(behind)}")
+
+
+def _row(member: MemberView, silent: set[NodeId]) -> tuple[str, ...]:
+    heard = "?" if member.node in silent else ""
+    version = f"{member.config_version}{heard}"
+    address = member.address or "-"
+    return (member.node, member.state, member.place, member.region, address, version)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -14,9 +14,11 @@
 from xml.etree import ElementTree
 
 from msgspec import Struct, json
+from msgspec.structs import replace
 
 from sequoiapulley.cli.exit_code import ExitCode
 from sequoiapulley.cli.main import run
+from sequoiapulley.cli.status_command import FleetStatus
 from sequoiapulley.entry.callers_messages import EntriesView, EntryView, LackingView, SearchView
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
@@ -221,15 +223,24 @@
 class StatusCommandTest(TestCase):
     """The state of a node."""
 
-    def test_status_lists_members(self) -> None:
-        with fake_nodes("n1", "n2") as nodes:
-            nodes[0].version = ConfigVersion(4)
+    def test_status_asks_every_live_member(self) -> None:
+        with fake_nodes("n2", "n1", "n3") as nodes:
+            nodes[0].version = nodes[1].version = ConfigVersion(4)
+            gone = replace(nodes[2].member("dead"), node=NodeId("n0"), address="127.0.0.1:1")
+            nodes[0].members += (gone,)
             code, out, _ = call("status", "--node", nodes[0].address)
             self.assertEqual(code, ExitCode.OK)
-            self.assertIn("configuration version 4; store reachable", out)
-            self.assertIn("behind version 4: n1, n2", out)
+            self.assertIn("node n2 of c, up 5 s\nconfiguration version 4; store reachable", out)
+            self.assertIn("behind version 4: n3\n", out)
+            lost = replace(nodes[2].member(), node=NodeId("n9"), address="127.0.0.1:1")
+            nodes[0].members += (lost,)
+            code, out, _ = call("status", "--node", nodes[0].address)
+            self.assertEqual(code, ExitCode.PARTIAL)
+            self.assertIn("MISSING n9 at 127.0.0.1:1: no answer", out)
             _, out, _ = call("status", "--node", nodes[0].address, "--json")
-            self.assertEqual(len(json.decode(out, type=StatusView).members), 2)
+            fleet = json.decode(out, type=FleetStatus)
+            versions = [(member.node, member.config_version) for member in fleet.asked.members]
+            self.assertEqual(versions, [("n0", 3), ("n1", 4), ("n2", 4), ("n3", 3), ("n9", 3)])
 
     def test_wrong_usage(self) -> None:
         self.assertEqual(call("status", "--bogus")[0], ExitCode.USAGE)
