Call an edit whose answer never came unknown, not lost

A node that took an edit and then failed left the command saying that no node answered, with no way to settle it. The command now tells whether a node may have received the edit, and prints the line that repeats it with its id.

--- a/src/sequoiapulley/cli/config_commands.py
+++ b/src/sequoiapulley/cli/config_commands.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from getpass import getuser
+from os import getuid
 from pathlib import Path
 from time import gmtime, monotonic, strftime
 from typing import Annotated, Final
@@ -13,7 +14,7 @@
 from result import Err
 
 from sequoiapulley.cli.exit_code import CliError, ExitCode
-from sequoiapulley.cli.node_client import Answer, NodeClient
+from sequoiapulley.cli.node_client import Answer, NoAnswerError, NodeClient
 from sequoiapulley.cli.options import DEFAULT_OPTIONS, Options
 from sequoiapulley.cli.output import format_difference, format_table, print_json
 from sequoiapulley.cli.rollout import Rollout, wait_until_in_force
@@ -172,11 +173,11 @@
     req = EditRequest(
         base_version=_choose_base(base, named_base, current.version),
         edit_id=EditId(edit_id or uuid4().hex),
-        author=author or getuser(),
+        author=author or _user_name(),
         text=text,
     )
     started = monotonic()
-    accepted = _read_outcome(client.put("/v1/config", req), req, str(file))
+    accepted = _read_outcome(_send_edit(client, req, str(file)), req, str(file))
     report = ApplyReport(accepted.version, req.edit_id, difference)
     if wait <= 0:
         _print_applied(report, opts.json)
@@ -220,6 +221,14 @@
     return strftime("%Y-%m-%d %H:%M:%S", gmtime(seconds))
 
 
+def _user_name() -> str:
+    """Returns the user's name, also where the system has none for its number."""
+    try:
+        return getuser()
+    except (KeyError, OSError):
+        return f"uid {getuid()}"
+
+
 def _split_base(content: str) -> tuple[ConfigVersion | None, str]:
     """Splits the line that names the version, if there is one, from the text."""
     first, _, rest = content.partition("\n")
@@ -237,6 +246,23 @@
     return current if named is None else named
 
 
+def _send_edit(client: NodeClient, req: EditRequest, file: str) -> Answer:
+    """Sends an edit; one that may have reached a node without an answer is not called lost."""
+    try:
+        return client.put("/v1/config", req)
+    except NoAnswerError as exc:
+        if not exc.sent:
+            raise
+        message = f"the edit may be written: {exc.message}"
+        remedy = f"Repeating it settles it, harmlessly: {_repeat_command(req, file)}"
+        raise CliError(ExitCode.UNKNOWN, message, remedy) from exc
+
+
+def _repeat_command(req: EditRequest, file: str) -> str:
+    command = f"sequoiapulley config apply {file} --edit-id {req.edit_id}"
+    return f"{command} --base {req.base_version}"
+
+
 def _read_outcome(answer: Answer, req: EditRequest, file: str) -> EditAccepted:
     """Returns the accepted edit or raises what became of it."""
     if answer.status == 200:
@@ -266,8 +292,7 @@
 
 def _unavailable(answer: Answer, req: EditRequest, file: str) -> CliError:
     outcome = answer.decode(EditUnavailable)
-    command = f"sequoiapulley config apply {file} --edit-id {req.edit_id}"
-    command += f" --base {req.base_version}"
+    command = _repeat_command(req, file)
     if outcome.outcome_known:
         message = f"the store is unavailable, nothing was written: {outcome.detail}"
         return CliError(ExitCode.UNREACHABLE, message, f"When it is back: {command}")
--- a/src/sequoiapulley/cli/exit_code.py
+++ b/src/sequoiapulley/cli/exit_code.py
@@ -24,6 +24,8 @@
     """The answer is incomplete: shards are lacking or some nodes did not answer."""
     UNKNOWN = 7
     """The edit may have been written; the same edit id settles it."""
+    INTERRUPTED = 130
+    """The user interrupted the command; an edit may have been written."""
 
 
 class CliError(Exception):
--- a/src/sequoiapulley/cli/main.py
+++ b/src/sequoiapulley/cli/main.py
@@ -45,7 +45,7 @@
         print_error(exc, "--json" in tokens)
         return exc.code
     except KeyboardInterrupt:
-        return ExitCode.UNKNOWN
+        return ExitCode.INTERRUPTED
     return int(code or 0)
 
 
--- a/src/sequoiapulley/cli/node_client.py
+++ b/src/sequoiapulley/cli/node_client.py
@@ -68,6 +68,33 @@
             return f"HTTP status {self.status}"
 
 
+class CallFailure(Struct, frozen=True):
+    """A call without an answer."""
+
+    detail: str
+    sent: bool
+    """Whether the node may have received the call."""
+
+    def __str__(self) -> str:
+        """Returns the detail."""
+        return self.detail
+
+
+class NoAnswerError(CliError):
+    """No node answered a call."""
+
+    def __init__(self, message: str, sent: bool) -> None:
+        """Initialise the error.
+
+        Args:
+            message: What each node did.
+            sent: Whether a node may have received the call.
+        """
+        remedy = "Name a live node with --node HOST:PORT or in SEQUOIAPULLEY_NODE."
+        super().__init__(ExitCode.UNREACHABLE, message, remedy)
+        self.sent = sent
+
+
 class NodeClient:
     """Calls nodes one after the other until one answers."""
 
@@ -92,7 +119,7 @@
             The answer, of any status.
 
         Raises:
-            CliError: If no node answers.
+            NoAnswerError: If no node answers.
         """
         target = f"{path}?{urlencode(query)}" if query else path
         return self._first("GET", target, None)
@@ -107,19 +134,19 @@
 
     def _first(self, method: str, target: str, body: bytes | None) -> Answer:
         failures: list[str] = []
+        sent = False
         for node in self._nodes:
             result = call_node(node, method, target, body, self._timeout)
             if isinstance(result, Ok):
                 return result.ok_value
             failures.append(f"{node} ({result.err_value})")
-        message = f"no node answered: {', '.join(failures) or 'none was named'}"
-        remedy = "Name a live node with --node HOST:PORT or in SEQUOIAPULLEY_NODE."
-        raise CliError(ExitCode.UNREACHABLE, message, remedy)
+            sent = sent or result.err_value.sent
+        raise NoAnswerError(f"no node answered: {', '.join(failures) or 'none was named'}", sent)
 
 
 def call_node(
     node: str, method: str, target: str, body: bytes | None, timeout: float
-) -> Result[Answer, str]:
+) -> Result[Answer, CallFailure]:
     """Makes one HTTP call.
 
     Args:
@@ -134,14 +161,17 @@
     """
     host, _, port = node.rpartition(":")
     if not host or not port.isdigit():
-        return Err("not HOST:PORT")
+        return Err(CallFailure("not HOST:PORT", sent=False))
     conn = HTTPConnection(host.strip("[]"), int(port), timeout=timeout)
     headers = {"Content-Type": "application/json"} if body is not None else {}
+    sent = False
     try:
+        conn.connect()
+        sent = True
         conn.request(method, target, body, headers)
         response = conn.getresponse()
         return Ok(Answer(node, response.status, response.read(MAX_ANSWER_BYTES)))
     except (OSError, HTTPException, ValueError, OverflowError) as exc:
-        return Err(str(exc) or type(exc).__name__)
+        return Err(CallFailure(str(exc) or type(exc).__name__, sent))
     finally:
         conn.close()
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -60,6 +60,7 @@
         self.members: tuple[MemberView, ...] = ()
         self.edit_answer: tuple[int, Struct] = (200, EditAccepted(ConfigVersion(4)))
         self.edits: list[EditRequest] = []
+        self.silent_edits = False
         self.answers: dict[str, tuple[int, object]] = {}
         node = self
 
@@ -72,6 +73,8 @@
             def do_PUT(self) -> None:
                 body = self.rfile.read(int(self.headers["Content-Length"]))
                 node.edits.append(json.decode(body, type=EditRequest))
+                if node.silent_edits:
+                    return
                 self._send(*node.edit_answer)
 
             def do_POST(self) -> None:
@@ -219,6 +222,14 @@
                 self.assertEqual(actual, code)
                 self.assertIn("--edit-id e77 --base 3", err)
 
+    def test_apply_does_not_call_an_edit_lost_whose_answer_never_came(self) -> None:
+        with fake_nodes("n1") as [node]:
+            node.silent_edits = True
+            arguments = ("config", "apply", EXAMPLE, "--edit-id", "e78", "--node", node.address)
+            code, _, err = call(*arguments)
+            self.assertEqual((code, len(node.edits)), (ExitCode.UNKNOWN, 1))
+            self.assertIn("--edit-id e78 --base 3", err)
+
 
 class StatusCommandTest(TestCase):
     """The state of a node."""
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -50,7 +50,7 @@
 
     def test_command_line_page_lists_every_command_and_exit_code(self) -> None:
         text = (ROOT / "docs" / "guide" / "cli.md").read_text(encoding="utf-8")
-        codes = {int(code) for code in re.findall(r"^\| (\d) \|", text, re.MULTILINE)}
+        codes = {int(code) for code in re.findall(r"^\| (\d+) \|", text, re.MULTILINE)}
         self.assertEqual(codes, {int(code) for code in ExitCode})
         listed = set(re.findall(r"^\| `([a-z ]+?)[ A-Z]*` \|", text, re.MULTILINE))
         commands = {name for name in app if not name.startswith("-")} - {"config", "report"}
