--- a/src/sequoiapulley/cli/config_commands.py
+++ b/src/sequoiapulley/cli/config_commands.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from getpass import getuser
-from os import getuid
 from pathlib import Path
 from time import gmtime, monotonic, strftime
 from typing import Annotated, Final
@@ -13,18 +11,22 @@
 from msgspec import Struct
 from result import Err
 
+from sequoiapulley.cli._edit import (
+    BASE_LINE,
+    choose_base,
+    read_outcome,
+    send_edit,
+    split_base,
+    user_name,
+)
 from sequoiapulley.cli.exit_code import CliError, ExitCode
-from sequoiapulley.cli.node_client import Answer, NoAnswerError, NodeClient
+from sequoiapulley.cli.node_client import NodeClient
 from sequoiapulley.cli.options import DEFAULT_OPTIONS, Options
 from sequoiapulley.cli.output import format_difference, format_table, print_json
 from sequoiapulley.cli.rollout import Rollout, wait_until_in_force
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
-    EditAccepted,
-    EditFindings,
-    EditRefused,
     EditRequest,
-    EditUnavailable,
     HistoryView,
 )
 from sequoiapulley.ids import ConfigVersion, EditId
@@ -32,8 +34,6 @@
 from sequoiapulley.settings.finding import Finding
 from sequoiapulley.settings.text import parse_text
 
-BASE_LINE: Final = "// version "
-"""Start of the first line of `config show`; `config apply` takes its base from it."""
 NO_CONFIG: Final = ConfigView(ConfigVersion(0), EditId(""), "", 0.0, "")
 
 config_app = App(name="config", help="Check, show and change the operators' text.")
@@ -164,20 +164,20 @@
     if isinstance(result, Err):
         _print_findings(CheckReport(str(file), result.err_value, 0, 0, 0), opts.json)
         return ExitCode.FINDINGS
-    named_base, text = _split_base(content)
+    named_base, text = split_base(content)
     client = NodeClient(opts.node, opts.timeout)
     current = fetch_config(client)
     difference = format_difference(current.text, text, f"version {current.version}", str(file))
     if not opts.json:
         print(difference or "no difference")
     req = EditRequest(
-        base_version=_choose_base(base, named_base, current.version),
+        base_version=choose_base(base, named_base, current.version),
         edit_id=EditId(edit_id or uuid4().hex),
-        author=author or _user_name(),
+        author=author or user_name(),
         text=text,
     )
     started = monotonic()
-    accepted = _read_outcome(_send_edit(client, req, str(file)), req, str(file))
+    accepted = read_outcome(send_edit(client, req, str(file)), req, str(file))
     report = ApplyReport(accepted.version, req.edit_id, difference)
     if wait <= 0:
         _print_applied(report, opts.json)
@@ -221,85 +221,6 @@
     return strftime("%Y-%m-%d %H:%M:%S", gmtime(seconds))
 
 
-def _user_name() -> str:
-    """Returns the user's name, also where the system has none for its number."""
-    try:
-        return getuser()
-    except (KeyError, OSError):
-        return f"uid {getuid()}"
-
-
-def _split_base(content: str) -> tuple[ConfigVersion | None, str]:
-    """Splits the line that names the version, if there is one, from the text."""
-    first, _, rest = content.partition("\n")
-    number = first.removeprefix(BASE_LINE).strip()
-    if not first.startswith(BASE_LINE) or not number.isascii() or not number.isdigit():
-        return None, content
-    return ConfigVersion(int(number)), rest
-
-
-def _choose_base(
-    given: int | None, named: ConfigVersion | None, current: ConfigVersion
-) -> ConfigVersion:
-    if given is not None:
-        return ConfigVersion(given)
-    return current if named is None else named
-
-
-def _send_edit(client: NodeClient, req: EditRequest, file: str) -> Answer:
-    """Sends an edit; one that may have reached a node without an answer is not called lost."""
-    try:
-        return client.put("/v1/config", req)
-    except NoAnswerError as exc:
-        if not exc.sent:
-            raise
-        message = f"the edit may be written: {exc.message}"
-        remedy = f"Repeating it settles it, harmlessly: {_repeat_command(req, file)}"
-        raise CliError(ExitCode.UNKNOWN, message, remedy) from exc
-
-
-def _repeat_command(req: EditRequest, file: str) -> str:
-    command = f"sequoiapulley config apply {file} --edit-id {req.edit_id}"
-    return f"{command} --base {req.base_version}"
-
-
-def _read_outcome(answer: Answer, req: EditRequest, file: str) -> EditAccepted:
-    """Returns the accepted edit or raises what became of it."""
-    if answer.status == 200:
-        return answer.decode(EditAccepted)
-    if answer.status == 409:
-        raise _conflict(answer.decode(EditRefused).current, req, file)
-    if answer.status == 422:
-        findings = answer.decode(EditFindings).findings
-        lines = "\n".join(str(finding) for finding in findings)
-        message = f"node {answer.node} refuses the text:\n{lines}"
-        raise CliError(ExitCode.FINDINGS, message, "Mend the text and apply it again.")
-    if answer.status == 503:
-        raise _unavailable(answer, req, file)
-    message = f"node {answer.node} did not take the edit: {answer.error()}"
-    raise CliError(ExitCode.UNREACHABLE, message, "Look at the node's log events.")
-
-
-def _conflict(current: ConfigView, req: EditRequest, file: str) -> CliError:
-    difference = format_difference(req.text, current.text, file, f"version {current.version}")
-    message = (
-        f"{current.author} edited first: version {current.version} is in force, your edit "
-        f"was based on version {req.base_version}; nothing was written\n{difference}"
-    )
-    remedy = f"Merge the difference into {file}, then apply with --base {current.version}."
-    return CliError(ExitCode.CONFLICT, message, remedy)
-
-
-def _unavailable(answer: Answer, req: EditRequest, file: str) -> CliError:
-    outcome = answer.decode(EditUnavailable)
-    command = _repeat_command(req, file)
-    if outcome.outcome_known:
-        message = f"the store is unavailable, nothing was written: {outcome.detail}"
-        return CliError(ExitCode.UNREACHABLE, message, f"When it is back: {command}")
-    message = f"the store did not confirm the edit, it may be written: {outcome.detail}"
-    return CliError(ExitCode.UNKNOWN, message, f"Repeating it settles it, harmlessly: {command}")
-
-
 def _print_findings(report: CheckReport, as_json: bool) -> None:
     if as_json:
         print_json(report)
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -20,6 +20,7 @@
 from sequoiapulley.cli.main import run
 from sequoiapulley.cli.status_command import FleetStatus
 from sequoiapulley.entry.callers_messages import EntriesView, EntryView, LackingView, SearchView
+from sequoiapulley.entry.error_messages import ErrorBody, ErrorDetail
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
     EditAccepted,
@@ -215,8 +216,12 @@
 
     def test_apply_tells_how_to_settle_an_unknown_outcome(self) -> None:
         with fake_nodes("n1") as [node]:
-            for known, code in ((True, ExitCode.UNREACHABLE), (False, ExitCode.UNKNOWN)):
-                node.edit_answer = (503, EditUnavailable(known, "timeout"))
+            for status, answer, code in (
+                (503, EditUnavailable(True, "timeout"), ExitCode.UNREACHABLE),
+                (503, EditUnavailable(False, "timeout"), ExitCode.UNKNOWN),
+                (500, ErrorBody(ErrorDetail("internal", "failed")), ExitCode.UNKNOWN),
+            ):
+                node.edit_answer = (status, answer)
                 arguments = ("config", "apply", EXAMPLE, "--node", node.address)
                 actual, _, err = call(*arguments, "--edit-id", "e77")
                 self.assertEqual(actual, code)
