--- a/src/sequoiapulley/upstream/directory.py
+++ b/src/sequoiapulley/upstream/directory.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING, Final
 
 from sequoiapulley.ids import InstanceName, ServiceName, UpstreamName
 from sequoiapulley.model.configuration import Configuration
 from sequoiapulley.model.service import Instance, Service, Upstream
 from sequoiapulley.upstream.fair_queue import FairQueue
-from sequoiapulley.upstream.latency_window import LatencyWindow
+from sequoiapulley.upstream.latency_window import MIN_SAMPLES, LatencyWindow
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.work import Work
+    from sequoiapulley.upstream._work import Work
 
 DEFAULT_LATENCY_S: Final = 0.005
 """Assumed until an instance has replied."""
@@ -36,6 +37,8 @@
         self.latency = LatencyWindow()
         self.late: dict[Work, None] = {}
         """Searches in flight that wait for room for their hedge, in order."""
+        self.troubled = True
+        """Whether some replica may be in any state but plain service; see `settle`."""
         self.gone = False
         """Set when the instance left the configuration."""
         self.due: float | None = None
@@ -51,12 +54,23 @@
     @property
     def typical(self) -> float:
         """Median latency in seconds."""
-        return self.latency.quantile(0.5) or DEFAULT_LATENCY_S
+        figures = self.latency.figures
+        return DEFAULT_LATENCY_S if figures is None else figures.p50
+
+    @property
+    def proven_typical(self) -> float:
+        """Median latency in seconds, infinite until enough exchanges speak for it."""
+        return self.typical if self.latency.count >= MIN_SAMPLES else inf
 
     @property
     def mean(self) -> float:
         """Mean latency in seconds."""
-        return self.latency.mean or DEFAULT_LATENCY_S
+        figures = self.latency.figures
+        return DEFAULT_LATENCY_S if figures is None else figures.mean
+
+    def settle(self, now: float) -> None:
+        """Clears `troubled` if all replicas are in plain service."""
+        self.troubled = not all(replica.is_plain(now) for replica in self.replicas)
 
     def has_room(self, now: float) -> bool:
         """Returns whether some replica has room."""
@@ -117,6 +131,7 @@
                     self._apply_upstream(configuration, service, instance, upstream, known, now)
                     for upstream in instance.upstreams
                 )
+                state.troubled = True
                 self._instances[key] = state
         for name, upstream in self.upstreams.items():
             upstream.limit.set_ceiling(min(slots(name), connections(name)))
--- a/src/sequoiapulley/upstream/hedging.py
+++ b/src/sequoiapulley/upstream/hedging.py
@@ -5,21 +5,19 @@
 from typing import TYPE_CHECKING, Final
 
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._work import Work, WorkState
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.log_events import CONNECTIONS_SUSPECTED
 from sequoiapulley.upstream.messages import Action
-from sequoiapulley.upstream.work import Work, WorkState
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.queue_pump import QueuePump
+    from sequoiapulley.upstream._queue_pump import QueuePump
 
-HEDGE_QUANTILE: Final = 0.97
 SHORTEST_HEDGE_S: Final = 0.001
 DEFAULT_HEDGE_S: Final = 0.02
 """Delay of hedges until an instance has `MIN_SAMPLES`."""
 MIN_SAMPLES: Final = 32
-SILENT_QUANTILE: Final = 0.99
 SILENT_FACTOR: Final = 3.0
 SHORTEST_SILENT_S: Final = 0.015
 MAX_TRIES: Final = 3
@@ -28,18 +26,19 @@
 
 
 def hedge_delay(instance: InstanceState) -> float:
-    """Returns the time after which a search is hedged, in seconds."""
-    if instance.latency.count < MIN_SAMPLES:
+    """Returns the time after which a search is hedged: the 97th percentile, in seconds."""
+    figures = instance.latency.figures
+    if figures is None or instance.latency.count < MIN_SAMPLES:
         return DEFAULT_HEDGE_S
-    return max(SHORTEST_HEDGE_S, instance.latency.quantile(HEDGE_QUANTILE) or DEFAULT_HEDGE_S)
+    return figures.p97 if figures.p97 > SHORTEST_HEDGE_S else SHORTEST_HEDGE_S
 
 
 def silent_delay(instance: InstanceState) -> float:
     """Returns the time after which a connection without a reply is taken as silent."""
-    if instance.latency.count < MIN_SAMPLES:
+    figures = instance.latency.figures
+    if figures is None or instance.latency.count < MIN_SAMPLES:
         return 2 * DEFAULT_HEDGE_S
-    slow = instance.latency.quantile(SILENT_QUANTILE) or DEFAULT_HEDGE_S
-    return max(SHORTEST_SILENT_S, SILENT_FACTOR * slow)
+    return max(SHORTEST_SILENT_S, SILENT_FACTOR * figures.p99)
 
 
 class Hedging:
@@ -99,6 +98,9 @@
         instance = work.instance
         oldest = work.exchanges[0]
         silent_at = oldest.sent_at + silent_delay(instance)
+        if len(work.exchanges) > 1:
+            # When the hedge is late as well, the first try is later than the history allows.
+            silent_at = min(silent_at, work.exchanges[-1].sent_at + hedge_delay(instance))
         if now >= silent_at and not work.replaced:
             if self._replace(work, now, actions):
                 return now + hedge_delay(instance)
@@ -106,7 +108,7 @@
         if len(work.exchanges) > 1:
             return silent_at if not work.replaced else work.deadline
         if self._hedge(work, now, actions):
-            return silent_at if silent_at > now else now + RECHECK_S
+            return now + hedge_delay(instance)
         return now + max(RECHECK_S, instance.typical / 2)
 
     def _hedge(self, work: Work, now: float, actions: list[Action]) -> bool:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -11,7 +11,14 @@
 from sequoiapulley.model import Snapshot
 from sequoiapulley.requests.messages import RefusalReason, RunState
 from sequoiapulley.search.messages import LackReason
-from sequoiapulley.upstream.messages import LossKind, ReplyKind, UpstreamReply
+from sequoiapulley.upstream.messages import (
+    CancelExchange,
+    FinishRun,
+    LossKind,
+    ReplyKind,
+    SendExchange,
+    UpstreamReply,
+)
 from tests.upstream_fakes import Probe, configuration, ok, run, search
 
 
@@ -88,6 +95,29 @@
         probe.reply(probe.exchanges_of(1)[0], ok())
         self.assertEqual(probe.runs[1].state, RunState.DONE)
 
+    def test_a_search_and_a_run_may_have_the_same_id(self) -> None:
+        dispatcher = Probe().dispatcher
+        dispatcher.submit_search(search(1, 1.0), 0.0)
+        [sent] = dispatcher.submit_run(run(1, 1.0), 0.0)
+        assert isinstance(sent, SendExchange)
+        [cancelled] = dispatcher.cancel(1, 0.0)
+        assert isinstance(cancelled, CancelExchange)
+        self.assertNotEqual(cancelled.exchange_id, sent.exchange_id)
+        [finished] = dispatcher.on_reply(sent.exchange_id, ok(), 0.0)
+        assert isinstance(finished, FinishRun)
+        self.assertIs(finished.report.state, RunState.DONE)
+
+    def test_an_upstream_that_comes_back_still_counts_what_is_in_flight(self) -> None:
+        probe = Probe(configuration(replicas=1))
+        probe.submit(search(1, 1.0))
+        probe.submit(search(2, 1.0))
+        probe.configure(configuration(replicas=0))
+        probe.configure(configuration(replicas=1))
+        probe.submit(search(3, 1.0))
+        self.assertEqual(probe.exchanges_of(3), [])
+        probe.reply(probe.exchanges_of(1)[0], ok())
+        self.assertEqual(len(probe.exchanges_of(3)), 1)
+
     def test_removed_and_draining_upstreams_get_no_new_work(self) -> None:
         probe = Probe()
         probe.configure(configuration(draining=frozenset({"ledger-0-0"})))
@@ -152,6 +182,14 @@
             if order.upstream == upstream and exchange_id in self.probe.open:
                 self.probe.lose(exchange_id, loss)
 
+    @rule(
+        fingerprint=st.sampled_from(["a", "b", "c"]),
+        upstream=st.sampled_from(["ledger-0-0", "ledger-1-1", "elsewhere"]),
+        strikes=st.sampled_from([1, 1, 1, 2]),
+    )
+    def hear(self, fingerprint, upstream, strikes) -> None:  # type: ignore[no-untyped-def]
+        self.probe.hear(fingerprint, upstream, strikes)
+
     @rule(pick=st.integers(0, 100))
     def cancel(self, pick) -> None:  # type: ignore[no-untyped-def]
         sub_id = pick % (self.next_id + 1)
