--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -22,7 +22,8 @@
 
 CONNECTIONS_PER_SERVER: Final = 8
 MAX_IDLE_S: Final = 20.0
-"""An idle connection older than this is not used again."""
+"""An idle connection older than this is closed."""
+SWEEP_S: Final = 5.0
 
 
 class HttpCall(Struct, frozen=True):
@@ -134,6 +135,7 @@
         self._timers = timers
         self._bounds = bounds or ReplyBounds()
         self._servers: dict[tuple[str, int], _Server] = {}
+        self._sweep_timer: TimerHandle | None = None
 
     def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
         """Sends one request.
@@ -147,9 +149,18 @@
         server = self._servers.setdefault((call.host, call.port), _Server())
         server.waiting.append(exchange)
         self._pump(server, call.host, call.port)
+        if self._sweep_timer is None:
+            self._sweep_timer = self._timers.call_later(SWEEP_S, self._sweep)
+
+    def connections(self) -> int:
+        """Returns the number of connections that are not closed."""
+        return sum(len(server.open) for server in self._servers.values())
 
     def close(self) -> None:
         """Closes every connection; calls in flight are not called back."""
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
+            self._sweep_timer = None
         for server in self._servers.values():
             for conn in server.open:
                 conn.close()
@@ -208,12 +219,29 @@
         """Takes the idle connection used last, dropping those idle for too long."""
         while server.idle:
             conn = server.idle.pop()
-            if self._clock.now() - conn.last_used <= MAX_IDLE_S:
+            if not self._is_stale(conn):
                 return conn
             server.open.discard(conn)
             conn.close()
         return None
 
+    def _is_stale(self, conn: HttpConnection) -> bool:
+        """Returns whether an idle connection is too old to be used."""
+        return self._clock.now() - conn.last_used > MAX_IDLE_S
+
+    def _sweep(self) -> None:
+        """Closes idle connections that are too old, and forgets servers without any."""
+        for address, server in tuple(self._servers.items()):
+            for conn in [conn for conn in server.idle if self._is_stale(conn)]:
+                server.idle.remove(conn)
+                server.open.discard(conn)
+                conn.close()
+            if not server.open and not server.waiting:
+                del self._servers[address]
+        self._sweep_timer = None
+        if self._servers:
+            self._sweep_timer = self._timers.call_later(SWEEP_S, self._sweep)
+
     def _connect(self, server: _Server, host: str, port: int) -> None:
         """Opens one more connection; an immediate failure fails one waiting call, later."""
         try:
--- a/standins/store.py
+++ b/standins/store.py
@@ -19,6 +19,8 @@
 KEYS_PREFIX: Final = "/v1/keys/"
 LEASES_PATH: Final = "/v1/leases"
 FAULTS_PATH: Final = "/control/faults"
+SAVE_PATH: Final = "/control/save"
+RESTORE_PATH: Final = "/control/restore"
 COUNTERS_PATH: Final = "/control/counters"
 MAX_VALUE_BYTES: Final = 1_000_000
 MS_PER_S: Final = 1000.0
@@ -68,6 +70,17 @@
         self.leases: dict[str, float] = {}
         self._revision = 0
         self._changed: dict[str, Event] = {}
+        self._saved: dict[str, _Entry] = {}
+
+    def save(self) -> None:
+        """Keeps a copy of every key."""
+        self._saved = {key: structs.replace(entry) for key, entry in self.entries.items()}
+
+    def restore(self) -> None:
+        """Goes back to the copy, as a store restored from an old backup does."""
+        self.entries = {key: structs.replace(entry) for key, entry in self._saved.items()}
+        for key in tuple(self._changed):
+            self._wake(key)
 
     def get(self, key: str, now: float) -> _Entry:
         """Returns a key's entry, empty with revision 0 when it does not exist."""
@@ -138,7 +151,7 @@
         """Answers one call."""
         if request.path.startswith("/control/"):
             return self._control(request)
-        self.calls[request.method.lower()] += 1
+        self.calls["watch" if "wait_ms" in request.query else request.method.lower()] += 1
         if self.faults.slow_ms:
             await sleep(self.faults.slow_ms / MS_PER_S)
         if self.faults.unreachable:
@@ -214,6 +227,10 @@
             current.update(json.decode(request.body))
             self.faults = json.decode(json.encode(current), type=StoreFaults)
             return reply_json(200, self.faults)
+        if request.path in (SAVE_PATH, RESTORE_PATH) and request.method == "POST":
+            change = self.state.save if request.path == SAVE_PATH else self.state.restore
+            change()
+            return reply_json(200, {})
         if request.path == COUNTERS_PATH:
             return reply_json(200, {"calls": dict(self.calls), "keys": len(self.state.entries)})
         return reply_json(404, {"error": "no such path"})
@@ -248,6 +265,19 @@
         """Faults in force; their fields may be set at any time."""
         return self.service.faults
 
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls so far by kind: get, put, delete, post and watch."""
+        return self.thread.call(lambda: dict(self.service.calls))
+
+    def save(self) -> None:
+        """Keeps a copy of every key."""
+        self.thread.call(self.service.state.save)
+
+    def restore(self) -> None:
+        """Goes back to the copy, as a store restored from an old backup does."""
+        self.thread.call(self.service.state.restore)
+
     def start(self) -> None:
         """Starts serving."""
         self.thread.start()
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -170,21 +170,14 @@
             self.counters.cancelled += 1
             raise
 
-    def _health(self) -> dict[str, Any]:
-        """Returns what the upstream says of itself."""
-        return {
-            "draining": self.faults.draining or self.faults.drain_mark,
-            "load": self._shown_load(),
-            "available": self.faults.snapshots,
-        }
-
     def _refuse(self, body: dict[str, Any], request_id: int) -> Response | None:
         """Returns the refusal of a request that does not run, or None."""
         counters, faults = self.counters, self.faults
         if faults.draining:
             counters.refused_draining += 1
             return self._reply(503, request_id, {})
-        if self._draw(faults.shed_share) or len(self._waiters) >= faults.queue_limit:
+        is_full = counters.running >= self.spec.slots and len(self._waiters) >= faults.queue_limit
+        if is_full or self._draw(faults.shed_share):
             counters.shed += 1
             return self._reply(429, request_id, {})
         snapshot = body.get("snapshot")
@@ -293,6 +286,18 @@
             self._load_history.popleft()
         return self._load_history[0][1]
 
+    def _health(self) -> dict[str, Any]:
+        """Returns the body of the health endpoint."""
+        faults = self.faults
+        draining = faults.draining or faults.drain_mark
+        if faults.reported_draining is not None:
+            draining = faults.reported_draining
+        return {
+            "draining": draining,
+            "load": self._shown_load(),
+            "available": faults.snapshots,
+        }
+
     def _draw(self, share: float) -> bool:
         """Returns true for this share of calls."""
         return share > 0.0 and self._random.random() < share
--- a/standins/upstream_spec.py
+++ b/standins/upstream_spec.py
@@ -62,6 +62,8 @@
     """Refuse connections, and reset those that are open."""
     reported_load: float | None = None
     """Load shown whatever the truth; None for the truth."""
+    reported_draining: bool | None = None
+    """Drain state that the health endpoint shows whatever the truth; None for the truth."""
     load_lag_ms: float = 0.0
     """Age of the load that is shown."""
 
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,111 @@
+"""Tests of the platform adapters' HTTP client, with sockets written by hand."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from result import Err, Ok
+
+from sequoiapulley.runtime import PausedClock
+from sequoiapulley.wire.http_client import (
+    CONNECTIONS_PER_SERVER,
+    HttpCall,
+    HttpClient,
+    HttpFailure,
+    HttpFailureKind,
+    HttpResult,
+)
+from tests.wire_support import Loop, ScriptedServer, reply_bytes
+
+RECEIVE_BYTES = 65_536
+
+
+class HttpClientTest(TestCase):
+    """Each call has one outcome, later, that says whether a byte left."""
+
+    def setUp(self) -> None:
+        self.loop = Loop(PausedClock())
+        self.server = ScriptedServer(self.loop)
+        self.addCleanup(self.server.close)
+        self.client = HttpClient(self.loop.reactor, self.loop.clock, self.loop.timers)
+        self.addCleanup(self.client.close)
+        self.results: list[HttpResult] = []
+
+    def call(self, timeout: float = 2.0) -> None:
+        before = len(self.results)
+        call = HttpCall("127.0.0.1", self.server.port, "GET", "/", timeout=timeout)
+        self.client.request(call, self.results.append)
+        self.assertEqual(len(self.results), before, "the callback ran inside the call")
+
+    def failure(self) -> HttpFailure:
+        result = self.results[-1]
+        assert isinstance(result, Err)
+        return result.err_value
+
+    def test_connection_is_reused_then_closed_when_idle(self) -> None:
+        self.call()
+        conn = self.server.accept()
+        for _ in range(3):
+            self.loop.settle()
+            conn.recv(RECEIVE_BYTES)
+            conn.sendall(reply_bytes(1))
+            self.loop.settle()
+            self.assertIsInstance(self.results[-1], Ok)
+            self.call()
+        self.assertEqual(self.client.connections(), 1)
+        self.loop.settle()
+        conn.sendall(reply_bytes(1))
+        self.loop.settle()
+        for _ in range(6):
+            self.loop.advance(5.0)
+        self.assertEqual(self.client.connections(), 0)
+        self.assertEqual(len(self.results), 4)
+
+    def test_calls_beyond_the_bound_wait(self) -> None:
+        for _ in range(CONNECTIONS_PER_SERVER + 3):
+            self.call()
+        self.loop.settle()
+        self.assertEqual(self.server.accept_all(), CONNECTIONS_PER_SERVER)
+        self.server.accepted[0].sendall(reply_bytes(1))
+        self.loop.settle()
+        self.assertEqual(len(self.results), 1)
+        self.loop.advance(2.0)
+        self.assertEqual(len(self.results), CONNECTIONS_PER_SERVER + 3)
+        sent = [result.err_value.sent for result in self.results if isinstance(result, Err)]
+        self.assertEqual(sent.count(True), CONNECTIONS_PER_SERVER)
+        self.assertEqual(sent.count(False), 2)
+
+    def test_timeout_drops_idle_connections_too(self) -> None:
+        self.call()
+        self.call()
+        for conn in (self.server.accept(), self.server.accept()):
+            conn.sendall(reply_bytes(1))
+        self.loop.settle()
+        self.call(timeout=0.5)
+        self.loop.advance(0.5)
+        self.assertEqual(self.failure().kind, HttpFailureKind.TIMEOUT)
+        self.assertTrue(self.failure().sent)
+        self.assertEqual(self.client.connections(), 0)
+
+    def test_kinds_of_failure(self) -> None:
+        cases = (
+            (b"", HttpFailureKind.CLOSED),
+            (reply_bytes(1)[:-1], HttpFailureKind.CLOSED),
+            (b"SSH-2.0\r\n", HttpFailureKind.BAD_REPLY),
+        )
+        for data, kind in cases:
+            with self.subTest(kind=kind, data=data):
+                self.call()
+                conn = self.server.accept()
+                conn.recv(RECEIVE_BYTES)
+                conn.sendall(data)
+                conn.close()
+                self.loop.settle()
+                self.assertEqual((self.failure().kind, self.failure().sent), (kind, True))
+        self.server.close()
+        self.call()
+        self.loop.settle()
+        self.loop.advance(0.0)
+        self.assertEqual(
+            (self.failure().kind, self.failure().sent), (HttpFailureKind.CONNECT, False)
+        )
