--- a/tests/wire_support.py
+++ b/tests/wire_support.py
@@ -29,7 +29,7 @@
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.reactor import Reactor
 
-PATIENCE_S: Final = 1.5
+PATIENCE_S: Final = 20.0
 """Longest wait for an outcome; a test that needs it has failed."""
 UPSTREAM: Final = UpstreamName("u")
 
