--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -31,9 +31,9 @@
         self.addCleanup(self.client.close)
         self.results: list[HttpResult] = []
 
-    def call(self, timeout: float = 2.0) -> None:
+    def call(self, timeout: float = 2.0, host: str = "127.0.0.1") -> None:
         before = len(self.results)
-        call = HttpCall("127.0.0.1", self.server.port, "GET", "/", timeout=timeout)
+        call = HttpCall(host, self.server.port, "GET", "/", timeout=timeout)
         self.client.request(call, self.results.append)
         self.assertEqual(len(self.results), before, "the callback ran inside the call")
 
@@ -74,6 +74,11 @@
         sent = [result.err_value.sent for result in self.results if isinstance(result, Err)]
         self.assertEqual(sent.count(True), CONNECTIONS_PER_SERVER)
         self.assertEqual(sent.count(False), 2)
+        self.loop.settle()
+        self.server.accept_all()
+        for conn in self.server.accepted[CONNECTIONS_PER_SERVER:]:
+            conn.setblocking(False)
+            self.assertRaises(BlockingIOError, conn.recv, RECEIVE_BYTES)
 
     def test_timeout_drops_idle_connections_too(self) -> None:
         self.call()
@@ -103,9 +108,9 @@
                 self.loop.settle()
                 self.assertEqual((self.failure().kind, self.failure().sent), (kind, True))
         self.server.close()
-        self.call()
-        self.loop.settle()
-        self.loop.advance(0.0)
-        self.assertEqual(
-            (self.failure().kind, self.failure().sent), (HttpFailureKind.CONNECT, False)
-        )
+        for host in ("127.0.0.1", "255.255.255.255"):
+            self.call(host=host)
+            self.loop.settle()
+            self.loop.advance(0.0)
+            failure = self.failure()
+            self.assertEqual((failure.kind, failure.sent), (HttpFailureKind.CONNECT, False))
--- a/tests/test_reactor_component.py
+++ b/tests/test_reactor_component.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from socket import socket, socketpair
 from unittest import TestCase
 
 from circuits import BaseComponent, handler
 
 from sequoiapulley.runtime import SystemClock, TimerQueue
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
-from sequoiapulley.wire.reactor import Reactor
+from sequoiapulley.wire.reactor import READABLE, Reactor
 from sequoiapulley.wire.reactor_component import ReactorComponent
 from standins.vm_list import VmListStandIn
 
@@ -40,6 +41,53 @@
         self.stop()
 
 
+class ReplacingHandler:
+    """Closes another socket when called, and registers a new one under its number."""
+
+    def __init__(self, reactor: Reactor, other: socket) -> None:
+        self.reactor = reactor
+        self.other = other
+        self.late = CountingHandler()
+        self.replacement: socket | None = None
+
+    def on_ready(self, _events: int) -> None:
+        fd = self.other.fileno()
+        self.reactor.unregister(fd)
+        self.other.close()
+        self.replacement = socket()
+        self.reactor.register(self.replacement.fileno(), READABLE, self.late)
+        assert self.replacement.fileno() == fd
+
+
+class CountingHandler:
+    """Counts its calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def on_ready(self, _events: int) -> None:
+        self.calls += 1
+
+
+class ReactorTest(TestCase):
+    """Readiness reaches the socket that it was of."""
+
+    def test_readiness_of_a_closed_socket_does_not_reach_its_successor(self) -> None:
+        clock = SystemClock()
+        reactor = Reactor(clock, TimerQueue(clock))
+        self.addCleanup(reactor.close)
+        pairs = [socketpair(), socketpair()]
+        handlers = [ReplacingHandler(reactor, pairs[1 - index][0]) for index in range(2)]
+        for (near, far), handler_ in zip(pairs, handlers, strict=True):
+            reactor.register(near.fileno(), READABLE, handler_)
+            far.send(b"x")
+        self.assertEqual(reactor.poll(1.0), 1)
+        self.assertEqual([handler_.late.calls for handler_ in handlers], [0, 0])
+        opened = [handler_.replacement for handler_ in handlers if handler_.replacement]
+        for sock in (*opened, *(end for pair in pairs for end in pair)):
+            sock.close()
+
+
 class ReactorComponentTest(TestCase):
     """Sockets and timers run on the manager's loop."""
 
