--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -16,6 +16,7 @@
     PoolSettings,
     TransportCounts,
 )
+from sequoiapulley.upstream.silence import SilenceSigns, longest_waiting
 from sequoiapulley.wire.http_connection import (
     CloseReason,
     ConnectionState,
@@ -78,6 +79,7 @@
         self.queue = FlightQueue()
         self._connecting: set[HttpConnection] = set()
         self._reopen_at = 0.0
+        self._signs = SilenceSigns()
         self._logged_at: dict[int, float] = {}
         self._retired = False
         self._spares = 0
@@ -96,7 +98,7 @@
         self.flights[order.exchange_id] = flight
         if order.fresh_connection:
             flight.ordered_at = self._clock.now()
-            flight.suspect = self._longest_waiting()
+            flight.suspect = longest_waiting(self.conns)
             self.queue.fresh.append(flight)
         elif not self.idle or self.queue.usual:
             self.queue.usual.append(flight)
@@ -142,7 +144,7 @@
             self._lose(flight, LossKind.NOT_SENT)
         for flight in tuple(self.flights.values()):
             if flight.conn is not None and flight.order.deadline + self._policy.overdue <= now:
-                self._discard(flight.conn)
+                self._give_up(flight.conn)
                 self._lose(flight, LossKind.DISCARDED)
         for conn in tuple(self._connecting):
             if now - conn.opened_at >= self._policy.max_connect:
@@ -174,8 +176,8 @@
         exchange_id = flight.order.exchange_id
         reply = self._contract.decode(exchange_id, parsed)
         self._reuse(conn, reply)
-        if flight.suspect is not None:
-            self._close_silent(flight.suspect, flight.ordered_at)
+        if flight.order.fresh_connection:
+            self._close_silent(flight)
         if self.flights.pop(exchange_id, None) is not None:
             self._callbacks.on_reply(exchange_id, reply)
 
@@ -293,28 +295,23 @@
         if conn.tag is not flight or conn.state is not ConnectionState.BUSY:
             return
         self._totals.cancelled_closed += 1
-        self._discard(conn)
+        self._give_up(conn)
         self.pump()
 
-    def _longest_waiting(self) -> HttpConnection | None:
-        """Returns the connection whose exchange has waited longest without a byte."""
-        longest: HttpConnection | None = None
-        for conn in self.conns:
-            if conn.state is not ConnectionState.BUSY or conn.reply_begun:
-                continue
-            if longest is None or conn.sent_at < longest.sent_at:
-                longest = conn
-        return longest
-
-    def _close_silent(self, suspect: HttpConnection, ordered_at: float) -> None:
-        """Closes what may be as silent as the suspect, now that a fresh connection works."""
-        if suspect.last_used > ordered_at or suspect.reply_begun:
-            return
-        silent = [conn for conn in self.idle if conn.last_used < suspect.sent_at]
+    def _close_silent(self, fresh: Flight) -> None:
+        """Closes what may have gone silent, now that a fresh connection works."""
+        silent_since = self._signs.silent_since(fresh)
+        silent = [conn for conn in self.idle if conn.last_used < silent_since]
         for conn in silent:
             self._discard(conn)
         self._totals.silent_closed += len(silent)
-        self._log(SILENT_CONNECTIONS_CLOSED)
+        if silent_since > 0.0:
+            self._log(SILENT_CONNECTIONS_CLOSED)
+
+    def _give_up(self, conn: HttpConnection) -> None:
+        """Closes a busy connection whose exchange nobody waits for."""
+        self._signs.note_given_up(conn)
+        self._discard(conn)
 
     def _is_recent(self, conn: HttpConnection) -> bool:
         """Returns whether an idle connection worked a moment ago."""
--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -243,6 +243,24 @@
         self.assertEqual(self.recorder.outcomes, [1, 2, 4])
         self.assertEqual(self.recorder.log.entries[0][0].name, "silent_connections_closed")
 
+    def test_exchange_cancelled_before_the_fresh_one_is_a_sign_too(self) -> None:
+        self.connect()
+        self.recorder.send(1)
+        self.recorder.send(2)
+        for number in (1, 2):
+            self.server.accept().sendall(reply_bytes(number))
+        self.loop.settle()
+        self.loop.advance(0.1)
+        self.recorder.send(3)
+        self.loop.advance(0.1)
+        self.recorder.cancel(3)
+        self.assertEqual(self.recorder.transport.counts().connections, 1)
+        self.recorder.send(4, fresh=True)
+        self.server.accept().sendall(reply_bytes(4))
+        self.loop.settle()
+        counts = self.recorder.transport.counts()
+        self.assertEqual((counts.connections, counts.silent_closed), (1, 1))
+
     def test_late_reply_of_the_suspect_keeps_the_others(self) -> None:
         self.connect()
         self.recorder.send(1)
