--- a/bench/cancel_policy.py
+++ b/bench/pool_policy.py
@@ -1,4 +1,4 @@
-"""What a cancel costs: the connection closed at once, or after a grace to end on its own."""
+"""How connections are kept: the grace of a cancel, and connections opened ahead of need."""
 
 from __future__ import annotations
 
@@ -30,8 +30,13 @@
 from standins.upstream_spec import UpstreamSpec
 from standins.upstreams import UpstreamsStandIn
 
-GRACES: Final = (0.0, 1.0, 4.0)
-"""Grace in times to open a connection."""
+POLICIES: Final = (
+    PoolPolicy(),
+    PoolPolicy(spares=0),
+    PoolPolicy(cancel_grace=1.0),
+    PoolPolicy(cancel_grace=4.0),
+)
+"""The policy in use, one that opens nothing ahead, and two with a grace, in times to open."""
 SHARES: Final = (0.02, 0.2)
 """Shares of requests that take 20 times as long."""
 OPEN_MS: Final = 6.0
@@ -44,15 +49,15 @@
 MS_PER_S: Final = 1000.0
 
 
-class CancelTrial:
+class PoolTrial:
     """Sends exchanges at random times and cancels those that take long, as a hedge would."""
 
-    def __init__(self, port: int, grace: float) -> None:
+    def __init__(self, port: int, policy: PoolPolicy) -> None:
         """Initialise the trial.
 
         Args:
             port: Port of the upstream.
-            grace: Grace in times to open a connection.
+            policy: How connections are kept.
         """
         self._clock = SystemClock()
         self._timers = TimerQueue(self._clock)
@@ -63,7 +68,7 @@
             self._timers,
             self._on_reply,
             self._on_lost,
-            policy=PoolPolicy(cancel_grace=grace),
+            policy=policy,
         )
         self.transport.configure(configuration(port), lambda _name: 8)
         self._random = Random(7)
@@ -131,19 +136,20 @@
     )
 
 
-def measure(grace: float, share: float) -> dict[str, Any]:
-    """Measures one grace under one share of stragglers."""
+def measure(policy: PoolPolicy, share: float) -> dict[str, Any]:
+    """Measures one policy under one share of stragglers."""
     upstreams = UpstreamsStandIn([UpstreamSpec(NAME, "i", "s", connections=60, open_ms=OPEN_MS)])
     upstreams.start()
     upstreams.set_faults(NAME, latency_ms=LATENCY_MS, straggler_share=share)
-    trial = CancelTrial(upstreams.ports[NAME], grace)
+    trial = PoolTrial(upstreams.ports[NAME], policy)
     trial.run()
     counters = upstreams.counters(NAME)
     upstreams.stop()
     latencies = sorted(trial.latencies)
     sent = len(latencies) + trial.cancelled + trial.lost
     return {
-        "grace": grace,
+        "spares": policy.spares,
+        "grace": policy.cancel_grace,
         "stragglers": share,
         "exchanges": sent,
         "answered_share": round(len(latencies) / sent, 4),
@@ -156,9 +162,9 @@
 
 
 def run() -> dict[str, Any]:
-    """Measures every grace under every share of stragglers."""
-    rows = [measure(grace, share) for share in SHARES for grace in GRACES]
-    return {"name": "cancel_policy", "unit": "ms, and counts per 1000 exchanges", "rows": rows}
+    """Measures every policy under every share of stragglers."""
+    rows = [measure(policy, share) for share in SHARES for policy in POLICIES]
+    return {"name": "pool_policy", "unit": "ms, and counts per 1000 exchanges", "rows": rows}
 
 
 if __name__ == "__main__":
