--- a/bench/epoll_server.py
+++ b/bench/epoll_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from contextlib import suppress
 from select import EPOLLIN, epoll
 from socket import IPPROTO_TCP, SOMAXCONN, TCP_NODELAY, create_server, socket
 from subprocess import PIPE, Popen
@@ -75,7 +76,10 @@
     def _answer(self, fd: int) -> None:
         """Answers one request, or forgets a closed connection."""
         conn = self._conns[fd]
-        data = conn.recv(RECEIVE_BYTES)
+        try:
+            data = conn.recv(RECEIVE_BYTES)
+        except ConnectionResetError:
+            data = b""
         if not data:
             self._poller.unregister(fd)
             self._conns.pop(fd).close()
@@ -84,7 +88,8 @@
         request_id = data[start : data.index(b",", start)]
         body = b'{"request_id":' + request_id + self._tail
         head = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nx-load: 0.50\r\n"
-        conn.send(head + b"content-length: %d\r\n\r\n" % len(body) + body)
+        with suppress(ConnectionError):
+            conn.send(head + b"content-length: %d\r\n\r\n" % len(body) + body)
 
 
 class ServerProcess:
--- a/bench/wire_cost.py
+++ b/bench/wire_cost.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterable
 from gc import collect, freeze
-from select import EPOLLIN, epoll
-from socket import IPPROTO_TCP, TCP_NODELAY, create_connection, socket
 from statistics import median
 from time import process_time
 from typing import Any, Final
@@ -13,9 +12,9 @@
 from circuits import BaseComponent, Event
 from circuits.core.events import started
 from circuits.core.pollers import EPoll
-from httptools import HttpResponseParser
 from msgspec import json
 
+from bench.bare_loop import BareLoop
 from bench.epoll_server import ServerProcess
 from sequoiapulley.ids import (
     CallerId,
@@ -32,8 +31,11 @@
     UpstreamName,
 )
 from sequoiapulley.model import Configuration, Contract, Instance, Place, Service, Upstream
+from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import SystemClock, TimerQueue
 from sequoiapulley.search.messages import ShardTarget
+from sequoiapulley.upstream.dispatcher import Dispatcher
+from sequoiapulley.upstream.http_codec import HttpExchangeCodec
 from sequoiapulley.upstream.http_contract import (
     JSON_HEADERS,
     SEARCH_PATH,
@@ -41,7 +43,14 @@
     decode_search_body,
     encode_search,
 )
-from sequoiapulley.upstream.messages import LossKind, SendExchange, SubSearch, UpstreamReply
+from sequoiapulley.upstream.messages import (
+    Action,
+    FinishSearch,
+    LossKind,
+    SendExchange,
+    SubSearch,
+    UpstreamReply,
+)
 from sequoiapulley.upstream.transport import UpstreamTransport
 from sequoiapulley.wire.reactor import Reactor
 from sequoiapulley.wire.reactor_component import ReactorComponent
@@ -49,65 +58,13 @@
 FAN_OUTS: Final = (20, 60, 140, 560)
 EXCHANGES_PER_ROUND: Final = 5_600
 ROUNDS: Final = 9
-RECEIVE_BYTES: Final = 65_536
 MICROSECONDS: Final = 1e6
 DEADLINE_S: Final = 60.0
+SHARE: Final = 2
+"""Connections and slots of the node at each upstream."""
 TARGET: Final = ShardTarget(ShardId("i"), ServiceName("s"), InstanceName("i"))
 
 
-class BareConnection:
-    """One connection of the bare loop."""
-
-    def __init__(self, port: int) -> None:
-        """Connect."""
-        self.sock: socket = create_connection(("127.0.0.1", port))
-        self.sock.setblocking(False)
-        self.sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
-        self.parser = HttpResponseParser(self)
-        self.body = b""
-        self.done = False
-
-    def on_body(self, body: bytes) -> None:
-        """Keeps the body."""
-        self.body = body
-
-    def on_message_complete(self) -> None:
-        """Marks the end of the reply."""
-        self.done = True
-
-
-class BareLoop:
-    """The least a client can do: send, poll, receive, parse."""
-
-    def __init__(self, ports: list[int]) -> None:
-        """Connect to every port."""
-        self._poller = epoll()
-        self._conns: dict[int, BareConnection] = {}
-        for port in ports:
-            conn = BareConnection(port)
-            self._conns[conn.sock.fileno()] = conn
-            self._poller.register(conn.sock.fileno(), EPOLLIN)
-
-    def batch(self, first: int) -> None:
-        """Sends one request on every connection and reads every reply."""
-        for number, conn in enumerate(self._conns.values(), first):
-            conn.sock.send(request_bytes(number))
-        left = len(self._conns)
-        while left:
-            for fd, _ in self._poller.poll():
-                conn = self._conns[fd]
-                conn.parser.feed_data(conn.sock.recv(RECEIVE_BYTES))
-                if conn.done:
-                    conn.done = False
-                    left -= 1
-
-    def close(self) -> None:
-        """Closes every connection."""
-        for conn in self._conns.values():
-            conn.sock.close()
-        self._poller.close()
-
-
 class TransportLoop:
     """The same exchanges through the node's transport, hits decoded."""
 
@@ -124,7 +81,7 @@
         self._transport = UpstreamTransport(
             self._reactor, self._clock, self._timers, self._on_reply, self._on_lost
         )
-        self._transport.configure(configuration(ports), lambda _name: 2)
+        self._transport.configure(configuration(ports), lambda _name: SHARE)
         self._names = [UpstreamName(f"u{port}") for port in ports]
         self._decode = decode
         self._left = 0
@@ -163,6 +120,46 @@
         raise RuntimeError(f"exchange {exchange_id} was lost: {kind.value}")
 
 
+class DispatchLoop(TransportLoop):
+    """The same exchanges from sub-search to hits, decided by the dispatcher."""
+
+    def __init__(self, ports: list[int]) -> None:
+        """Connect to every port."""
+        super().__init__(ports, decode=True)
+        self._dispatcher = Dispatcher(HttpExchangeCodec(), MemoryLog())
+        self._targets = [
+            ShardTarget(TARGET.shard, TARGET.service, InstanceName(f"i{port}")) for port in ports
+        ]
+        now = self._clock.now()
+        cfg = configuration(ports)
+        self._perform(self._dispatcher.configure(cfg, now, lambda _: SHARE, lambda _: SHARE))
+
+    def batch(self, first: int) -> None:
+        """Searches every shard and waits for every outcome."""
+        self._left = len(self._targets)
+        now = self._clock.now()
+        for number, target in enumerate(self._targets, first):
+            sub = make_sub(number, target, now)
+            self._perform(self._dispatcher.submit_search(sub, now))
+        while self._left:
+            self._wait()
+            self._perform(self._dispatcher.tick(self._clock.now()))
+
+    def _perform(self, actions: Iterable[Action]) -> None:
+        """Carries out the dispatcher's orders."""
+        for action in actions:
+            if not isinstance(action, FinishSearch):
+                self._transport.execute(action)
+                continue
+            if action.reply.reason is not None:
+                raise RuntimeError(f"a shard is lacking: {action.reply.reason.value}")
+            self._left -= 1
+
+    def _on_reply(self, exchange_id: ExchangeId, reply: UpstreamReply) -> None:
+        """Hands a reply to the dispatcher."""
+        self._perform(self._dispatcher.on_reply(exchange_id, reply, self._clock.now()))
+
+
 class BatchDone(Event):
     """Every exchange of a batch was answered."""
 
@@ -191,19 +188,17 @@
             self._manager.fire(BatchDone())
 
 
+def make_sub(number: int, target: ShardTarget, now: float) -> SubSearch:
+    """Returns one sub-search."""
+    deadline = now + DEADLINE_S
+    return SubSearch(
+        number, target, CallerId("c"), "query", 10, Fingerprint(f"f{number}"), None, deadline
+    )
+
+
 def encode(exchange_id: ExchangeId, now: float) -> bytes:
     """Encodes one search."""
-    sub = SubSearch(
-        exchange_id,
-        TARGET,
-        CallerId("c"),
-        "query",
-        10,
-        Fingerprint("f"),
-        None,
-        now + DEADLINE_S,
-    )
-    return encode_search(exchange_id, sub, now)
+    return encode_search(exchange_id, make_sub(exchange_id, TARGET, now), now)
 
 
 PLAIN_BODY: Final = encode(ExchangeId(0), 0.0).replace(b'"request_id":0', b'"request_id":%d')
@@ -267,10 +262,11 @@
     other work on the machine disturbs less.
     """
     loops: dict[str, Loop] = {
-        "bare": BareLoop(ports),
+        "bare": BareLoop(ports, request_bytes),
         "transport": TransportLoop(ports, decode=False),
         "decoded": TransportLoop(ports, decode=True),
         "circuits": CircuitsLoop(ports, decode=True),
+        "dispatched": DispatchLoop(ports),
     }
     costs = measure(loops, len(ports))
     row: dict[str, Any] = {"fan_out": len(ports)}
@@ -279,7 +275,7 @@
         row[name] = round(median(costs[name]), 2)
         row[f"{name}_least"] = round(min(costs[name]), 2)
         row[f"{name}_most"] = round(max(costs[name]), 2)
-    for name in ("transport", "decoded", "circuits"):
+    for name in ("transport", "decoded", "circuits", "dispatched"):
         ratios = [cost / bare for cost, bare in zip(costs[name], costs["bare"], strict=True)]
         row[f"{name}_ratio"] = round(median(ratios), 2)
         row[f"{name}_least_ratio"] = round(min(costs[name]) / min(costs["bare"]), 2)
@@ -292,7 +288,7 @@
     Returns:
         Rows in µs of processor time per exchange. `transport` sends a ready body; `decoded` also
         encodes the body from its message and decodes the hits; `circuits` does so under the
-        circuits manager.
+        circuits manager; `dispatched` goes from sub-search to hits through the dispatcher.
     """
     server = ServerProcess(max(FAN_OUTS))
     rows = [measure_row(server.ports[:fan_out]) for fan_out in FAN_OUTS]
