--- a/src/sequoiapulley/upstream/http_contract.py
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -23,6 +23,7 @@
     SubSearch,
     UpstreamReply,
 )
+from sequoiapulley.wire.http_connection import host_header
 from sequoiapulley.wire.reply_parser import ParsedReply
 
 SEARCH_PATH: Final = "/search"
@@ -275,7 +276,7 @@
 @lru_cache(CACHED_HEADS)
 def _request_head(path: str, headers: Headers, host: str, port: int) -> bytes:
     """Returns the request line and the headers up to the length of the body."""
-    lines = [f"POST {path} HTTP/1.1", f"host: {host}:{port}"]
+    lines = [f"POST {path} HTTP/1.1", f"host: {host_header(host, port)}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     lines.append("content-length: ")
     return "\r\n".join(lines).encode("latin-1")
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -16,6 +16,7 @@
     ConnectionState,
     HttpConnection,
     ReplyBounds,
+    host_header,
 )
 from sequoiapulley.wire.reactor import Reactor
 from sequoiapulley.wire.reply_parser import ParsedReply
@@ -307,7 +308,7 @@
 
 def _encode(call: HttpCall) -> bytes:
     """Encodes a whole request."""
-    lines = [f"{call.method} {call.path} HTTP/1.1", f"host: {call.host}:{call.port}"]
+    lines = [f"{call.method} {call.path} HTTP/1.1", f"host: {host_header(call.host, call.port)}"]
     lines.extend(f"{name}: {value}" for name, value in call.headers)
     lines.append(f"content-length: {len(call.body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + call.body
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -249,6 +249,11 @@
         self._owner.on_closed(self, reason)
 
 
+def host_header(host: str, port: int) -> str:
+    """Returns the value of the Host header for an IP address, IPv6 in brackets."""
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def _open_socket(host: str, port: int) -> socket:
     """Opens a non-blocking socket and starts its connect."""
     sock = socket(AF_INET6 if ":" in host else AF_INET, SOCK_STREAM)
--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -7,6 +7,7 @@
 from math import exp
 from random import Random
 from typing import Any, Final
+from urllib.parse import unquote
 
 from msgspec import DecodeError, json
 
@@ -201,7 +202,7 @@
                 self.crash()
                 return Response(0, drop=True)
             if request.path == "/run":
-                self._runs[request.headers.get("idempotency-key", "")] += 1
+                self._runs[_key_of(request)] += 1
             await sleep(self._service_time())
         finally:
             self._release()
@@ -216,7 +217,7 @@
         if self._draw(faults.crossed_share):
             request_id += 1
         if request.path == "/run":
-            key = request.headers.get("idempotency-key", "")
+            key = _key_of(request)
             fields: dict[str, Any] = {"result": {"key": key, "upstream": self.spec.name}}
         else:
             snapshot = body.get("snapshot") or faults.snapshots[-1]
@@ -301,3 +302,8 @@
     def _draw(self, share: float) -> bool:
         """Returns true for this share of calls."""
         return share > 0.0 and self._random.random() < share
+
+
+def _key_of(request: Request) -> str:
+    """Returns the idempotency key of a request, empty if it has none."""
+    return unquote(request.headers.get("idempotency-key", ""))
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -4,13 +4,19 @@
 
 from itertools import pairwise
 from unittest import TestCase
+from urllib.parse import unquote
 
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sequoiapulley.ids import ExchangeId
-from sequoiapulley.upstream.http_contract import ContractError, HttpContract, decode_search_body
-from sequoiapulley.upstream.messages import ReplyKind
+from sequoiapulley.ids import ExchangeId, Fingerprint, IdempotencyKey, UpstreamName
+from sequoiapulley.upstream.http_contract import (
+    ContractError,
+    HttpContract,
+    decode_search_body,
+    run_headers,
+)
+from sequoiapulley.upstream.messages import ReplyKind, SendExchange, SubRun
 from sequoiapulley.wire.reply_parser import ParsedReply, ReplyError, ReplyParser
 
 MAX_HEADER = 400
@@ -103,6 +109,19 @@
         reply = HttpContract().decode(ExchangeId(asked), ParsedReply(status, [], body, True))
         self.assertEqual(reply.kind is ReplyKind.MALFORMED, asked != answered)
 
+    def test_request_is_encoded_whole(self) -> None:
+        order = SendExchange(ExchangeId(1), UpstreamName("u"), "/run", (("k", "v"),), b"{}", 0.0)
+        for host, header in (("10.0.0.1", b"10.0.0.1:80"), ("fd00::1", b"[fd00::1]:80")):
+            wanted = b"POST /run HTTP/1.1\r\nhost: %b\r\nk: v\r\ncontent-length: 2\r\n\r\n{}"
+            self.assertEqual(HttpContract().encode(order, host, 80), wanted % header)
+
+    @given(st.text(min_size=1))
+    def test_no_key_breaks_the_header_line(self, key: str) -> None:
+        sub = SubRun(1, 1, *"sic", "{}", IdempotencyKey(key), Fingerprint("f"), 0.0)  # type: ignore
+        _, (_, value) = run_headers(sub)
+        self.assertTrue(value.isascii() and value.isprintable())
+        self.assertEqual(unquote(value), key)
+
     @given(st.binary(max_size=200))
     def test_hits_of_another_form_are_refused(self, body: bytes) -> None:
         with self.assertRaises(ContractError):
