--- a/src/sequoiapulley/upstream/ledger.py
+++ b/src/sequoiapulley/upstream/_ledger.py
@@ -5,12 +5,13 @@
 from itertools import count
 
 from sequoiapulley.ids import ExchangeId
+from sequoiapulley.upstream._timer_heap import TimerHeap
+from sequoiapulley.upstream._work import Exchange, Work, WorkState
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.messages import Action, CancelExchange, SendExchange, SubRun
-from sequoiapulley.upstream.timer_heap import TimerHeap
+from sequoiapulley.upstream.service_shares import ServiceShares
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Exchange, Work, WorkState
 
 
 class Ledger:
@@ -29,12 +30,14 @@
         self.searches: dict[int, Work] = {}
         self.runs: dict[int, Work] = {}
         self.exchanges: dict[ExchangeId, Exchange] = {}
+        self.shares = ServiceShares()
         self.timers: TimerHeap[Work] = TimerHeap()
 
     def add(self, work: Work) -> None:
         """Takes new work; the ids of searches and of runs are counted apart."""
         books = self.runs if work.is_run else self.searches
         books[work.sub_id] = work
+        self.shares.add(work.instance.service)
 
     def all_work(self) -> list[Work]:
         """Returns all unfinished work."""
@@ -102,6 +105,7 @@
         """Gives an exchange up; the time it took so far is a lower bound of its latency."""
         self.release(exchange.exchange_id)
         self._counts.cancelled += 1
+        exchange.work.instance.troubled = True
         typical = exchange.work.instance.typical
         elapsed = now - exchange.sent_at
         if exchange.upstream.on_unanswered(elapsed, typical, exchange.fresh, now):
@@ -122,6 +126,7 @@
         work.state = WorkState.FINISHED
         work.due = None
         books = self.runs if work.is_run else self.searches
-        books.pop(work.sub_id, None)
+        if books.pop(work.sub_id, None) is not None:
+            self.shares.remove(work.instance.service)
         for exchange in list(work.exchanges):
             self.abandon(exchange, now, actions)
--- a/src/sequoiapulley/upstream/recovery.py
+++ b/src/sequoiapulley/upstream/_recovery.py
@@ -5,7 +5,9 @@
 from typing import Final
 
 from sequoiapulley.search.messages import LackReason, ShardReply
-from sequoiapulley.upstream.dispatch_core import DispatchCore
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._queue_pump import QueuePump
+from sequoiapulley.upstream._work import Exchange, Work, WorkState
 from sequoiapulley.upstream.hedging import MAX_TRIES
 from sequoiapulley.upstream.log_events import (
     REQUEST_SUSPECTED,
@@ -30,9 +32,7 @@
     unknown,
 )
 from sequoiapulley.upstream.quarantine import STRIKES_TO_REFUSE
-from sequoiapulley.upstream.queue_pump import QueuePump
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Exchange, Work, WorkState
 
 ERROR_WEIGHT: Final = 1
 LOST_WEIGHT: Final = 2
@@ -62,6 +62,8 @@
         """Takes the reply to an exchange that was just released."""
         work = exchange.work
         upstream = exchange.upstream
+        if reply.kind is not ReplyKind.OK or reply.draining:
+            work.instance.troubled = True
         self._take_signs(upstream, reply, now)
         sub = work.sub
         if isinstance(sub, SubRun):
@@ -128,16 +130,17 @@
         work = exchange.work
         instance = work.instance
         if kind is ReplyKind.OK:
-            latency = now - exchange.sent_at
-            if work.is_run:
+            if upstream.health.failures or upstream.unanswered:
                 self._on_alive(upstream, now)
-            else:
-                typical = instance.typical
+            if not work.is_run:
+                latency = now - exchange.sent_at
+                upstream.on_good_reply(latency, instance.proven_typical, now)
                 instance.latency.record(latency, now)
-                self._on_alive(upstream, now)
-                upstream.on_good_reply(latency, typical, now)
-            self._core.quarantine.on_answered(work.fingerprint, instance.key, exchange.sent_at, now)
+            quarantine = self._core.quarantine
+            if quarantine.has_suspects:
+                quarantine.on_answered(work.fingerprint, instance.key, exchange.sent_at, now)
             return
+        instance.troubled = True
         if kind in (ReplyKind.ERROR, ReplyKind.MALFORMED):
             upstream.on_failure(ERROR_WEIGHT, False, now)
             return
--- a/src/sequoiapulley/upstream/dispatcher.py
+++ b/src/sequoiapulley/upstream/dispatcher.py
@@ -10,9 +10,12 @@
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.requests.messages import RefusalReason
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._queue_pump import QueuePump
+from sequoiapulley.upstream._recovery import Recovery
+from sequoiapulley.upstream._work import Work, WorkState
 from sequoiapulley.upstream.codec import ExchangeCodec
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.dispatch_counts import DispatchCounts
 from sequoiapulley.upstream.hedging import Hedging
 from sequoiapulley.upstream.log_events import UPSTREAM_LEAVING, UPSTREAM_STAYS
@@ -25,10 +28,7 @@
     UpstreamReply,
 )
 from sequoiapulley.upstream.outcomes import lacking, not_run
-from sequoiapulley.upstream.queue_pump import QueuePump
-from sequoiapulley.upstream.recovery import Recovery
 from sequoiapulley.upstream.upstream_state import UpstreamState
-from sequoiapulley.upstream.work import Work, WorkState
 
 
 class Dispatcher:
@@ -76,6 +76,7 @@
         core = self._core
         place = configuration.places.get(core.choice.place) if core.choice.place else None
         core.choice.region = place.region if place else None
+        core.ledger.shares.configure(configuration)
         left, gone = core.directory.apply(configuration, now, connections, slots)
         actions: list[Action] = [CloseUpstream(state.name) for state in left]
         for state in left:
@@ -138,6 +139,7 @@
         if exchange is None:
             return []
         actions: list[Action] = []
+        exchange.work.instance.troubled = True
         self._recovery.on_lost(exchange, loss, now, actions)
         self._pump.pump(exchange.work.instance, now, actions)
         return actions
@@ -156,7 +158,7 @@
             upstream: Name of the upstream.
             load: Reported load, 0 to 1; a hint that moves no traffic by itself.
             draining: Whether the upstream asks for no new work.
-            available: Snapshots that it serves.
+            available: Snapshots that it serves; a hint for the outcome of searches that lack one.
             now: Clock reading in seconds.
 
         Returns:
@@ -167,7 +169,7 @@
         if state is None:
             return []
         state.reported_load = load
-        state.on_available(available, now)
+        state.reported_available = available
         if draining and state.drain.on_sign(now):
             core.log.log(UPSTREAM_LEAVING, upstream=upstream)
         if not draining and state.drain.on_cleared_report(now):
@@ -176,6 +178,7 @@
         actions: list[Action] = []
         instance = core.directory.instance(state.service, state.instance)
         if instance is not None:
+            instance.troubled = True
             self._pump.pump(instance, now, actions)
         return actions
 
--- a/src/sequoiapulley/upstream/overload.py
+++ b/src/sequoiapulley/upstream/overload.py
@@ -5,20 +5,18 @@
 from typing import Final
 
 from sequoiapulley.search.messages import LackReason
+from sequoiapulley.upstream._dispatch_core import DispatchCore
+from sequoiapulley.upstream._work import Work
 from sequoiapulley.upstream.directory import InstanceState
-from sequoiapulley.upstream.dispatch_core import DispatchCore
 from sequoiapulley.upstream.log_events import OVERLOAD_BEGAN, OVERLOAD_ENDED
 from sequoiapulley.upstream.messages import Action
-from sequoiapulley.upstream.work import Work
 
 QUIET_S: Final = 2.0
 """Time without a refusal after which an overload is over."""
-SAFE_SHARE: Final = 0.9
-"""Share of exchanges whose latency must fit into the time left, under overload."""
-POSSIBLE_SHARE: Final = 0.1
-"""The same without overload, when a slot would stay free otherwise."""
-QUEUE_SHARE: Final = 0.6
+BURST_SHARE: Final = 0.9
 """Share of the time left that new work may spend in the queue."""
+OVERLOAD_SHARE: Final = 0.6
+"""The same while the instance is overloaded, to keep the standing queue short."""
 
 
 class Admission:
@@ -44,10 +42,17 @@
             Whether the work may be queued; otherwise it is finished.
         """
         instance = work.instance
+        if self._core.ledger.shares.exceeds(instance.service):
+            self._mark(instance, now)
+            self._core.give_up(work, LackReason.OVERLOAD, now, actions)
+            return False
         if self._fits(instance, work, now):
             return True
         self._mark(instance, now)
-        victim = instance.queue.victim_for(work.sub.caller)
+        victim = None
+        # Work with no time for its own exchange takes nobody's turn.
+        if work.deadline - now > instance.typical + instance.mean:
+            victim = instance.queue.victim_for(work.sub.caller)
         if victim is None:
             self._core.give_up(work, LackReason.OVERLOAD, now, actions)
             return False
@@ -57,6 +62,9 @@
     def drop_if_late(self, work: Work, now: float, actions: list[Action]) -> bool:
         """Finishes work that has no time left for an exchange, before it is sent.
 
+        Under overload nine in ten exchanges must fit into the time left; otherwise one in ten,
+        as a slot would stay free.
+
         Args:
             work: Work that would be sent now.
             now: Clock reading in seconds.
@@ -66,8 +74,10 @@
             Whether the work was finished.
         """
         instance = work.instance
-        share = SAFE_SHARE if self._overloaded(instance, now) else POSSIBLE_SHARE
-        needed = instance.latency.quantile(share) or 0.0
+        figures = instance.latency.figures
+        if figures is None:
+            return False
+        needed = figures.p90 if self._overloaded(instance, now) else figures.p10
         if work.deadline - now > needed:
             return False
         self._mark(instance, now)
@@ -79,7 +89,8 @@
         if not queued:
             return True
         turn = instance.mean / max(1, instance.capacity(now))
-        time_for_queue = QUEUE_SHARE * (work.deadline - now) - instance.typical
+        share = OVERLOAD_SHARE if self._overloaded(instance, now) else BURST_SHARE
+        time_for_queue = share * (work.deadline - now) - instance.typical
         if (queued + 1) * turn <= time_for_queue:
             return True
         return (instance.queue.ahead_of(work.deadline) + 1) * turn <= time_for_queue
--- a/src/sequoiapulley/upstream/upstream_state.py
+++ b/src/sequoiapulley/upstream/upstream_state.py
@@ -12,13 +12,13 @@
 from sequoiapulley.upstream.upstream_health import HealthState, UpstreamHealth
 
 if TYPE_CHECKING:
-    from sequoiapulley.upstream.work import Work
+    from sequoiapulley.upstream._work import Work
 
 RAMP_S: Final = 3.0
 """Time in which a new or restarted upstream comes to its full share."""
 COLD_COST: Final = 3.0
 """Factor on the expected latency of an upstream at the start of its ramp."""
-AVAILABLE_TTL_S: Final = 1.0
+AVAILABLE_TTL_S: Final = 0.25
 """Time for which the snapshots that a replica listed are taken as all it serves."""
 UNANSWERED_BEFORE_FRESH: Final = 2
 """Exchanges in a row without a reply after which the next one opens a new connection."""
@@ -62,7 +62,10 @@
         """Suspected work that has the upstream for itself."""
         self.reported_load: float | None = None
         self.available: tuple[Snapshot, ...] = ()
+        """Snapshots that its last reply listed."""
         self.available_at = float("-inf")
+        self.reported_available: tuple[Snapshot, ...] = ()
+        """Snapshots that its load report listed; a hint that keeps no search away."""
 
     @property
     def in_service(self) -> bool:
@@ -78,6 +81,17 @@
         """Whether its idle connections may have gone silent."""
         return self.unanswered >= UNANSWERED_BEFORE_FRESH
 
+    def is_plain(self, now: float) -> bool:
+        """Returns whether room is only a matter of the limit."""
+        return (
+            self.in_service
+            and not self.health.failures
+            and not self.unanswered
+            and self.exclusive is None
+            and now >= self.limit.paused_until
+            and now - self.cold_since >= RAMP_S
+        )
+
     def allowed(self, now: float) -> int:
         """Returns the requests that this home may have in flight at the upstream."""
         if self.health.state is HealthState.EJECTED:
@@ -118,8 +132,7 @@
 
     def on_good_reply(self, latency: float, typical: float, now: float) -> None:
         """Takes a good reply after `latency` seconds."""
-        self.latency.record(latency, now)
-        if self.latency.expected(typical, now) > SLOW_RATIO * typical:
+        if self.latency.record(latency, now) > SLOW_RATIO * typical:
             self.limit.on_slow_reply(self.reported_load, now)
         else:
             self.limit.on_good_reply()
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -14,10 +14,13 @@
 from xml.etree import ElementTree
 
 from msgspec import Struct, json
+from msgspec.structs import replace
 
 from sequoiapulley.cli.exit_code import ExitCode
 from sequoiapulley.cli.main import run
+from sequoiapulley.cli.status_command import FleetStatus
 from sequoiapulley.entry.callers_messages import EntriesView, EntryView, LackingView, SearchView
+from sequoiapulley.entry.error_messages import ErrorBody, ErrorDetail
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
     EditAccepted,
@@ -58,6 +61,7 @@
         self.members: tuple[MemberView, ...] = ()
         self.edit_answer: tuple[int, Struct] = (200, EditAccepted(ConfigVersion(4)))
         self.edits: list[EditRequest] = []
+        self.silent_edits = False
         self.answers: dict[str, tuple[int, object]] = {}
         node = self
 
@@ -70,6 +74,8 @@
             def do_PUT(self) -> None:
                 body = self.rfile.read(int(self.headers["Content-Length"]))
                 node.edits.append(json.decode(body, type=EditRequest))
+                if node.silent_edits:
+                    return
                 self._send(*node.edit_answer)
 
             def do_POST(self) -> None:
@@ -210,26 +216,47 @@
 
     def test_apply_tells_how_to_settle_an_unknown_outcome(self) -> None:
         with fake_nodes("n1") as [node]:
-            for known, code in ((True, ExitCode.UNREACHABLE), (False, ExitCode.UNKNOWN)):
-                node.edit_answer = (503, EditUnavailable(known, "timeout"))
+            for status, answer, code in (
+                (503, EditUnavailable(True, "timeout"), ExitCode.UNREACHABLE),
+                (503, EditUnavailable(False, "timeout"), ExitCode.UNKNOWN),
+                (500, ErrorBody(ErrorDetail("internal", "failed")), ExitCode.UNKNOWN),
+            ):
+                node.edit_answer = (status, answer)
                 arguments = ("config", "apply", EXAMPLE, "--node", node.address)
                 actual, _, err = call(*arguments, "--edit-id", "e77")
                 self.assertEqual(actual, code)
                 self.assertIn("--edit-id e77 --base 3", err)
 
+    def test_apply_does_not_call_an_edit_lost_whose_answer_never_came(self) -> None:
+        with fake_nodes("n1") as [node]:
+            node.silent_edits = True
+            arguments = ("config", "apply", EXAMPLE, "--edit-id", "e78", "--node", node.address)
+            code, _, err = call(*arguments)
+            self.assertEqual((code, len(node.edits)), (ExitCode.UNKNOWN, 1))
+            self.assertIn("--edit-id e78 --base 3", err)
+
 
 class StatusCommandTest(TestCase):
     """The state of a node."""
 
-    def test_status_lists_members(self) -> None:
-        with fake_nodes("n1", "n2") as nodes:
-            nodes[0].version = ConfigVersion(4)
+    def test_status_asks_every_live_member(self) -> None:
+        with fake_nodes("n2", "n1", "n3") as nodes:
+            nodes[0].version = nodes[1].version = ConfigVersion(4)
+            gone = replace(nodes[2].member("dead"), node=NodeId("n0"), address="127.0.0.1:1")
+            nodes[0].members += (gone,)
             code, out, _ = call("status", "--node", nodes[0].address)
             self.assertEqual(code, ExitCode.OK)
-            self.assertIn("configuration version 4; store reachable", out)
-            self.assertIn("behind version 4: n1, n2", out)
+            self.assertIn("node n2 of c, up 5 s\nconfiguration version 4; store reachable", out)
+            self.assertIn("behind version 4: n3\n", out)
+            lost = replace(nodes[2].member(), node=NodeId("n9"), address="127.0.0.1:1")
+            nodes[0].members += (lost,)
+            code, out, _ = call("status", "--node", nodes[0].address)
+            self.assertEqual(code, ExitCode.PARTIAL)
+            self.assertIn("MISSING n9 at 127.0.0.1:1: no answer", out)
             _, out, _ = call("status", "--node", nodes[0].address, "--json")
-            self.assertEqual(len(json.decode(out, type=StatusView).members), 2)
+            fleet = json.decode(out, type=FleetStatus)
+            versions = [(member.node, member.config_version) for member in fleet.asked.members]
+            self.assertEqual(versions, [("n0", 3), ("n1", 4), ("n2", 4), ("n3", 3), ("n9", 3)])
 
     def test_wrong_usage(self) -> None:
         self.assertEqual(call("status", "--bogus")[0], ExitCode.USAGE)
