--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -267,8 +267,8 @@
             if server is not None:
                 server.open.discard(conn)
                 _drop_idle(server)
-        elif False:
-            pass
+        elif server is not None and exchange in server.waiting:
+            server.waiting.remove(exchange)
         detail = f"{call.host}:{call.port}: no reply within {call.timeout} s"
         exchange.finish(Err(HttpFailure(HttpFailureKind.TIMEOUT, sent, detail)))
         if server is not None:
