Do not take the entry's own pause for silence of its homes

Cause: after a pause of the entry (garbage collection, a stopped process) its timers ran before the replies that waited in its sockets were read; every home looked silent, was hedged and then avoided.

--- a/src/sequoiapulley/search/coordinator.py
+++ b/src/sequoiapulley/search/coordinator.py
@@ -13,7 +13,8 @@
 from sequoiapulley.search.answers import make_answer, refuse_search
 from sequoiapulley.search.gather import Gather
 from sequoiapulley.search.hedge_budget import HedgeBudget
-from sequoiapulley.search.home_health import HomeHealth
+from sequoiapulley.search.home_choice import HomeChoice
+from sequoiapulley.search.home_health import HEDGE_STEP_S, HomeHealth
 from sequoiapulley.search.home_resolver import HomeResolver
 from sequoiapulley.search.log_events import (
     HOME_LOST,
@@ -39,6 +40,7 @@
 
 MAX_SEARCHES: Final = 4096
 MIN_ASK_S: Final = 0.004
+MAX_TICK_DELAY_S: Final = 0.010
 ID_RANDOM_BITS: Final = 31
 ID_COUNTER_BITS: Final = 32
 
@@ -55,12 +57,12 @@
             first_id: First search id; a random one by default, so that a late reply to an
                 earlier incarnation of this node matches no search.
         """
-        self._homes = homes
         self._log = log
         self._ids = count(first_id or (randbits(ID_RANDOM_BITS) << ID_COUNTER_BITS))
         self._plans: dict[ServiceName, SearchPlan] = {}
         self._book = SnapshotBook()
         self._health = HomeHealth()
+        self._choice = HomeChoice(homes, self._health)
         self._budget = HedgeBudget()
         self._searches: dict[RequestId, SearchState] = {}
         self._groups: dict[int, GroupState] = {}
@@ -179,10 +181,15 @@
         """Answers the searches whose time has come, and asks again where a home is silent."""
         orders: list[SearchOrder] = []
         while self._timers and self._timers[0][0] <= now:
-            search = self._searches.get(heappop(self._timers)[1])
+            due, request_id = heappop(self._timers)
+            search = self._searches.get(request_id)
             if search is None:
                 continue
-            orders += self._hedge(search, now)
+            if now - due <= MAX_TICK_DELAY_S:
+                orders += self._hedge(search, now)
+            elif search.answer_at > now:
+                # This process was paused; replies that wait to be read are no silence.
+                heappush(self._timers, (now + HEDGE_STEP_S, request_id))
             orders += self._progress(search, now)
         return orders
 
@@ -208,35 +215,17 @@
         self, search: SearchState, targets: tuple[ShardTarget, ...], now: float
     ) -> list[SearchOrder]:
         """Sends shards to their homes; a shard without one, or without time, is lacking."""
-        time_left = search.answer_at - now
-        avoided = self._health.avoided(now)
-        by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
-        for target in targets:
-            node = self._home_for(search, target, avoided)
-            if node is None:
-                search.gather.lack(target.shard, LackReason.HOME_UNREACHABLE)
-                continue
-            if time_left < MIN_ASK_S:
-                search.gather.lack(target.shard, LackReason.DEADLINE)
-                continue
-            by_node.setdefault(node, {})[target.shard] = target
+        by_home = self._choice.by_home(search, targets, now)
+        for shard in by_home.pop(None, {}):
+            search.gather.lack(shard, LackReason.HOME_UNREACHABLE)
         orders: list[SearchOrder] = []
-        for node, asked in by_node.items():
-            orders.append(self._ask_home(search, node, asked, now))
-        return orders
-
-    def _home_for(
-        self, search: SearchState, target: ShardTarget, avoided: frozenset[NodeId]
-    ) -> NodeId | None:
-        tried = search.tried.get(target.shard, ())
-        last_resort: NodeId | None = None
-        for node in self._homes.homes_of(target.service, target.instance):
-            if node in tried:
+        for node, asked in by_home.items():
+            if node is not None and search.answer_at - now >= MIN_ASK_S:
+                orders.append(self._ask_home(search, node, asked, now))
                 continue
-            if node not in avoided:
-                return node
-            last_resort = last_resort or node
-        return last_resort
+            for shard in asked:
+                search.gather.lack(shard, LackReason.DEADLINE)
+        return orders
 
     def _ask_home(
         self, search: SearchState, node: NodeId, asked: dict[ShardId, ShardTarget], now: float
@@ -283,18 +272,14 @@
         return orders
 
     def _ask_second(self, search: SearchState, group: GroupState, now: float) -> list[SearchOrder]:
-        avoided = self._health.avoided(now)
-        by_node: dict[NodeId, dict[ShardId, ShardTarget]] = {}
-        for shard, target in group.waiting.items():
-            if not search.gather.is_open(shard):
-                continue
-            search.tried.setdefault(shard, set()).add(group.node)
-            node = self._home_for(search, target, avoided)
-            if node is not None:
-                by_node.setdefault(node, {})[shard] = target
+        waiting = [t for shard, t in group.waiting.items() if search.gather.is_open(shard)]
+        for target in waiting:
+            search.tried.setdefault(target.shard, set()).add(group.node)
         orders: list[SearchOrder] = []
-        for node, asked in by_node.items():
-            if search.answer_at - now < MIN_ASK_S or not self._budget.spend(len(asked)):
+        for node, asked in self._choice.by_home(search, waiting, now).items():
+            if node is None or search.answer_at - now < MIN_ASK_S:
+                continue
+            if not self._budget.spend(len(asked)):
                 continue
             self._log.log(HOME_SILENT, home=group.node, second=node, shards=len(asked))
             for shard in asked:
