Tell a path that the network lost from a connection that the upstream closed

Cause: a kernel time-out or a missing route with a request in flight was reported as a lost connection, which strikes the request and the upstream. It is reported as discarded, with no blame.

--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -7,6 +7,7 @@
 from sequoiapulley.ids import ExchangeId
 from sequoiapulley.observe import LogEvent
 from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.upstream.event_limiter import EventLimiter
 from sequoiapulley.upstream.flight import Flight, FlightQueue
 from sequoiapulley.upstream.http_contract import RUN_PATH, UpstreamContract
 from sequoiapulley.upstream.messages import LossKind, ReplyKind, SendExchange, UpstreamReply
@@ -34,6 +35,10 @@
 # Looking a member up on its class costs more than the comparison on this path.
 _MALFORMED: Final = ReplyKind.MALFORMED
 _CLOSED: Final = ConnectionState.CLOSED
+_LOSS_OF_REASON: Final = {
+    CloseReason.PEER_CLOSED: LossKind.CONNECTION_LOST,
+    CloseReason.PATH_LOST: LossKind.DISCARDED,
+}
 
 
 class ConnectionPool:
@@ -80,7 +85,7 @@
         self._connecting: set[HttpConnection] = set()
         self._reopen_at = 0.0
         self._signs = SilenceSigns()
-        self._logged_at: dict[int, float] = {}
+        self._limiter = EventLimiter(policy.log_interval)
         self._retired = False
         self._spares = 0
         self.configure(settings)
@@ -189,13 +194,8 @@
             self._reopen_at = self._clock.now() + self._policy.reopen_delay
         if reason is CloseReason.CONNECT_FAILED:
             self._on_connect_failed()
-        elif isinstance(flight, Flight) and reason is not CloseReason.PEER_CLOSED:
-            self._on_malformed()
-            if self.flights.pop(flight.order.exchange_id, None) is not None:
-                reply = UpstreamReply(_MALFORMED)
-                self._callbacks.on_reply(flight.order.exchange_id, reply)
         elif isinstance(flight, Flight):
-            self._lose(flight, LossKind.CONNECTION_LOST if conn.bytes_left else LossKind.NOT_SENT)
+            self._end_broken(flight, conn, reason)
         self.pump()
 
     def pump(self) -> None:
@@ -228,6 +228,16 @@
         else:
             self.idle.append(conn)
 
+    def _end_broken(self, flight: Flight, conn: HttpConnection, reason: CloseReason) -> None:
+        """Reports the exchange of a connection that broke."""
+        kind = _LOSS_OF_REASON.get(reason)
+        if kind is not None:
+            self._lose(flight, kind if conn.bytes_left else LossKind.NOT_SENT)
+            return
+        self._on_malformed()
+        if self.flights.pop(flight.order.exchange_id, None) is not None:
+            self._callbacks.on_reply(flight.order.exchange_id, UpstreamReply(_MALFORMED))
+
     def _start(self, flight: Flight, conn: HttpConnection) -> None:
         """Sends a request on an idle connection."""
         flight.conn = conn
@@ -337,10 +347,5 @@
 
     def _log(self, event: LogEvent) -> None:
         """Logs an event of this upstream, now and again."""
-        now = self._clock.now()
-        if now - self._logged_at.get(event.number, -self._policy.log_interval) < (
-            self._policy.log_interval
-        ):
-            return
-        self._logged_at[event.number] = now
-        self._callbacks.on_event(event, self.settings.name)
+        if self._limiter.allows(event, self._clock.now()):
+            self._callbacks.on_event(event, self.settings.name)
--- a/src/sequoiapulley/upstream/messages.py
+++ b/src/sequoiapulley/upstream/messages.py
@@ -90,8 +90,8 @@
     CONNECT_FAILED = "connect_failed"
     """No connection could be opened; no byte left."""
     DISCARDED = "discarded"
-    """The client gave the connection up as silent to make room for a fresh one; the request
-    may have run, and neither it nor the upstream is to blame."""
+    """The network lost the connection, or the client gave it up as silent; the request may have
+    run, and neither it nor the upstream is to blame."""
 
 
 class Action(Struct, frozen=True, tag=True):
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -75,6 +75,7 @@
 _KIND_OF_REASON: Final = {
     CloseReason.CONNECT_FAILED: HttpFailureKind.CONNECT,
     CloseReason.PEER_CLOSED: HttpFailureKind.CLOSED,
+    CloseReason.PATH_LOST: HttpFailureKind.CLOSED,
     CloseReason.TRUNCATED: HttpFailureKind.CLOSED,
     CloseReason.MALFORMED: HttpFailureKind.BAD_REPLY,
     CloseReason.TOO_LARGE: HttpFailureKind.BAD_REPLY,
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -54,7 +54,9 @@
 
     CONNECT_FAILED = "connect_failed"
     PEER_CLOSED = "peer_closed"
-    """End of stream or reset by the peer or the network."""
+    """End of stream, or reset."""
+    PATH_LOST = "path_lost"
+    """The network gave the connection up, as when the peer no longer acknowledges."""
     TRUNCATED = "truncated"
     """The stream ended inside a reply."""
     MALFORMED = "malformed"
@@ -219,8 +221,11 @@
             data = self._sock.recv(RECEIVE_BYTES)
         except BlockingIOError:
             return
-        except OSError:
+        except ConnectionError:
             data = b""
+        except OSError:
+            self._fail(CloseReason.PATH_LOST)
+            return
         if not data:
             truncated = self._parser.in_message
             self._fail(CloseReason.TRUNCATED if truncated else CloseReason.PEER_CLOSED)
--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from errno import ECONNRESET, EHOSTUNREACH, ETIMEDOUT
 from socket import socket
 from unittest import TestCase
+from unittest.mock import patch
 
 from sequoiapulley.runtime import PausedClock
 from sequoiapulley.upstream.http_contract import RUN_PATH
@@ -13,6 +15,7 @@
 from tests.wire_support import Loop, Recorder, ScriptedServer, reply_bytes, reset
 
 RECEIVE_BYTES = 65_536
+SOCKET_NAME = "sequoiapulley.wire.http_connection.socket"
 
 
 class WireTestCase(TestCase):
@@ -130,6 +133,28 @@
         self.loop.settle()
         self.assertEqual(self.recorder.losses, {1: LossKind.CONNECTION_LOST})
 
+    def test_path_lost_by_the_network_blames_nobody(self) -> None:
+        for error, kind in (
+            (TimeoutError(ETIMEDOUT, "timed out"), LossKind.DISCARDED),
+            (OSError(EHOSTUNREACH, "no route"), LossKind.DISCARDED),
+            (ConnectionResetError(ECONNRESET, "reset"), LossKind.CONNECTION_LOST),
+        ):
+            with self.subTest(kind=kind), patch(SOCKET_NAME, self.failing_socket(error)):
+                self.connect()
+                self.recorder.send(1)
+                self.server.accept().sendall(b"x")
+                self.loop.settle()
+                self.assertEqual(self.recorder.losses, {1: kind})
+
+    def failing_socket(self, error: OSError) -> type[socket]:
+        """Returns a kind of socket whose reads fail, as the kernel's do on a lost path."""
+
+        class FailingSocket(socket):
+            def recv(self, *_args: object) -> bytes:
+                raise error
+
+        return FailingSocket
+
     def test_reset_while_idle_costs_no_exchange(self) -> None:
         self.connect()
         reset(self.exchange(1))
