--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -93,7 +93,7 @@
     def configure(self, settings: PoolSettings) -> None:
         """Applies an address and limits; the address is the one the pool was made with."""
         self.settings = settings
-        slow = settings.open_s >= self._policy.slow_open
+        slow = settings.open_s >= self._policy.slow_open and not self._retired
         self._spares = self._policy.spares if slow else 0
         self.pump()
 
@@ -130,10 +130,10 @@
             self.queue.remove(flight)
             return
         grace = self._policy.cancel_grace * self.settings.open_s
-        if grace <= 0 or self._retired:
+        if grace > 0 and not self._retired:
+            self._timers.call_later(grace, lambda: self._close_cancelled(conn, flight))
+        else:
             self._close_cancelled(conn, flight)
-            return
-        self._timers.call_later(grace, lambda: self._close_cancelled(conn, flight))
 
     def retire(self) -> None:
         """Closes idle connections, and the others as soon as their exchange ends."""
@@ -164,8 +164,7 @@
     def on_open(self, conn: HttpConnection) -> None:
         """Uses a new connection."""
         self._connecting.discard(conn)
-        flight = self.queue.take()
-        if flight is not None:
+        if flight := self.queue.take():
             self._start(flight, conn)
         elif self._retired:
             self._discard(conn)
@@ -311,10 +310,9 @@
     def _close_silent(self, fresh: Flight) -> None:
         """Closes what may have gone silent, now that a fresh connection works."""
         silent_since = self._signs.silent_since(fresh)
-        silent = [conn for conn in self.idle if conn.last_used < silent_since]
-        for conn in silent:
+        for conn in [conn for conn in self.idle if conn.last_used < silent_since]:
             self._discard(conn)
-        self._totals.silent_closed += len(silent)
+            self._totals.silent_closed += 1
         if silent_since > 0.0:
             self._log(SILENT_CONNECTIONS_CLOSED)
 
--- a/src/sequoiapulley/upstream/transport.py
+++ b/src/sequoiapulley/upstream/transport.py
@@ -76,6 +76,7 @@
         self._bounds = bounds or ReplyBounds()
         self._policy = policy or PoolPolicy()
         self._totals = TransportCounts()
+        self._draining = False
         self._drained: Callable[[], None] | None = None
         self._pools: dict[UpstreamName, ConnectionPool] = {}
         self._retired: list[ConnectionPool] = []
@@ -131,6 +132,7 @@
         Args:
             done: Called once, when nothing is in flight and every connection is closed.
         """
+        self._draining = True
         self._drained = done
         for pool in self._pools.values():
             pool.retire()
@@ -184,7 +186,7 @@
                 pool.configure(settings)
                 return
             self._retire(settings.name)
-        self._pools[settings.name] = ConnectionPool(
+        pool = ConnectionPool(
             self._reactor,
             self._timers,
             self._contract,
@@ -194,6 +196,9 @@
             self._bounds,
             self._totals,
         )
+        self._pools[settings.name] = pool
+        if self._draining:
+            pool.retire()
 
     def _retire(self, name: UpstreamName) -> None:
         """Closes an upstream's idle connections; the busy ones finish."""
--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -12,7 +12,14 @@
 from sequoiapulley.upstream.messages import LossKind, ReplyKind
 from sequoiapulley.upstream.pool_settings import PoolPolicy
 from sequoiapulley.wire.http_connection import ReplyBounds
-from tests.wire_support import Loop, Recorder, ScriptedServer, reply_bytes, reset
+from tests.wire_support import (
+    Loop,
+    Recorder,
+    ScriptedServer,
+    configuration,
+    reply_bytes,
+    reset,
+)
 
 RECEIVE_BYTES = 65_536
 SOCKET_NAME = "sequoiapulley.wire.http_connection.socket"
@@ -369,6 +376,9 @@
         conns[0].sendall(reply_bytes(1))
         self.loop.settle()
         conns[0].sendall(reply_bytes(3))
+        self.loop.settle()
+        self.recorder.transport.configure(configuration(self.server.port, 6.0), lambda _: 2)
+        self.assertEqual(self.recorder.transport.counts().connections, 1)
         conns[1].sendall(reply_bytes(2))
         self.loop.settle()
         self.loop.advance(0.05)
