--- a/tests/test_upstream_transport.py
+++ b/tests/test_upstream_transport.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from random import Random
 from unittest import TestCase
 
 from sequoiapulley.ids import ShardId
 from sequoiapulley.model import Snapshot
 from sequoiapulley.upstream.http_contract import decode_search_body
 from sequoiapulley.upstream.messages import LossKind, ReplyKind
+from sequoiapulley.upstream.pool_settings import PoolPolicy
 from standins.upstream_spec import UpstreamSpec
 from standins.upstreams import UpstreamsStandIn
 from tests.wire_support import Loop, Recorder
@@ -93,3 +95,24 @@
         self.recorder.until_outcomes(4)
         self.assertEqual(self.recorder.replies[5].kind, ReplyKind.OK)
         self.assertEqual(self.recorder.losses, {})
+
+    def test_each_exchange_has_one_outcome_under_all_faults_at_once(self) -> None:
+        shares = ("truncate", "crossed", "drop", "error", "shed", "silent")
+        self.upstreams.set_faults("u", **{f"{name}_share": 0.1 for name in shares})
+        policy = PoolPolicy(overdue=0.1)
+        recorder = Recorder(self.loop, self.upstreams.ports["u"], policy=policy)
+        self.addCleanup(recorder.transport.close)
+        random = Random(5)
+        cancelled: set[int] = set()
+        for number in range(400):
+            recorder.send(number, fresh=random.random() < 0.1, left=1.0)
+            self.loop.reactor.run_once(0.002)
+            victim = random.randrange(number + 1)
+            if random.random() < 0.2 and victim not in recorder.outcomes:
+                recorder.cancel(victim)
+                cancelled.add(victim)
+        self.loop.until(lambda: recorder.transport.counts().in_flight == 0)
+        self.loop.until(lambda: len(recorder.outcomes) >= 400 - len(cancelled))
+        self.assertEqual(sorted(recorder.outcomes), sorted(set(range(400)) - cancelled))
+        self.assertGreater(len(set(recorder.losses.values())), 1)
+        self.assertLessEqual(self.upstreams.counters("u").peak_connections, 8)
