--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -16,6 +16,7 @@
     PoolSettings,
     TransportCounts,
 )
+from sequoiapulley.upstream.silence import SilenceSigns, longest_waiting
 from sequoiapulley.wire.http_connection import (
     CloseReason,
     ConnectionState,
@@ -69,7 +70,6 @@
         self._callbacks = callbacks
         self._bounds = bounds
         self._totals = totals
-        self.settings = settings
         self.conns: set[HttpConnection] = set()
         """Every connection that is not closed."""
         self.idle: list[HttpConnection] = []
@@ -79,24 +79,36 @@
         self.queue = FlightQueue()
         self._connecting: set[HttpConnection] = set()
         self._reopen_at = 0.0
+        self._signs = SilenceSigns()
         self._logged_at: dict[int, float] = {}
         self._retired = False
+        self._spares = 0
+        self.configure(settings)
+
+    def configure(self, settings: PoolSettings) -> None:
+        """Applies an address and limits; the address is the one the pool was made with."""
+        self.settings = settings
+        slow = settings.open_s >= self._policy.slow_open
+        self._spares = self._policy.spares if slow else 0
+        self.pump()
 
     def submit(self, order: SendExchange) -> None:
         """Sends a request now or when a connection is free."""
-        now = self._clock.now()
-        flight = Flight(order, now)
+        flight = Flight(order)
         self.flights[order.exchange_id] = flight
         if order.fresh_connection:
-            flight.suspect = self._longest_waiting()
+            flight.ordered_at = self._clock.now()
+            flight.suspect = longest_waiting(self.conns)
             self.queue.fresh.append(flight)
         elif not self.idle or self.queue.usual:
             self.queue.usual.append(flight)
-        elif order.path == RUN_PATH and not self._is_recent(self.idle[-1], now):
+        elif order.path == RUN_PATH and not self._is_recent(self.idle[-1]):
             # The other end may be closing it, and then nobody could tell whether the request ran.
             self.queue.fresh.append(flight)
         else:
             self._start(flight, self.idle.pop())
+            if len(self.idle) >= self._spares:
+                return
         self.pump()
 
     def cancel(self, exchange_id: ExchangeId) -> None:
@@ -121,6 +133,7 @@
     def retire(self) -> None:
         """Closes idle connections, and the others as soon as their exchange ends."""
         self._retired = True
+        self._spares = 0
         for conn in tuple(self.idle):
             self._discard(conn)
 
@@ -131,7 +144,7 @@
             self._lose(flight, LossKind.NOT_SENT)
         for flight in tuple(self.flights.values()):
             if flight.conn is not None and flight.order.deadline + self._policy.overdue <= now:
-                self._discard(flight.conn)
+                self._give_up(flight.conn)
                 self._lose(flight, LossKind.DISCARDED)
         for conn in tuple(self._connecting):
             if now - conn.opened_at >= self._policy.max_connect:
@@ -163,8 +176,8 @@
         exchange_id = flight.order.exchange_id
         reply = self._contract.decode(exchange_id, parsed)
         self._reuse(conn, reply)
-        if flight.suspect is not None:
-            self._close_silent(flight.suspect, flight.ordered_at)
+        if flight.order.fresh_connection:
+            self._close_silent(flight)
         if self.flights.pop(exchange_id, None) is not None:
             self._callbacks.on_reply(exchange_id, reply)
 
@@ -195,7 +208,7 @@
                 return
             if not self._open():
                 return
-        if not self._retired and self.settings.open_s >= self._policy.slow_open:
+        if len(self.idle) < self._spares:
             self._open_ahead()
 
     def _reuse(self, conn: HttpConnection, reply: UpstreamReply) -> None:
@@ -207,7 +220,7 @@
             self._forget(conn)
             self.pump()
             return
-        flight = self.queue.take()
+        flight = self.queue.take() if self.queue else None
         if flight is not None:
             self._start(flight, conn)
         elif self._retired or len(self.conns) > self.settings.allowance:
@@ -223,7 +236,7 @@
 
     def _open_ahead(self) -> None:
         """Opens connections before they are needed."""
-        wanted = self._policy.spares - len(self.idle) - len(self._connecting)
+        wanted = self._spares - len(self.idle) - len(self._connecting)
         if wanted <= 0 or self._clock.now() < self._reopen_at:
             return
         for _ in range(min(wanted, self.settings.allowance - len(self.conns))):
@@ -282,32 +295,27 @@
         if conn.tag is not flight or conn.state is not ConnectionState.BUSY:
             return
         self._totals.cancelled_closed += 1
-        self._discard(conn)
+        self._give_up(conn)
         self.pump()
 
-    def _longest_waiting(self) -> HttpConnection | None:
-        """Returns the connection whose exchange has waited longest without a byte."""
-        longest: HttpConnection | None = None
-        for conn in self.conns:
-            if conn.state is not ConnectionState.BUSY or conn.reply_begun:
-                continue
-            if longest is None or conn.sent_at < longest.sent_at:
-                longest = conn
-        return longest
-
-    def _close_silent(self, suspect: HttpConnection, ordered_at: float) -> None:
-        """Closes what may be as silent as the suspect, now that a fresh connection works."""
-        if suspect.last_used > ordered_at or suspect.reply_begun:
-            return
-        silent = [conn for conn in self.idle if conn.last_used < suspect.sent_at]
+    def _close_silent(self, fresh: Flight) -> None:
+        """Closes what may have gone silent, now that a fresh connection works."""
+        silent_since = self._signs.silent_since(fresh)
+        silent = [conn for conn in self.idle if conn.last_used < silent_since]
         for conn in silent:
             self._discard(conn)
         self._totals.silent_closed += len(silent)
-        self._log(SILENT_CONNECTIONS_CLOSED)
+        if silent_since > 0.0:
+            self._log(SILENT_CONNECTIONS_CLOSED)
+
+    def _give_up(self, conn: HttpConnection) -> None:
+        """Closes a busy connection whose exchange nobody waits for."""
+        self._signs.note_given_up(conn)
+        self._discard(conn)
 
-    def _is_recent(self, conn: HttpConnection, now: float) -> bool:
+    def _is_recent(self, conn: HttpConnection) -> bool:
         """Returns whether an idle connection worked a moment ago."""
-        return now - conn.last_used <= self._policy.run_max_idle
+        return self._clock.now() - conn.last_used <= self._policy.run_max_idle
 
     def _discard(self, conn: HttpConnection) -> None:
         """Closes a connection of this pool."""
--- a/src/sequoiapulley/upstream/http_contract.py
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -23,6 +23,7 @@
     SubSearch,
     UpstreamReply,
 )
+from sequoiapulley.wire.http_connection import host_header
 from sequoiapulley.wire.reply_parser import ParsedReply
 
 SEARCH_PATH: Final = "/search"
@@ -33,6 +34,7 @@
 LOAD_HEADER: Final = b"x-load"
 MS_PER_S: Final = 1000.0
 CACHED_SNAPSHOTS: Final = 1024
+CACHED_LOADS: Final = 256
 CACHED_HEADS: Final = 8192
 """Request heads kept; more than the upstreams of one node."""
 
@@ -274,12 +276,13 @@
 @lru_cache(CACHED_HEADS)
 def _request_head(path: str, headers: Headers, host: str, port: int) -> bytes:
     """Returns the request line and the headers up to the length of the body."""
-    lines = [f"POST {path} HTTP/1.1", f"host: {host}:{port}"]
+    lines = [f"POST {path} HTTP/1.1", f"host: {host_header(host, port)}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     lines.append("content-length: ")
     return "\r\n".join(lines).encode("latin-1")
 
 
+@lru_cache(CACHED_LOADS)
 def _parse_load(value: bytes) -> float | None:
     """Reads a reported load, or None when it is not a number from 0 to 1."""
     try:
