--- a/src/sequoiapulley/fleet/config_spread.py
+++ b/src/sequoiapulley/fleet/config_spread.py
@@ -195,7 +195,7 @@
         if self._records:
             self._cold_until = None
         if self._cold_until is not None and now < self._cold_until:
-            return self._ask_best_peer(now)
+            return []
         watcher = self.is_watcher()
         if self._cold_until is None and not watcher:
             return []
@@ -294,12 +294,6 @@
         edit_id = held.edit_id if held is not None else NO_EDIT
         return [SendPeer(node, ConfigRequest(self.version(), edit_id))]
 
-    def _ask_best_peer(self, now: float) -> list[SpreadOrder]:
-        best = max(self._versions, key=lambda node: self._versions[node], default=None)
-        if best is None or self._versions[best] <= self.version():
-            return []
-        return self._request(best, now)
-
     def _answer(self, node: NodeId, request: ConfigRequest) -> list[SpreadOrder]:
         held = self.held()
         if held is None or held.version < request.have_version:
--- a/tests/test_config_editor.py
+++ b/tests/test_config_editor.py
@@ -63,6 +63,15 @@
         self.assertIsInstance(self.apply(0, "a"), Ok)
         self.assertEqual(self.stored().version, 2)
 
+    def test_outage_after_a_lost_reply_is_reported_as_not_known(self) -> None:
+        self.store.lose = [False, True]
+        self.store.after_put = lambda: setattr(self.store, "down", True)
+        reply = self.apply(0, "a")
+        assert isinstance(reply, Err) and isinstance(reply.err_value, StoreError)
+        self.assertIs(reply.err_value.kind, StoreErrorKind.NO_REPLY)
+        self.store.down = False
+        self.assertEqual(self.apply(0, "a").unwrap().version, 1)
+
     def test_outage_before_the_write_is_no_doubt(self) -> None:
         self.store.down = True
         reply = self.apply(0, "a")
--- a/tests/test_homes_and_entries.py
+++ b/tests/test_homes_and_entries.py
@@ -57,6 +57,18 @@
     )
 
 
+def make_crowded(instances: int) -> Configuration:
+    """Makes one service whose upstreams all stand in the first place."""
+    configuration = make_configuration(instances)
+    service = configuration.services[ServiceName("s")]
+    crowded = tuple(
+        replace(i, upstreams=tuple(replace(u, place=PLACES[0]) for u in i.upstreams))
+        for i in service.instances
+    )
+    services = {service.name: replace(service, instances=crowded)}
+    return replace(configuration, services=services)
+
+
 def make_map(members: list[Member], instances: int = 50) -> HomeMap:
     """Makes a configured map."""
     homes = HomeMap()
@@ -128,19 +140,26 @@
         self.assertLessEqual(sum(a != b for a, b in zip(before, after, strict=True)), 4)
 
     def test_crowded_place_keeps_its_homes_near_and_even(self) -> None:
-        configuration = make_configuration(60)
-        service = configuration.services[ServiceName("s")]
-        crowded = tuple(
-            replace(i, upstreams=tuple(replace(u, place=PLACES[0]) for u in i.upstreams))
-            for i in service.instances
-        )
-        services = {service.name: replace(service, instances=crowded)}
         homes = make_map([make_member(n) for n in range(60)])
-        homes.configure(replace(configuration, services=services))
+        homes.configure(make_crowded(60))
         loads = Counter(assigned(homes, 60))
         self.assertEqual({int(node[1:]) % 3 for node in loads}, {0})
         self.assertLessEqual(max(loads.values()), 5)
 
+    def test_long_history_leaves_no_trace_even_where_all_choices_are_full(self) -> None:
+        random = Random(1)
+        homes = HomeMap()
+        homes.configure(make_crowded(150))
+        view = set(range(80))
+        for _step in range(60):
+            view ^= set(random.sample(range(120), random.choice([1, 15, 15])))
+            members = [make_member(n) for n in sorted(view)]
+            homes.update_members(tuple(members))
+            fresh = HomeMap()
+            fresh.configure(make_crowded(150))
+            fresh.update_members(tuple(members))
+            self.assertEqual(assigned(homes, 150), assigned(fresh, 150))
+
     def test_leaving_and_dead_nodes_are_no_homes_but_suspects_are(self) -> None:
         members = [make_member(n) for n in range(4)]
         members[0] = replace(members[0], state=MemberState.LEAVING)
@@ -205,7 +224,9 @@
 
     def test_callers_that_went_away_stop_to_count(self) -> None:
         directory = self.make_directories(2)[0]
-        first = directory.answer(CallerId("a"), None, 1000.0).addresses[0].node
-        self.assertNotEqual(directory.answer(CallerId("b"), None, 1001.0).addresses[0].node, first)
-        self.assertEqual(directory.answer(CallerId("d"), None, 1100.0).addresses[0].node, first)
+        given = [directory.answer(CallerId(c), None, 1000.0).addresses[0].node for c in "abc"]
+        self.assertEqual(given, [given[0], given[1], given[0]])
+        self.assertNotEqual(given[0], given[1])
+        late = directory.answer(CallerId("d"), None, 1100.0).addresses[0].node
+        self.assertEqual(late, given[0])
         self.assertEqual(EntryDirectory(NodeId("x")).answer(CallerId("a"), None, 0).addresses, ())
--- a/tests/watch_store.py
+++ b/tests/watch_store.py
@@ -29,6 +29,7 @@
         self.lose: list[bool] = []
         """Whether the reply to each of the next calls is lost after the effect."""
         self.before_put: Callable[[], None] | None = None
+        self.after_put: Callable[[], None] | None = None
         self.watches: list[tuple[str, Revision, Callable[[StoreReply], None]]] = []
 
     def read(self, key: str) -> StoreValue:
@@ -89,6 +90,8 @@
         current = self.read(key)
         if current.revision != expected:
             return Err(StoreError(StoreErrorKind.CONFLICT, "other revision", current))
+        if self.after_put is not None:
+            self.after_put()
         self.revision += 1
         self.values[key] = StoreValue(key, value, Revision(self.revision))
         return Ok(self.values[key])
