--- a/src/sequoiapulley/fleet/config_spread.py
+++ b/src/sequoiapulley/fleet/config_spread.py
@@ -158,6 +158,9 @@
         """Takes the reply to an `ArmWatch`."""
         self._watching = False
         if isinstance(reply, Err):
+            if not self.is_watcher():
+                # The watchers go on trying, and pass on what they find.
+                self._cold_until = None
             delay = self._random.uniform(0.5, 1.0) * self._retry_delay
             self._retry_delay = min(self._retry_delay * 2, RETRY_MAX_S)
             self._watch_due = now + delay
--- a/tests/test_config_spread.py
+++ b/tests/test_config_spread.py
@@ -177,6 +177,22 @@
             self.assertLessEqual(calls[60, down], 1.5 * calls[5, down], calls)
             self.assertLess(calls[60, down], 5)
 
+    def test_fleet_started_in_an_outage_does_not_stampede_and_recovers(self) -> None:
+        calls = {}
+        for size in (5, 60):
+            net = SpreadNet(size)
+            editor = ConfigEditor(net.store, net.clock)
+            editor.apply(ConfigVersion(0), EditId("x"), "ana", "text", lambda _reply: None)
+            net.store.down = True
+            net.run(10)
+            net.store.calls = 0
+            net.run(60)
+            calls[size] = net.store.calls / 60
+            net.store.down = False
+            net.run(12)
+            self.assertEqual(net.versions(), {1})
+        self.assertLessEqual(calls[60], 1.5 * calls[5], calls)
+
     def test_version_never_falls_on_any_node(self) -> None:
         spread = ConfigSpread(make_member(0), MemoryLog(), 1)
         for version in (3, 2, 5, 4, 5, 1):
