--- a/standins/upstream_server.py
+++ b/standins/upstream_server.py
@@ -7,6 +7,7 @@
 from math import exp
 from random import Random
 from typing import Any, Final
+from urllib.parse import unquote
 
 from msgspec import DecodeError, json
 
@@ -170,21 +171,14 @@
             self.counters.cancelled += 1
             raise
 
-    def _health(self) -> dict[str, Any]:
-        """Returns what the upstream says of itself."""
-        return {
-            "draining": self.faults.draining or self.faults.drain_mark,
-            "load": self._shown_load(),
-            "available": self.faults.snapshots,
-        }
-
     def _refuse(self, body: dict[str, Any], request_id: int) -> Response | None:
         """Returns the refusal of a request that does not run, or None."""
         counters, faults = self.counters, self.faults
         if faults.draining:
             counters.refused_draining += 1
             return self._reply(503, request_id, {})
-        if self._draw(faults.shed_share) or len(self._waiters) >= faults.queue_limit:
+        is_full = counters.running >= self.spec.slots and len(self._waiters) >= faults.queue_limit
+        if is_full or self._draw(faults.shed_share):
             counters.shed += 1
             return self._reply(429, request_id, {})
         snapshot = body.get("snapshot")
@@ -208,7 +202,7 @@
                 self.crash()
                 return Response(0, drop=True)
             if request.path == "/run":
-                self._runs[request.headers.get("idempotency-key", "")] += 1
+                self._runs[_key_of(request)] += 1
             await sleep(self._service_time())
         finally:
             self._release()
@@ -223,7 +217,7 @@
         if self._draw(faults.crossed_share):
             request_id += 1
         if request.path == "/run":
-            key = request.headers.get("idempotency-key", "")
+            key = _key_of(request)
             fields: dict[str, Any] = {"result": {"key": key, "upstream": self.spec.name}}
         else:
             snapshot = body.get("snapshot") or faults.snapshots[-1]
@@ -293,6 +287,23 @@
             self._load_history.popleft()
         return self._load_history[0][1]
 
+    def _health(self) -> dict[str, Any]:
+        """Returns the body of the health endpoint."""
+        faults = self.faults
+        draining = faults.draining or faults.drain_mark
+        if faults.reported_draining is not None:
+            draining = faults.reported_draining
+        return {
+            "draining": draining,
+            "load": self._shown_load(),
+            "available": faults.snapshots,
+        }
+
     def _draw(self, share: float) -> bool:
         """Returns true for this share of calls."""
         return share > 0.0 and self._random.random() < share
+
+
+def _key_of(request: Request) -> str:
+    """Returns the idempotency key of a request, empty if it has none."""
+    return unquote(request.headers.get("idempotency-key", ""))
