Answer unknown for keys that were not looked up; offer tickets; report work for upstreams

Cause: a refusal before the key was looked up said not_run although an earlier attempt with the same key may have run; entries never learnt of a newer index while the old one was served, because good replies left out what else the replica serves; tickets, strikes and upstream metrics were not wired.

--- a/bench/callers_cost.py
+++ b/bench/callers_cost.py
@@ -19,7 +19,15 @@
 
 from sequoiapulley.entry.callers_messages import EntriesView
 from sequoiapulley.entry.callers_port import CallersPort
-from sequoiapulley.ids import CallerId, ContractName, PlaceName, RequestId, ServiceName, ShardId
+from sequoiapulley.ids import (
+    CallerId,
+    ContractName,
+    IdempotencyKey,
+    PlaceName,
+    RequestId,
+    ServiceName,
+    ShardId,
+)
 from sequoiapulley.model import Service, Snapshot
 from sequoiapulley.requests.messages import KeyedRequest, RequestOutcome
 from sequoiapulley.runtime import SystemClock, TimerQueue
@@ -63,6 +71,10 @@
     def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
         """Answers nothing; the benchmark sends no such request."""
 
+    def issue_ticket(self) -> IdempotencyKey:
+        """Returns a key; the benchmark asks for none."""
+        return IdempotencyKey("ticket")
+
     def caller_left(self, request_id: RequestId) -> None:
         """Ignores it."""
 
--- a/src/sequoiapulley/daemon/callers_backend.py
+++ b/src/sequoiapulley/daemon/callers_backend.py
@@ -11,7 +11,15 @@
 from sequoiapulley.daemon.search_task import SearchTask
 from sequoiapulley.entry.callers_messages import EntriesView, EntryView
 from sequoiapulley.fleet.entry_directory import EntryDirectory
-from sequoiapulley.ids import CallerId, Incarnation, NodeId, PlaceName, RequestId, ServiceName
+from sequoiapulley.ids import (
+    CallerId,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    PlaceName,
+    RequestId,
+    ServiceName,
+)
 from sequoiapulley.model import Service
 from sequoiapulley.observe.node_observer import NodeObserver, RequestSample, SearchSample
 from sequoiapulley.requests.messages import (
@@ -97,6 +105,10 @@
 
         self._requests.start(request, finish)
 
+    def issue_ticket(self) -> IdempotencyKey:
+        """Returns a new key that runs on this node alone."""
+        return self._requests.issue_ticket()
+
     def caller_left(self, request_id: RequestId) -> None:
         """Gives a search up whose caller left."""
         self._searches.cancel(request_id)
--- a/src/sequoiapulley/daemon/log_events.py
+++ b/src/sequoiapulley/daemon/log_events.py
@@ -40,6 +40,14 @@
     "An address of the settings could not be bound; the daemon does not start.",
     "Free the address or change the settings.",
 )
+KEY_FILE_UNUSABLE: Final = define_event(
+    1007,
+    "key_file_unusable",
+    Severity.ERROR,
+    "The membership key file or a TLS file of the settings cannot be used; the daemon does not "
+    "start.",
+    "Mend the file that the error names; see the page on keys.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     7001,
     "configuration_applied",
--- a/src/sequoiapulley/daemon/main.py
+++ b/src/sequoiapulley/daemon/main.py
@@ -12,8 +12,9 @@
 from result import Err
 
 from sequoiapulley import __version__
-from sequoiapulley.daemon.log_events import ADDRESS_IN_USE, SETTINGS_INVALID
+from sequoiapulley.daemon.log_events import ADDRESS_IN_USE, KEY_FILE_UNUSABLE, SETTINGS_INVALID
 from sequoiapulley.daemon.node import Node
+from sequoiapulley.fleet.datagram_keys import BadKeyFileError
 from sequoiapulley.observe.log_event import AbslLog
 from sequoiapulley.settings.daemon_settings import load_settings
 
@@ -47,6 +48,9 @@
     log = AbslLog(cfg.log.json)
     try:
         node = Node(cfg, log)
+    except (BadKeyFileError, FileNotFoundError, PermissionError) as exc:
+        log.log(KEY_FILE_UNUSABLE, error=exc)
+        exit_process(EXIT_BAD_SETTINGS)
     except OSError as exc:
         log.log(ADDRESS_IN_USE, error=exc)
         exit_process(EXIT_ADDRESS_IN_USE)
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -220,6 +220,7 @@
             callers,
             self._count_homes,
             self.observer,
+            self.upstreams,
         )
         server = GuardedServer(cfg.operators.host, cfg.operators.port, "operators", self.timers)
         self.operators_server = server.register(self)
@@ -229,7 +230,7 @@
             self._log,
             cfg.entry_lifetime_s,
             self._announce_leave,
-            self.callers_port.stop_accepting,
+            self._close_entry,
             self._unfinished,
             self._finish,
         ).register(self)
@@ -287,10 +288,15 @@
         self.operators.leaving = True
         self.fleet.leave()
 
+    def _close_entry(self) -> None:
+        """Takes no new callers; answers in progress finish."""
+        self.callers_port.stop_accepting()
+        self.requests.begin_shutdown()
+
     def _unfinished(self) -> int:
         """Counts what a stop would cut off."""
         in_flight = self.searches.in_flight() + self.requests.in_flight()
-        return int(in_flight + self.callers_port.open_connections)
+        return int(in_flight + self.requests.unsettled() + self.callers_port.open_connections)
 
     def _finish(self) -> None:
         """Ends the process."""
--- a/src/sequoiapulley/daemon/operators_backend.py
+++ b/src/sequoiapulley/daemon/operators_backend.py
@@ -13,6 +13,7 @@
 from sequoiapulley.daemon.fleet_task import FleetTask
 from sequoiapulley.daemon.request_task import RequestTask
 from sequoiapulley.daemon.search_task import SearchTask
+from sequoiapulley.daemon.upstream_task import UpstreamTask
 from sequoiapulley.entry.operators_messages import (
     ConfigView,
     EditAccepted,
@@ -56,6 +57,7 @@
         callers: NodeCallersBackend,
         homes: Callable[[], int],
         observer: NodeObserver,
+        upstreams: UpstreamTask,
     ) -> None:
         """Initialise the backend.
 
@@ -69,6 +71,7 @@
             callers: Chooses entry addresses.
             homes: Counts the upstreams whose preferred home is this node.
             observer: Metrics, burn and kept log events.
+            upstreams: Work sent to upstreams.
         """
         self._cfg = cfg
         self._clock = clock
@@ -80,6 +83,7 @@
         self._callers = callers
         self._homes = homes
         self._observer = observer
+        self._upstreams = upstreams
         self.leaving = False
 
     def config(self) -> ConfigView:
@@ -155,6 +159,7 @@
             homes=self._homes(),
             store_reachable=self._config.store_reachable,
             uptime_s=self._uptime(),
+            upstreams=self._upstreams.sample(),
         )
         return self._observer.render(sample)
 
--- a/src/sequoiapulley/daemon/request_task.py
+++ b/src/sequoiapulley/daemon/request_task.py
@@ -8,7 +8,7 @@
 
 from sequoiapulley.daemon.postbox import Postbox
 from sequoiapulley.daemon.upstream_task import UpstreamTask
-from sequoiapulley.ids import Incarnation, NodeId, RequestId
+from sequoiapulley.ids import IdempotencyKey, Incarnation, NodeId, RequestId
 from sequoiapulley.link.messages import LinkMessage
 from sequoiapulley.model import Configuration
 from sequoiapulley.requests.coordinator import RequestCoordinator
@@ -71,10 +71,22 @@
         self._coordinator.start(request)
         self._wake_up.rearm()
 
+    def issue_ticket(self) -> IdempotencyKey:
+        """Returns a new key that runs on this node alone."""
+        return self._coordinator.issue_ticket()
+
+    def begin_shutdown(self) -> None:
+        """Refuses new requests from now on."""
+        self._coordinator.begin_shutdown()
+
     def in_flight(self) -> int:
         """Returns the number of requests and served orders without an outcome."""
         return self._coordinator.in_flight() + self._runs.in_flight()
 
+    def unsettled(self) -> int:
+        """Returns the number of outcomes that are not yet in the store."""
+        return self._coordinator.unsettled()
+
     @handler("ConfigurationApplied")
     def _on_configuration_applied(self, configuration: Configuration) -> None:
         """Takes a configuration."""
--- a/src/sequoiapulley/daemon/upstream_task.py
+++ b/src/sequoiapulley/daemon/upstream_task.py
@@ -10,6 +10,7 @@
 from sequoiapulley.daemon.node_events import StrikeSeen
 from sequoiapulley.ids import ExchangeId, UpstreamName
 from sequoiapulley.model import Configuration
+from sequoiapulley.observe.upstream_metrics import UpstreamSample
 from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
 from sequoiapulley.upstream.dispatcher import Dispatcher
 from sequoiapulley.upstream.health_poller import HealthReport
@@ -94,11 +95,35 @@
             )
         )
 
+    def sample(self) -> UpstreamSample:
+        """Returns the totals of decisions and connections, for metrics."""
+        counts = self._dispatcher.counts()
+        connections = self._transport.counts()
+        return UpstreamSample(
+            first_tries=counts.first_tries,
+            retries=counts.retries,
+            hedges=counts.hedges,
+            replacements=counts.replacements,
+            cancelled=counts.cancelled,
+            refused=counts.refused,
+            quarantined=counts.quarantined,
+            budget_denied=counts.budget_denied,
+            connections=connections.connections,
+            idle=connections.idle,
+            waiting=connections.waiting,
+            opened=connections.opened,
+            connect_failures=connections.connect_failures,
+            silent_closed=connections.silent_closed,
+            malformed=connections.malformed,
+        )
+
     @handler("StrikeHeard")
     def _on_strike_heard(self, strike: NewStrike) -> None:
         """Takes a strike that another node saw."""
         now = self._clock.now()
-        self._perform(self._dispatcher.on_strike(strike.fingerprint, strike.upstream, now))
+        self._perform(
+            self._dispatcher.on_strike(strike.fingerprint, strike.upstream, now, strike.strikes)
+        )
 
     def _on_reply(self, exchange_id: ExchangeId, reply: UpstreamReply) -> None:
         """Takes a reply from the transport."""
--- a/src/sequoiapulley/entry/callers_messages.py
+++ b/src/sequoiapulley/entry/callers_messages.py
@@ -60,7 +60,10 @@
 
     request_id: str
     state: str
-    """`done`, `not_run` or `unknown`."""
+    """`done`, `not_run` or `unknown`, of the request that the key names."""
+    attempt: str
+    """The same of this attempt alone; `not_run` beside an `unknown` request when the key could
+    not be looked up, so that an earlier attempt may have run."""
     reason: str | None
     repeated: bool
     result: str | None
@@ -68,6 +71,12 @@
     retry_after_ms: int | None
 
 
+class TicketView(Struct, frozen=True):
+    """A key that runs on the node that gave it, without the store."""
+
+    key: str
+
+
 class EntryView(Struct, frozen=True):
     """One address that a caller may use."""
 
--- a/src/sequoiapulley/entry/callers_port.py
+++ b/src/sequoiapulley/entry/callers_port.py
@@ -1,4 +1,4 @@
-"""The callers' HTTP port: entry addresses, searches and non-idempotent requests."""
+"""The callers' HTTP port: entry addresses, searches, non-idempotent requests and tickets."""
 
 from __future__ import annotations
 
@@ -19,6 +19,7 @@
     OutcomeView,
     SearchBody,
     SearchView,
+    TicketView,
 )
 from sequoiapulley.entry.guarded_server import GuardedServer
 from sequoiapulley.ids import (
@@ -44,7 +45,7 @@
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.IN_PROGRESS: 409,
     RefusalReason.QUARANTINED: 422,
-    RefusalReason.REFUSED_BY_UPSTREAM: 503,
+    RefusalReason.TICKET_ELSEWHERE: 422,
 }
 
 
@@ -63,6 +64,9 @@
     def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
         """Starts a non-idempotent request; `done` runs once."""
 
+    def issue_ticket(self) -> IdempotencyKey:
+        """Returns a new key that runs on this node alone, also while the store is down."""
+
     def caller_left(self, request_id: RequestId) -> None:
         """Tells that nobody waits for a search any more."""
 
@@ -141,6 +145,10 @@
             self._expect_method(req, "POST")
             self._start_search(req, res, service)
             return
+        if parts[3] == "tickets":
+            self._expect_method(req, "POST")
+            self.answer(res, 200, TicketView(self._backend.issue_ticket()))
+            return
         if parts[3] == "requests":
             self._expect_method(req, "POST")
             self._start_run(req, res, service)
@@ -264,23 +272,40 @@
 
     def _answer_run(self, res: Response, outcome: RequestOutcome) -> None:
         """Sends the outcome of a non-idempotent request."""
-        status = 200
-        if outcome.state is RunState.UNKNOWN:
-            status = 504
-        elif outcome.state is RunState.NOT_RUN:
-            status = 503
-            if outcome.reason is not None:
-                status = _NOT_RUN_STATUS.get(outcome.reason, 503)
-        view = OutcomeView(
-            request_id=outcome.request_id,
-            state=outcome.state.value,
-            reason=outcome.reason.value if outcome.reason else None,
-            repeated=outcome.repeated,
-            result=outcome.body or None,
-            retry_after_ms=outcome.retry_after_ms,
-        )
+        view = outcome_view(outcome)
         retry_after = -(-outcome.retry_after_ms // 1_000) if outcome.retry_after_ms else 0
-        self.answer(res, status, view, retry_after)
+        self.answer(res, _outcome_status(outcome), view, retry_after)
+
+
+def outcome_view(outcome: RequestOutcome) -> OutcomeView:
+    """Builds the wire form of an outcome.
+
+    A request is `not_run` only if its key was looked up: without that an earlier attempt with
+    the same key may have run, and only this attempt is known not to.
+    """
+    state = outcome.state
+    if state is RunState.NOT_RUN and not outcome.key_checked:
+        state = RunState.UNKNOWN
+    return OutcomeView(
+        request_id=outcome.request_id,
+        state=state.value,
+        attempt=outcome.state.value,
+        reason=outcome.reason.value if outcome.reason else None,
+        repeated=outcome.repeated,
+        result=outcome.body or None,
+        retry_after_ms=outcome.retry_after_ms,
+    )
+
+
+def _outcome_status(outcome: RequestOutcome) -> int:
+    """Returns the HTTP status of an outcome."""
+    if outcome.state is RunState.DONE:
+        return 200
+    if outcome.state is RunState.UNKNOWN:
+        return 504
+    if outcome.reason is None:
+        return 503
+    return _NOT_RUN_STATUS.get(outcome.reason, 503)
 
 
 def _fingerprint(service: ServiceName, body: str) -> Fingerprint:
--- a/src/sequoiapulley/upstream/_recovery.py
+++ b/src/sequoiapulley/upstream/_recovery.py
@@ -111,7 +111,9 @@
             hits = self._core.codec.decode_search(reply.body, sub.target.shard)
         except ValueError:
             return ReplyKind.MALFORMED
-        answer = ShardReply(shard=sub.target.shard, snapshot=reply.snapshot, hits=hits)
+        # One snapshot is the one that was read; only several tell the entry of a newer one.
+        available = reply.available if len(reply.available) > 1 else ()
+        answer = ShardReply(sub.target.shard, reply.snapshot, hits, available=available)
         actions.append(FinishSearch(sub.sub_id, answer))
         return kind
 
--- a/tests/test_callers_port.py
+++ b/tests/test_callers_port.py
@@ -11,7 +11,14 @@
 from sequoiapulley.entry.callers_messages import EntriesView
 from sequoiapulley.entry.callers_port import CallersPort
 from sequoiapulley.entry.connection_guard import REQUEST_TIMEOUT
-from sequoiapulley.ids import CallerId, ContractName, PlaceName, RequestId, ServiceName
+from sequoiapulley.ids import (
+    CallerId,
+    ContractName,
+    IdempotencyKey,
+    PlaceName,
+    RequestId,
+    ServiceName,
+)
 from sequoiapulley.model import Service
 from sequoiapulley.requests.messages import KeyedRequest, RefusalReason, RequestOutcome, RunState
 from sequoiapulley.runtime import PausedClock, TimerQueue
@@ -42,6 +49,9 @@
     def run(self, request: KeyedRequest, done: Callable[[RequestOutcome], None]) -> None:
         self.runs.append((request, done))
 
+    def issue_ticket(self) -> IdempotencyKey:
+        return IdempotencyKey("ticket.1")
+
     def caller_left(self, request_id: RequestId) -> None:
         self.left.append(request_id)
 
@@ -168,6 +178,16 @@
                 self.assertIn(b"HTTP/1.1 " + status, received)
                 self.assertNotIn(b"circuits", received)
 
+    def test_a_key_that_was_not_looked_up_is_unknown(self) -> None:
+        client = self.client()
+        client.send(post("/v1/services/desk/requests", b"{}", "Idempotency-Key: k"))
+        self.driver.until(lambda: bool(self.backend.runs))
+        request, done = self.backend.runs[0]
+        reason = RefusalReason.STORE_UNAVAILABLE
+        done(RequestOutcome(request.request_id, RunState.NOT_RUN, reason, key_checked=False))
+        client.until(lambda seen: seen.received.endswith(b"}"))
+        self.assertIn(b'"state":"unknown","attempt":"not_run"', client.received)
+
     def test_outcomes_of_requests_map_to_statuses(self) -> None:
         cases = [
             (RunState.DONE, None, b"200"),
