--- a/tests/test_wire_faults.py
+++ b/tests/test_wire_faults.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+from errno import ECONNRESET, EHOSTUNREACH, ETIMEDOUT
 from socket import socket
 from unittest import TestCase
+from unittest.mock import patch
 
 from sequoiapulley.runtime import PausedClock
 from sequoiapulley.upstream.http_contract import RUN_PATH
 from sequoiapulley.upstream.messages import LossKind, ReplyKind
 from sequoiapulley.upstream.pool_settings import PoolPolicy
 from sequoiapulley.wire.http_connection import ReplyBounds
-from tests.wire_support import Loop, Recorder, ScriptedServer, reply_bytes, reset
+from tests.wire_support import (
+    Loop,
+    Recorder,
+    ScriptedServer,
+    configuration,
+    reply_bytes,
+    reset,
+)
 
 RECEIVE_BYTES = 65_536
+SOCKET_NAME = "sequoiapulley.wire.http_connection.socket"
 
 
 class WireTestCase(TestCase):
@@ -130,6 +140,28 @@
         self.loop.settle()
         self.assertEqual(self.recorder.losses, {1: LossKind.CONNECTION_LOST})
 
+    def test_path_lost_by_the_network_blames_nobody(self) -> None:
+        for error, kind in (
+            (TimeoutError(ETIMEDOUT, "timed out"), LossKind.DISCARDED),
+            (OSError(EHOSTUNREACH, "no route"), LossKind.DISCARDED),
+            (ConnectionResetError(ECONNRESET, "reset"), LossKind.CONNECTION_LOST),
+        ):
+            with self.subTest(kind=kind), patch(SOCKET_NAME, self.failing_socket(error)):
+                self.connect()
+                self.recorder.send(1)
+                self.server.accept().sendall(b"x")
+                self.loop.settle()
+                self.assertEqual(self.recorder.losses, {1: kind})
+
+    def failing_socket(self, error: OSError) -> type[socket]:
+        """Returns a kind of socket whose reads fail, as the kernel's do on a lost path."""
+
+        class FailingSocket(socket):
+            def recv(self, *_args: object) -> bytes:
+                raise error
+
+        return FailingSocket
+
     def test_reset_while_idle_costs_no_exchange(self) -> None:
         self.connect()
         reset(self.exchange(1))
@@ -344,6 +376,9 @@
         conns[0].sendall(reply_bytes(1))
         self.loop.settle()
         conns[0].sendall(reply_bytes(3))
+        self.loop.settle()
+        self.recorder.transport.configure(configuration(self.server.port, 6.0), lambda _: 2)
+        self.assertEqual(self.recorder.transport.counts().connections, 1)
         conns[1].sendall(reply_bytes(2))
         self.loop.settle()
         self.loop.advance(0.05)
