--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -100,7 +100,7 @@
         self.reactor = Reactor(self.clock, self.timers)
         ReactorComponent(self.reactor, self.timers).register(self.manager)
         postbox = Postbox(ME, Incarnation(1), NoLink()).register(self.manager)
-        self.upstreams = UpstreamTask(self.clock, self.timers, self.reactor, dispatcher).register(
+        self.upstreams = UpstreamTask(self.clock, self.timers, self.reactor, dispatcher, MemoryLog()).register(
             self.manager
         )
         homes = OneHome()
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -159,8 +159,10 @@
 
     def _wire_work(self) -> None:
         """Makes the tasks that serve searches and requests."""
-        dispatcher = Dispatcher(HttpExchangeCodec(), self._log, randbits(SEED_BITS))
-        self.upstreams = UpstreamTask(self.clock, self.timers, self._reactor, dispatcher).register(
+        dispatcher = Dispatcher(
+            HttpExchangeCodec(), self._log, randbits(SEED_BITS), place=self._cfg.place
+        )
+        self.upstreams = UpstreamTask(self.clock, self.timers, self._reactor, dispatcher, self._log).register(
             self
         )
         self.searches = SearchTask(
--- a/src/sequoiapulley/daemon/upstream_shares.py
+++ b/src/sequoiapulley/daemon/upstream_shares.py
@@ -12,7 +12,9 @@
 from sequoiapulley.search.home_resolver import HomeResolver
 
 SPARE_CONNECTIONS: Final = 2
-"""Connections beyond one per slot, for hedges and replacements of silent ones."""
+"""Connections beyond two per slot, for hedges and replacements of silent ones."""
+HEALTH_CONNECTIONS: Final = 1
+"""Connection of the health poller, beside those for work."""
 
 
 class HomeRank(Enum):
@@ -35,7 +37,7 @@
 class UpstreamShares:
     """Shares of all upstreams, from the configuration and the view of the fleet.
 
-    A home needs a connection per slot and a few to spare. Nodes that are not home in their own
+    A home needs two connections per slot and a few to spare. Nodes that are not home in their own
     view may still be asked by a node whose view differs, so they keep a share of one that opens
     on demand. Summed over a fleet with one view the shares stay far below the contract.
     """
@@ -83,7 +85,8 @@
     """Computes the share of one rank."""
     if rank is HomeRank.PREFERRED:
         wanted = 2 * contract.slots + SPARE_CONNECTIONS
-        return UpstreamShare(min(wanted, contract.connections), contract.slots, rank)
+        allowed = max(1, contract.connections - HEALTH_CONNECTIONS)
+        return UpstreamShare(min(wanted, allowed), contract.slots, rank)
     if rank is HomeRank.STANDBY:
         wanted = contract.slots + 1
         return UpstreamShare(min(wanted, contract.connections), contract.slots, rank)
--- a/src/sequoiapulley/daemon/upstream_task.py
+++ b/src/sequoiapulley/daemon/upstream_task.py
@@ -10,6 +10,7 @@
 from sequoiapulley.daemon.node_events import StrikeSeen
 from sequoiapulley.ids import ExchangeId, UpstreamName
 from sequoiapulley.model import Configuration
+from sequoiapulley.observe import LogSink
 from sequoiapulley.observe.upstream_metrics import UpstreamSample
 from sequoiapulley.runtime import Clock, TimerQueue, WakeUp
 from sequoiapulley.upstream.dispatcher import Dispatcher
@@ -37,7 +38,12 @@
     channel = "node"
 
     def __init__(
-        self, clock: Clock, timers: TimerQueue, reactor: Reactor, dispatcher: Dispatcher
+        self,
+        clock: Clock,
+        timers: TimerQueue,
+        reactor: Reactor,
+        dispatcher: Dispatcher,
+        log: LogSink,
     ) -> None:
         """Initialise without upstreams.
 
@@ -46,11 +52,14 @@
             timers: Timers of the process.
             reactor: Owner of the client sockets.
             dispatcher: The decisions.
+            log: Where events go.
         """
         super().__init__()
         self._clock = clock
         self._dispatcher = dispatcher
-        self._transport = UpstreamTransport(reactor, clock, timers, self._on_reply, self._on_lost)
+        self._transport = UpstreamTransport(
+            reactor, clock, timers, self._on_reply, self._on_lost, log=log
+        )
         self._wake_up = WakeUp(timers, dispatcher.next_due, self._tick)
         self.on_search_finished: Callable[[FinishSearch], None] = _ignore
         self.on_run_finished: Callable[[FinishRun], None] = _ignore
--- /dev/null
+++ b/tests/test_leave_task.py
@@ -0,0 +1,54 @@
+"""Tests of the graceful shutdown on the paused clock."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.daemon.leave_task import DRAIN_TIMEOUT_S, LeaveTask
+from sequoiapulley.daemon.log_events import LEAVE_TIMED_OUT
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+
+LIFETIME_S = 30.0
+
+
+class LeaveTaskTest(TestCase):
+    """A node serves on until its address has lapsed and nothing is in flight."""
+
+    def setUp(self) -> None:
+        self.clock = PausedClock()
+        self.timers = TimerQueue(self.clock)
+        self.log = MemoryLog()
+        self.done: list[str] = []
+        self.in_flight = 1
+        self.task = LeaveTask(
+            self.timers,
+            self.log,
+            LIFETIME_S,
+            lambda: self.done.append("announced"),
+            lambda: self.done.append("closed"),
+            lambda: self.in_flight,
+            lambda: self.done.append("finished"),
+        )
+
+    def run_for(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            self.timers.run_due()
+
+    def test_serves_on_for_the_lifetime_then_for_what_is_in_flight(self) -> None:
+        self.task.start()
+        self.task.start()
+        self.run_for(LIFETIME_S - 1)
+        self.assertEqual(self.done, ["announced"])
+        self.run_for(10)
+        self.assertEqual(self.done, ["announced", "closed"])
+        self.in_flight = 0
+        self.run_for(1)
+        self.assertEqual(self.done, ["announced", "closed", "finished"])
+
+    def test_gives_up_after_the_longest_time_and_says_so(self) -> None:
+        self.task.start()
+        self.run_for(LIFETIME_S + DRAIN_TIMEOUT_S + 1)
+        self.assertEqual(self.done[-1], "finished")
+        self.assertIn(LEAVE_TIMED_OUT, [event for event, _ in self.log.entries])
