--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,7 @@
 	$(BIN)/lint-imports --no-logo 2>&1 | grep -E "KEPT|BROKEN|kept|rror|not allowed|->"; test $${PIPESTATUS[0]} -eq 0
 
 format: setup
+	$(BIN)/black -q .
 	$(BIN)/ruff check -q --fix .
 	$(BIN)/black -q .
 
--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -100,9 +100,9 @@
         self.reactor = Reactor(self.clock, self.timers)
         ReactorComponent(self.reactor, self.timers).register(self.manager)
         postbox = Postbox(ME, Incarnation(1), NoLink()).register(self.manager)
-        self.upstreams = UpstreamTask(self.clock, self.timers, self.reactor, dispatcher, MemoryLog()).register(
-            self.manager
-        )
+        self.upstreams = UpstreamTask(
+            self.clock, self.timers, self.reactor, dispatcher, MemoryLog()
+        ).register(self.manager)
         homes = OneHome()
         coordinator = SearchCoordinator(homes, MemoryLog())
         self.searches = SearchTask(
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -162,9 +162,9 @@
         dispatcher = Dispatcher(
             HttpExchangeCodec(), self._log, randbits(SEED_BITS), place=self._cfg.place
         )
-        self.upstreams = UpstreamTask(self.clock, self.timers, self._reactor, dispatcher, self._log).register(
-            self
-        )
+        self.upstreams = UpstreamTask(
+            self.clock, self.timers, self._reactor, dispatcher, self._log
+        ).register(self)
         self.searches = SearchTask(
             self.clock,
             self.timers,
