Measure resident memory with the daemon's modules imported

state_size said that every library was imported, but grpc, circuits.web and aioprometheus were not: the figure was that of a smaller process.

--- a/bench/state_size.py
+++ b/bench/state_size.py
@@ -12,6 +12,7 @@
 
 from msgspec import json
 
+import sequoiapulley.daemon.main  # noqa: F401
 from bench.policy_scenarios import make_configuration
 from sequoiapulley.daemon.upstream_shares import UpstreamShares
 from sequoiapulley.fleet.config_record import ConfigRecord
@@ -138,7 +139,7 @@
 
     Returns:
         Name, unit, rows over upstreams, rows over members, and the resident memory of the
-        process with every library imported.
+        process with every module of the daemon imported.
     """
     resident_kib = getrusage(RUSAGE_SELF).ru_maxrss
     return {
