Compute the capacity page from the stored benchmarks

bench.slopes fits lines through bench/results; the model in tools/ draws them out to 590 nodes over 4,300 upstreams and to today's sizes and renders docs/CAPACITY.md with a plot per line. A test renders it again and compares.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,4 @@
 
 bench: setup
 	$(BIN)/python -m bench.run_all
+	$(BIN)/python -m tools.write_capacity
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,141 @@
+"""Tests that the capacity page equals what the stored results give."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis.strategies import integers
+
+from bench.run_all import (
+    BENCH,
+    BenchResult,
+    Failure,
+    benchmark_names,
+    flat_rows,
+    load,
+    run_benchmark,
+    store,
+)
+from bench.slopes import all_slopes, fit
+from tools.capacity_limits import IN_TIME, designs, hedge_rows, limits
+from tools.capacity_model import CapacityModel, Parts, make_model
+from tools.capacity_plots import PLOTS
+from tools.capacity_sizes import TARGET, TODAY
+from tools.write_capacity import COMMAND, PAGE, ROOT, render_page
+
+
+class CapacityPageTest(TestCase):
+    """Page and stored results are the same."""
+
+    def test_page_is_what_the_results_give(self) -> None:
+        self.assertEqual(PAGE.read_text(encoding="utf-8"), render_page(), f"run `{COMMAND}`")
+
+    def test_modules_and_plots_exist(self) -> None:
+        text = PAGE.read_text(encoding="utf-8")
+        modules = set(re.findall(r"`((?:\w+/)+\w+\.py)`", text))
+        self.assertGreater(len(modules), 20)
+        for module in modules:
+            places = (ROOT / module, ROOT / "src" / "sequoiapulley" / module)
+            self.assertTrue(any(place.exists() for place in places), module)
+        for name in all_slopes():
+            self.assertIn(f"(plots/{name}.svg)", text)
+            self.assertTrue((PLOTS / f"{name}.svg").exists(), name)
+
+    def test_page_gives_the_target(self) -> None:
+        self.assertEqual(round(TARGET.queries_per_s * TARGET.fan_out), 44_800_000)
+        self.assertEqual(round(TARGET.subs_per_node, -3), 76_000)
+        self.assertEqual(round(TARGET.subs_per_upstream, -2), 10_400)
+
+
+class FitTest(TestCase):
+    """Lines are what arithmetic gives."""
+
+    @given(integers(-1000, 1000), integers(-1000, 1000))
+    def test_known_line(self, slope: int, base: int) -> None:
+        points = tuple((float(x), float(slope * x + base)) for x in (5, 15, 30, 60))
+        found = fit(points)
+        self.assertAlmostEqual(found[0], slope)
+        self.assertAlmostEqual(found[1], base)
+
+    def test_points_beside_a_line(self) -> None:
+        slope, base = fit(((0.0, 1.0), (1.0, 0.0), (2.0, 2.0)))
+        self.assertAlmostEqual(slope, 0.5)
+        self.assertAlmostEqual(base, 0.5)
+
+    def test_one_place_gives_no_line(self) -> None:
+        with self.assertRaises(ValueError):
+            fit(((3.0, 1.0), (3.0, 2.0)))
+
+    def test_spread_encloses_the_slope(self) -> None:
+        for line in all_slopes().values():
+            self.assertLessEqual(line.low, line.slope, line.name)
+            self.assertGreaterEqual(line.high, line.slope, line.name)
+
+
+class ModelTest(TestCase):
+    """The model's sums."""
+
+    def test_parts_follow_the_lines(self) -> None:
+        model = make_model(TARGET)
+        slope = model.slopes["upstream_exchange"].slope
+        parts = model.parts(homes=35, queries_per_exchange=8)
+        self.assertAlmostEqual(parts.upstream, TARGET.subs_per_node * slope / 8 / 1e6)
+        frame = model.slopes["link_frame"].at(1)
+        self.assertAlmostEqual(parts.link, 4 * 35 * TARGET.queries_per_node * frame / 1e6)
+        self.assertEqual(Parts(1, 2, 4, 8, 16, 32).total, 63)
+
+    def test_homes_of_a_search(self) -> None:
+        self.assertEqual(TODAY.homes_per_query, TODAY.nodes)
+        self.assertLess(TARGET.homes_per_query, min(TARGET.nodes, TARGET.fan_out))
+        self.assertGreater(TARGET.homes_per_query, TARGET.fan_out / 4)
+
+    def test_worst_limit_comes_first(self) -> None:
+        factors = [limit.factor for limit in limits(make_model(TARGET))]
+        self.assertEqual(factors, sorted(factors, reverse=True))
+        totals = [design.parts.total for design in designs(make_model(TARGET))]
+        self.assertEqual(totals, sorted(totals, reverse=True))
+
+    def test_one_try_must_be_nearly_always_in_time(self) -> None:
+        rows = hedge_rows(make_model(TARGET))
+        allowed = float(rows[0][1].rstrip("%")) / 100
+        self.assertAlmostEqual((1 - allowed) ** TARGET.fan_out, IN_TIME, 4)
+
+    def test_model_takes_other_results(self) -> None:
+        model = make_model(TARGET)
+        slopes = dict(model.slopes)
+        slopes["upstream_exchange"] = slopes["bare_exchange"]
+        other = CapacityModel(TARGET, slopes, model.figures)
+        self.assertAlmostEqual(other.parts().upstream, model.parts(bare=True).upstream)
+
+
+class RunAllTest(TestCase):
+    """Results are stored with their circumstances, and failures are told."""
+
+    def test_every_benchmark_is_found_without_an_import(self) -> None:
+        names = benchmark_names()
+        self.assertIn("wire_cost", names)
+        self.assertNotIn("bare_loop", names)
+        for path in (BENCH / "results").glob("*.json"):
+            self.assertIn(path.stem, names)
+
+    def test_result_survives_the_file(self) -> None:
+        result = load("link_cost")
+        self.assertRegex(result.commit, r"^[0-9a-f]{7,}")
+        with TemporaryDirectory() as folder:
+            store(result, Path(folder))
+            again = load("link_cost", Path(folder))
+        self.assertIsInstance(again, BenchResult)
+        self.assertEqual(again, result)
+
+    def test_failure_is_told(self) -> None:
+        outcome = run_benchmark("no_such_module", 30.0, "c")
+        self.assertIsInstance(outcome, Failure)
+        self.assertIn("no_such_module", outcome.reason)
+
+    def test_rows_of_a_result(self) -> None:
+        rows = list(flat_rows({"a": [{"b": 1.5}], "c": [1, 2]}))
+        self.assertEqual(rows, [("a.0.b", "1.5"), ("c", "[1, 2]")])
--- /dev/null
+++ b/tools/capacity_plots.py
@@ -0,0 +1,38 @@
+"""Plots of the measured lines, one file each."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Final
+
+import matplotlib
+from matplotlib.figure import Figure
+
+from bench.slopes import Slope
+
+PLOTS: Final = Path(__file__).resolve().parent.parent / "docs" / "plots"
+WIDTH_INCHES: Final = 4.0
+HEIGHT_INCHES: Final = 2.6
+
+
+def write_plots(slopes: dict[str, Slope], folder: Path) -> None:
+    """Writes a plot of each line.
+
+    Args:
+        slopes: Lines by name.
+        folder: Where the plots go.
+    """
+    folder.mkdir(exist_ok=True)
+    # Without these, two runs over the same results give different files.
+    matplotlib.rcParams["svg.hashsalt"] = "sequoiapulley"
+    for slope in slopes.values():
+        figure = Figure(figsize=(WIDTH_INCHES, HEIGHT_INCHES), layout="constrained")
+        axes = figure.add_subplot()
+        sizes = [x for x, _ in slope.points]
+        axes.plot(sizes, [y for _, y in slope.points], "o", color="black")
+        axes.plot(sizes, [slope.base + slope.slope * x for x in sizes], "-", color="tab:blue")
+        axes.set_title(slope.name)
+        axes.set_xlabel(slope.per)
+        axes.set_ylabel(slope.unit)
+        axes.set_ylim(bottom=0)
+        figure.savefig(folder / f"{slope.name}.svg", metadata={"Date": None})
