--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -49,6 +49,7 @@
 from sequoiapulley.requests.messages import RequestOutcome
 from sequoiapulley.requests.run_service import RunService
 from sequoiapulley.runtime import SystemClock, TimerQueue
+from sequoiapulley.runtime.settled_heap import settle_heap
 from sequoiapulley.search.coordinator import SearchCoordinator
 from sequoiapulley.search.home_service import HomeService
 from sequoiapulley.settings.daemon_settings import DaemonSettings
@@ -220,6 +221,7 @@
             callers,
             self._count_homes,
             self.observer,
+            self.upstreams,
         )
         server = GuardedServer(cfg.operators.host, cfg.operators.port, "operators", self.timers)
         self.operators_server = server.register(self)
@@ -229,7 +231,7 @@
             self._log,
             cfg.entry_lifetime_s,
             self._announce_leave,
-            self.callers_port.stop_accepting,
+            self._close_entry,
             self._unfinished,
             self._finish,
         ).register(self)
@@ -264,6 +266,7 @@
         self.observer.configure(configuration.services.values(), self.config.check_s)
         self.homes.configure(configuration)
         self._share_upstreams()
+        self.timers.call_later(0.0, settle_heap)
 
     def _share_upstreams(self) -> None:
         """Computes this node's share of every upstream and hands it to the dispatcher."""
@@ -287,10 +290,15 @@
         self.operators.leaving = True
         self.fleet.leave()
 
+    def _close_entry(self) -> None:
+        """Takes no new callers; answers in progress finish."""
+        self.callers_port.stop_accepting()
+        self.requests.begin_shutdown()
+
     def _unfinished(self) -> int:
         """Counts what a stop would cut off."""
         in_flight = self.searches.in_flight() + self.requests.in_flight()
-        return int(in_flight + self.callers_port.open_connections)
+        return int(in_flight + self.requests.unsettled() + self.callers_port.open_connections)
 
     def _finish(self) -> None:
         """Ends the process."""
