Start a node again when one of its ports was taken meanwhile

Cause: two runs of a local fleet waited in vain for all members, 5 and 15 of them; five runs alone did not. The launcher asks the system for a free port, closes it, and the node binds it half a second later; an outgoing connection may have taken it, and the node then ends with exit code 3. That the two runs failed for this is likely, not proved: their logs are gone. Change: the launcher starts such a node again on other ports. Test: one port is really taken.

--- a/standins/local_fleet.py
+++ b/standins/local_fleet.py
@@ -17,6 +17,7 @@
 from msgspec import Struct, json
 from result import Ok
 
+from sequoiapulley.daemon.main import EXIT_ADDRESS_IN_USE
 from sequoiapulley.ids import ConfigVersion
 from sequoiapulley.model import Configuration
 from sequoiapulley.settings.text import parse_text
@@ -51,6 +52,8 @@
 class LocalNode(Struct):
     """One daemon process."""
 
+    number: int
+    """What `start_node` was called with."""
     name: str
     place: str
     region: str
@@ -138,7 +141,7 @@
                 env=environment(),
             )
         self._processes.append(process)
-        node = LocalNode(name, place.name, place.region, ports, process, log_path)
+        node = LocalNode(number, name, place.name, place.region, ports, process, log_path)
         self.nodes[name] = node
         return node
 
@@ -168,6 +171,7 @@
         """
 
         def converged() -> bool:
+            self._start_unbound_again()
             return all(self._live_members(node) == count for node in self.running())
 
         return wait_until(converged, f"{count} live members on every node")
@@ -176,10 +180,24 @@
         """Waits until every running node is ready for callers; returns the seconds waited."""
 
         def ready() -> bool:
+            self._start_unbound_again()
             return all(self._status(node, "/readyz")[0] == 200 for node in self.running())
 
         return wait_until(ready, "every node ready")
 
+    def _start_unbound_again(self) -> None:
+        """Starts nodes again, on other ports, that found one of theirs taken.
+
+        Between the choice of a free port and its use an outgoing connection may take it.
+        """
+        unbound = [
+            node for node in self.nodes.values() if node.process.poll() == EXIT_ADDRESS_IN_USE
+        ]
+        for node in unbound:
+            self.start_node(node.number)
+        if unbound:
+            self.publish_vms()
+
     def running(self) -> list[LocalNode]:
         """Returns the nodes whose process runs."""
         return [node for node in self.nodes.values() if node.process.poll() is None]
--- a/tests/test_local_fleet.py
+++ b/tests/test_local_fleet.py
@@ -3,17 +3,23 @@
 from __future__ import annotations
 
 from http.client import HTTPException
+from pathlib import Path
+from socket import create_server
+from tempfile import TemporaryDirectory
 from threading import Event, Thread
 from typing import Any
 from unittest import TestCase
+from unittest.mock import patch
 
 from msgspec import json
 
+from sequoiapulley.daemon.main import EXIT_ADDRESS_IN_USE
 from standins.demo import Caller
+from standins.http_call import http_json
 from standins.local_fleet import (
     LocalFleet,
     LocalNode,
-    http_json,
+    free_port,
     local_fleet,
     terminate,
     wait_until,
@@ -235,3 +241,25 @@
         for number in range(20):
             self._search(node, f"drain {number}")
         return fleet.upstreams.totals().upstreams["desk-1-a"].received == before
+
+
+class PortTakenTest(TestCase):
+    """A node whose port was taken meanwhile is started again on others."""
+
+    def test_node_that_cannot_bind_starts_again(self) -> None:
+        with TemporaryDirectory() as folder, create_server(("127.0.0.1", 0)) as taken:
+            fleet = LocalFleet(make_text(), Path(folder))
+            self.addCleanup(fleet.stop)
+            taken_ports = iter([taken.getsockname()[1]])
+            with patch(
+                "standins.local_fleet.free_port",
+                lambda *kind: next(taken_ports, None) or free_port(*kind),
+            ):
+                fleet.start_node(1)
+            fleet.publish_vms()
+            wait_until(
+                lambda: fleet.nodes["fleet-test-01"].process.poll() == EXIT_ADDRESS_IN_USE,
+                "the first start to fail",
+            )
+            fleet.wait_for_members(1)
+            self.assertIsNone(fleet.nodes["fleet-test-01"].process.poll())
