Begin to leave in the loop's turn, not inside the signal handler

Cause: the handler may run between any two steps of a decision, and announcing the leave changes the membership's state. It now sets a timer that is due at once.

--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -246,7 +246,8 @@
     def _on_started(self, *_: Any) -> None:
         """Takes the signals and starts the tasks."""
         for number in (SIGTERM, SIGINT):
-            signal(number, lambda *_: self.leave.start())
+            # A signal may arrive in the middle of a decision, so the work waits for its turn.
+            signal(number, lambda *_: self.timers.call_later(0.0, self.leave.start))
         self.config.start()
         self.fleet.start()
         self._log.log(
