Count the time without a reply against an upstream that answers nothing

A connect that failed after 0.5 s cost it 0.1 s at most. Ruled out: the quota of repeats; half of it was free in those seconds.

--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.log_events import UPSTREAM_LEAVES
@@ -9,6 +11,9 @@
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.upstream import Upstream
 
+WITHOUT_REPLY: Final = frozenset({ExchangeEnd.NOT_SENT, ExchangeEnd.LOST})
+"""Ends at which nothing came back from the upstream."""
+
 
 def learn_from_end(
     ctx: ForwardContext,
@@ -30,6 +35,10 @@
     """
     now = ctx.clock.now()
     upstream.record_end(failed, reply.end is ExchangeEnd.NOT_SENT, now)
+    if reply.end in WITHOUT_REPLY:
+        upstream.note_silence(now)
+    else:
+        upstream.note_heard()
     if reply.end is ExchangeEnd.WRONG_UPSTREAM and not upstream.displaced:
         upstream.displaced = True
         name = upstream.record.name
@@ -55,9 +64,10 @@
         upstream: Where the try went.
         exchange: The try's exchange.
     """
+    now = ctx.clock.now()
+    upstream.note_silence(now)
     if exchange.conn is None:
         return
-    now = ctx.clock.now()
     upstream.record_latency(_work_ratio(ctx, route, upstream, now - exchange.sent_at), now)
 
 
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -183,6 +183,7 @@
         item.exchange = exchange
         overdue = ctx.model.overdue_after(self._route.name, self._route.goal, upstream.record.place)
         item.overdue_timer = ctx.timers.call_later(overdue, lambda: self._on_overdue(item))
+        upstream.note_sent(ctx.clock.now())
         upstream.pool.submit(exchange)
 
     def _on_overdue(self, item: _Try) -> None:
--- a/src/sequoiapulley/forward/upstream.py
+++ b/src/sequoiapulley/forward/upstream.py
@@ -21,6 +21,11 @@
 """Time in which the share of failures halves without new ends."""
 TROUBLE_PENALTY_S: Final = 0.1
 """Expected cost of a request that fails, in seconds: about one more try and its way."""
+MOST_SILENCE_S: Final = 0.5
+"""Bound on the silence that counts, so that an upstream that has returned is tried again: about the
+time of a failed connect."""
+SILENCE_HALF_LIFE_S: Final = 1.5
+"""Time in which a silence that is no longer observed halves."""
 LOAD_AGE_S: Final = 0.2
 """Age after which a load report says nothing."""
 COLD_RATIO: Final = 1.6
@@ -34,10 +39,13 @@
         "_cold_until",
         "_load",
         "_load_at",
+        "_silence",
+        "_silence_at",
         "_slowness",
         "_slowness_at",
         "_trouble",
         "_trouble_at",
+        "_unanswered_since",
         "displaced",
         "leaving",
         "overdue",
@@ -65,6 +73,9 @@
         self._slowness_at = now
         self._trouble = 0.0
         self._trouble_at = now
+        self._silence = 0.0
+        self._silence_at = now
+        self._unanswered_since: float | None = None
         self._load: LoadReport | None = None
         self._load_at = now
         self._cold_until = now + record.cold_for
@@ -93,6 +104,34 @@
         self._slowness = before + SLOWNESS_WEIGHT * (sample - before)
         self._slowness_at = now
 
+    def note_sent(self, now: float) -> None:
+        """Counts the time without a reply from the first send that has none.
+
+        After a time without requests it goes on from what is left of the last observation.
+        """
+        if self._unanswered_since is None or self.pool.busy == 0:
+            self._unanswered_since = now - self.silence(now)
+
+    def note_heard(self) -> None:
+        """Notes that bytes came back, whatever they said."""
+        self._unanswered_since = None
+        self._silence = 0.0
+
+    def note_silence(self, now: float) -> None:
+        """Takes the time without a reply so far as observed, when a send has no reply in time."""
+        if self._unanswered_since is not None:
+            self._silence = min(MOST_SILENCE_S, now - self._unanswered_since)
+            self._silence_at = now
+
+    def silence(self, now: float) -> float:
+        """Returns for how long it has answered nothing, in seconds; 0 while replies come in time.
+
+        Without requests in flight the last observation fades, as it may have returned.
+        """
+        if self.overdue and self._unanswered_since is not None:
+            return min(MOST_SILENCE_S, now - self._unanswered_since)
+        return self._silence * 0.5 ** ((now - self._silence_at) / SILENCE_HALF_LIFE_S)
+
     @property
     def takes_requests(self) -> bool:
         """Whether it may get new requests."""
@@ -133,7 +172,7 @@
             time += work * self.overdue * 4
         if not self.pool.has_room:
             time += work
-        return time
+        return max(time, self.silence(now))
 
     def _reported_busy(self, now: float) -> int:
         """Returns the requests that it runs and holds waiting, by a report that is fresh."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -109,6 +109,19 @@
         self.assertGreater(self.in_time(answers), 0.99)
         self.assertGreater(self.coverage(answers), 0.98)
 
+    def test_one_upstream_of_a_shard_is_silent_and_the_other_one_slow(self) -> None:
+        """The slow one takes ten times as long, which still is in time for the answer."""
+
+        def pattern(pool: SimulatedUpstream, now: float) -> Outcome:
+            if pool.record.name == "shard-3-a" and now > 1_002.0:
+                return None
+            slow = pool.record.name == "shard-3-b" and now > 1_002.0
+            return (10.0 if slow else 1.0) * self.work(pool.net), success(b"", _seal(pool))
+
+        _, answers = self.play(pattern, least=0.89, quota=QuotaSettings(slack=30.0))
+        self.assertEqual(self.in_time(answers), 1.0)
+        self.assertGreater(self.coverage(answers[60:]), 0.99)
+
     def test_all_upstreams_of_one_shard_are_down(self) -> None:
         """Nothing waits for the shard that cannot be reached."""
 
--- /dev/null
+++ b/tests/test_silence.py
@@ -0,0 +1,70 @@
+"""Tests of upstreams that take requests and answer nothing."""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.messages import ExchangeReply
+from sequoiapulley.forward.upstream import MOST_SILENCE_S, Upstream
+from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, plain_route, success
+
+WORK_S = 0.06
+REQUESTS_PER_S = 50
+
+
+class SilentUpstreamTest(TestCase):
+    """One of three upstreams falls silent; requests may run only once, so that none is repeated."""
+
+    def setUp(self) -> None:
+        self.silent = False
+
+        def behave(
+            pool: SimulatedUpstream, _exchange: Exchange, _now: float
+        ) -> tuple[float, ExchangeReply] | None:
+            if pool.record.name == "a" and self.silent:
+                return None
+            return WORK_S * (1 + len(pool.running) // 2), success()
+
+        self.net = SimulatedNet(behave)
+        for name in ("a", "b", "c"):
+            self.net.add(name, "s")
+        self.net.apply(plain_route("s", idempotent=False, goal=0.3))
+        self.play(2.0)
+
+    def play(self, seconds: float) -> int:
+        """Returns the requests that the upstream got which falls silent."""
+        pool = self.net.pools[next(name for name in self.net.pools if name == "a")]
+        before = len(pool.arrivals)
+        for _ in range(int(seconds * REQUESTS_PER_S)):
+            self.net.ask("/p/1")
+            self.net.run(1 / REQUESTS_PER_S)
+        return len(pool.arrivals) - before
+
+    def test_few_requests_go_to_it(self) -> None:
+        self.silent = True
+        self.assertLessEqual(self.play(6.0), 15)
+
+    def test_it_is_used_again_after_its_return(self) -> None:
+        self.silent = True
+        self.play(3.0)
+        self.silent = False
+        self.play(6.0)
+        self.assertGreater(self.play(2.0), 5)
+
+    def test_time_without_requests_is_not_silence(self) -> None:
+        upstream = Upstream(next(iter(self.net.pools.values())).record, _IdlePool(self.net), 0.0)
+        upstream.note_sent(0.0)
+        upstream.note_silence(0.1)
+        upstream.note_sent(30.0)
+        upstream.note_silence(30.1)
+        self.assertLess(upstream.silence(30.1), MOST_SILENCE_S / 2)
+        upstream.note_heard()
+        self.assertEqual(upstream.silence(30.1), 0.0)
+
+
+class _IdlePool(SimulatedUpstream):
+    """A pool without requests in flight."""
+
+    def __init__(self, net: SimulatedNet) -> None:
+        super().__init__(net, next(iter(net.pools.values())).record)
