Limit calls to overloaded shards to the time in which their parts are of use

Now the shards that are expected late, as many as the answer may lack, get one send whose deadline is the time at which the answer is due, without hedges; the others keep all their time. If another shard fails, the limited ones are asked again.

--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.late_shards import expected_late
 from sequoiapulley.forward.log_events import ANSWER_PARTIAL
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
@@ -17,6 +18,9 @@
 
 ROUNDING: Final = 1e-9
 """Guards the least number of shards against the error of a decimal share."""
+LEAST_LIMIT: Final = 0.5
+"""Least time that a limited call has, as a share of the route's goal; with less, the request is
+late anyway."""
 
 
 class Gather:
@@ -45,6 +49,7 @@
         """
         self._ctx = ctx
         self._req = req
+        self._route = route
         self._plan = plan
         self._due = due
         self._on_done: Callable[[Answer, Reason | None], None] | None = on_done
@@ -52,6 +57,8 @@
         self._parts: list[tuple[bytes, bytes]] = []
         self._seals: set[bytes] = set()
         self._lacking: dict[ServiceName, str] = {}
+        self._limited: list[ServiceCall] = []
+        """Calls that end when the answer is due, and have no reply yet."""
         self._may_have_run = False
         self._last_reason = Reason.FAILED
         self._calls = [
@@ -66,8 +73,21 @@
         if served < self._least:
             self._ctx.timers.call_later(0.0, self._refuse)
             return
-        for call in self._calls:
-            call.start()
+        now = self._ctx.clock.now()
+        choices = [
+            self._ctx.directory.choose_timed(call.service, self._route, [], now)
+            for call in self._calls
+        ]
+        late = self._late_shards([expected for _, expected in choices], self._due - now)
+        self._limited = [call for number, call in enumerate(self._calls) if number in late]
+        for call, (upstream, _) in zip(self._calls, choices, strict=True):
+            call.start_at(upstream, self._due if call in self._limited else None)
+
+    def _late_shards(self, expected: list[float], time_left: float) -> frozenset[int]:
+        """Returns the positions of the shards whose calls are limited to the time left."""
+        if time_left < LEAST_LIMIT * self._route.goal:
+            return frozenset()
+        return expected_late(expected, time_left, len(self._calls) - self._least)
 
     def stop(self) -> bool:
         """Gives the request up; returns whether an upstream may have run it."""
@@ -86,8 +106,10 @@
             return
         reply = result.reply
         if result.end is CallEnd.REPLY and reply is not None and reply.reply is not None:
+            if call in self._limited:
+                self._limited.remove(call)
             self._add_part(call.service, reply.seal or b"", reply.reply.body)
-        else:
+        elif call not in self._limited:
             self._last_reason = result.reason or Reason.FAILED
             self._lacking[call.service] = self._last_reason.value
         self._answer_if_ready()
@@ -106,15 +128,25 @@
         if shards - len(self._lacking) < self._least:
             self._give_up()
             return
-        ended = len(self._parts) + len(self._lacking) == shards
+        ended = all(call.done for call in self._calls)
         overdue = self._ctx.clock.now() >= self._due
-        if ended or (overdue and len(self._parts) >= self._least):
+        if len(self._parts) >= self._least and (ended or overdue):
             self._answer()
+            return
+        unlimited = sum(not call.done and call not in self._limited for call in self._calls)
+        if len(self._parts) + unlimited < self._least:
+            self._resume_limited()
 
     def _on_due(self) -> None:
         """Answers with what has come, if it is enough."""
-        if self._on_done is not None and len(self._parts) >= self._least:
-            self._answer()
+        if self._on_done is not None:
+            self._answer_if_ready()
+
+    def _resume_limited(self) -> None:
+        """Asks again the shards whose calls were limited, as their parts are needed after all."""
+        limited, self._limited = self._limited, []
+        for call in limited:
+            call.resume(self._on_call)
 
     def _answer(self) -> None:
         """Sends the merged answer."""
@@ -139,6 +171,7 @@
     def _log_lacking(self) -> None:
         """Logs the shards that an answer lacks."""
         lacking = {call.service: call.describe_wait() for call in self._calls if not call.done}
+        lacking.update({call.service: "expected_late" for call in self._limited if call.done})
         lacking.update(self._lacking)
         self._ctx.log.log(ANSWER_PARTIAL, id=self._req.id, parts=len(self._parts), lacking=lacking)
 
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -81,6 +81,7 @@
         "_ctx",
         "_deadline",
         "_has_arrived",
+        "_limit",
         "_may_have_run",
         "_on_done",
         "_out_of_quota",
@@ -128,6 +129,7 @@
         self._may_have_run = False
         self._has_arrived = False
         self._out_of_quota = False
+        self._limit: float | None = None
         self.last_failure: ExchangeReply | None = None
         """Last reply of an upstream that ran the request and failed."""
 
@@ -153,16 +155,50 @@
             waits.append(f"{item.upstream.record.name} {wait}")
         return ", ".join(["pending", *waits])
 
+    @property
+    def limited(self) -> bool:
+        """Whether the call makes one try that must end by its limit."""
+        return self._limit is not None
+
     def start(self) -> None:
         """Sends the first try; without an upstream, reports so in the loop's next turn."""
         now = self._ctx.clock.now()
-        self._ctx.quota.note_request(self.service, now)
-        upstream = self._ctx.directory.choose(self.service, self._route, [], now)
+        self.start_at(self._ctx.directory.choose(self.service, self._route, [], now), None)
+
+    def start_at(self, upstream: Upstream | None, limit: float | None) -> None:
+        """Sends the first try to an upstream that was chosen before.
+
+        Args:
+            upstream: The upstream, or None if there is none.
+            limit: Clock reading after which a reply is not needed. With a limit the upstream is
+                told to stop then, and the call makes one try only until `resume`.
+        """
+        self._limit = limit
+        self._ctx.quota.note_request(self.service, self._ctx.clock.now())
         if upstream is None:
             self._ctx.timers.call_later(0.0, self._fail_without_upstream)
             return
         self._send(upstream, False)
 
+    def resume(self, on_done: Callable[[ServiceCall, CallResult], None]) -> None:
+        """Goes on without the limit, as the reply is needed after all.
+
+        Args:
+            on_done: Receives the result, once, later.
+        """
+        self._limit = None
+        self._on_done = on_done
+        self._ctx.timers.call_later(0.0, self._go_on)
+
+    def _go_on(self) -> None:
+        """Makes another try after a limited one has ended or while it is overdue."""
+        if self.done:
+            return
+        for item in self._open_tries():
+            self._on_overdue(item)
+            return
+        self._try_again(self._ctx.clock.now())
+
     def stop(self) -> None:
         """Gives the tries up, as the result is no longer wanted."""
         self._on_done = None
@@ -176,7 +212,7 @@
         self._tries.append(item)
         exchange = Exchange(
             self._req,
-            self._deadline,
+            self._deadline if self._limit is None else min(self._limit, self._deadline),
             self._route.idempotent,
             lambda reply: self._on_end(item, reply),
         )
@@ -190,10 +226,13 @@
         """Asks another upstream too when a reply takes longer than usual."""
         ctx = self._ctx
         now = ctx.clock.now()
-        item.overdue = True
-        item.upstream.overdue += 1
+        if not item.overdue:
+            item.overdue = True
+            item.upstream.overdue += 1
         if self.done or not self._route.idempotent:
             return
+        if self.limited:
+            return
         upstream = self._next_upstream(now, hedge=True)
         if upstream is None:
             return
@@ -242,7 +281,7 @@
         """Sends another try after a failure, or ends the call when none is possible."""
         if self._open_tries():
             return
-        if not self._may_repeat():
+        if self.limited or not self._may_repeat():
             self._fail()
             return
         upstream = self._next_upstream(now, hedge=False)
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -131,6 +131,12 @@
             excluded: Upstreams not to use.
             now: Clock reading in seconds.
         """
+        return self.choose_timed(service, route, excluded, now)[0]
+
+    def choose_timed(
+        self, service: ServiceName, route: Route, excluded: list[Upstream], now: float
+    ) -> tuple[Upstream | None, float]:
+        """Returns what `choose` does, and the time in which its reply is expected, in seconds."""
         best: Upstream | None = None
         least = float("inf")
         work = self._model.work(route.name, route.goal)
@@ -142,7 +148,7 @@
             if time < least:
                 best = upstream
                 least = time
-        return best
+        return best, least
 
     def sweep(self, now: float) -> None:
         """Closes what is idle for too long."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -148,6 +148,38 @@
             self.assertLessEqual(net.repeats(f"shard-{number}"), 0.2 * len(answers) + 30 + 0.5)
         self.assertTrue(all(len(a) == 1 for a in answers))
 
+    def test_three_shards_are_overloaded_and_two_may_be_lacking(self) -> None:
+        """All upstreams of three shards take fourteen times as long for eight seconds.
+
+        They cannot carry every request; one of the three has to be in each answer.
+        """
+        slow = {"shard-3", "shard-8", "shard-14"}
+        free: dict[str, list[float]] = {}
+
+        def behave(pool: SimulatedUpstream, exchange: Exchange, now: float) -> Outcome:
+            factor = 14.0 if pool.record.service in slow and now < 1_010.0 else 1.0
+            slots = free.setdefault(pool.record.name, [0.0, 0.0])
+            began = max(now, min(slots))
+            if began >= exchange.deadline:
+                return exchange.deadline - now, ended(ExchangeEnd.NOT_RUN)
+            done = began + factor * self.work(pool.net)
+            slots[slots.index(min(slots))] = min(done, exchange.deadline)
+            if done > exchange.deadline:
+                return exchange.deadline - now, success(b"", status=504)
+            return done - now, success(b"", _seal(pool))
+
+        net = SimulatedNet(behave)
+        net.apply(gather_route(net.add_shards(SHARDS), least=0.89))
+        net.run(2.0)
+        answers: list[list[tuple[float, Answer]]] = []
+        for _ in range(8 * 50):
+            answers.append(net.ask())
+            net.run(1 / 50)
+        net.run(1.5)
+        self.assertGreater(self.in_time(answers), 0.85)
+        self.assertGreater(self.coverage(answers), 0.9)
+        self.assertTrue(all(a[0][1].status == 200 for a in answers))
+
     def test_burst_of_requests_to_few_upstreams(self) -> None:
         """Three times the capacity arrives for a second: each request has one final answer."""
 
