Give the choice among tried upstreams a module of its own

service_call.py decided both when to send and where; the lists of upstreams that ran, refused or could not be reached move to TriedUpstreams, which can also be restricted to some upstreams. No change of behaviour.

--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -20,16 +20,15 @@
 )
 from sequoiapulley.forward.refusal import Reason
 from sequoiapulley.forward.route_table import Route
+from sequoiapulley.forward.tried_upstreams import TriedUpstreams
 from sequoiapulley.forward.upstream import Upstream
-from sequoiapulley.ids import ServiceName
+from sequoiapulley.ids import NodeId, ServiceName, UpstreamName
 from sequoiapulley.runtime import TimerHandle
 
 MOST_SENDS: Final = 5
 """Sends of one request to one service, those included that were refused before they ran."""
 SAME_UPSTREAM_PAUSE_S: Final = 0.02
 """Pause before a request goes to an upstream that has just failed it, as no other is left."""
-UNREACHABLE: Final = frozenset({ExchangeEnd.NOT_SENT, ExchangeEnd.WRONG_UPSTREAM})
-"""Ends after which the same upstream is not asked again, as it has gone or does not accept."""
 FIRST_FAILURE_STATUS: Final = 500
 FIRST_SUCCESS_STATUS: Final = 200
 FIRST_REDIRECT_STATUS: Final = 300
@@ -85,13 +84,12 @@
         "_may_have_run",
         "_on_done",
         "_out_of_quota",
-        "_ran",
-        "_refused",
         "_req",
         "_route",
         "_sends",
+        "_tried",
         "_tries",
-        "_unreachable",
+        "delegate",
         "last_failure",
         "service",
     )
@@ -122,14 +120,14 @@
         self._deadline = deadline
         self._on_done: Callable[[ServiceCall, CallResult], None] | None = on_done
         self._tries: list[_Try] = []
-        self._ran: list[Upstream] = []
-        self._refused: list[Upstream] = []
-        self._unreachable: list[Upstream] = []
+        self._tried = TriedUpstreams(ctx.directory, route, service)
         self._sends = 0
         self._may_have_run = False
         self._has_arrived = False
         self._out_of_quota = False
         self._limit: float | None = None
+        self.delegate: NodeId | None = None
+        """Node that makes this call for this one, if any."""
         self.last_failure: ExchangeReply | None = None
         """Last reply of an upstream that ran the request and failed."""
 
@@ -145,6 +143,8 @@
 
     def describe_wait(self) -> str:
         """Returns which upstreams have not replied, and for how long, for the log."""
+        if self.delegate is not None and not self._tries:
+            return f"pending at node {self.delegate}"
         now = self._ctx.clock.now()
         waits = []
         for item in self._open_tries():
@@ -162,8 +162,7 @@
 
     def start(self) -> None:
         """Sends the first try; without an upstream, reports so in the loop's next turn."""
-        now = self._ctx.clock.now()
-        self.start_at(self._ctx.directory.choose(self.service, self._route, [], now), None)
+        self.start_at(self._tried.first(self._ctx.clock.now()), None)
 
     def start_at(self, upstream: Upstream | None, limit: float | None) -> None:
         """Sends the first try to an upstream that was chosen before.
@@ -180,8 +179,25 @@
             return
         self._send(upstream, False)
 
+    def allow(self, upstreams: frozenset[UpstreamName]) -> None:
+        """Restricts the call to some upstreams of the service."""
+        self._tried.allowed = upstreams
+
+    def delegate_to(self, node: NodeId, upstreams: frozenset[UpstreamName]) -> None:
+        """Leaves the call to another node, until `resume`.
+
+        Args:
+            node: The node.
+            upstreams: Upstreams that it may ask. This node asks no others later, so that both
+                together keep the bound on upstreams.
+        """
+        self.delegate = node
+        self.allow(upstreams)
+        self._has_arrived = True
+        self._may_have_run = True
+
     def resume(self, on_done: Callable[[ServiceCall, CallResult], None]) -> None:
-        """Goes on without the limit, as the reply is needed after all.
+        """Goes on without a limit and without another node, as the reply is needed after all.
 
         Args:
             on_done: Receives the result, once, later.
@@ -249,18 +265,13 @@
         self._ctx.tally.ends[reply.end.value] += 1
         if self.done:
             return
-        if reply.end in UNREACHABLE:
-            self._unreachable.append(item.upstream)
+        self._tried.note_end(item.upstream, reply.end)
         if reply.end is not ExchangeEnd.NOT_SENT:
             self._has_arrived = True
-        if reply.end in NEVER_RAN:
-            self._refused.append(item.upstream)
-            if reply.end is ExchangeEnd.NOT_SENT and item.counted:
-                self._ctx.quota.give_back(self.service)
-        else:
+        elif item.counted:
+            self._ctx.quota.give_back(self.service)
+        if reply.end not in NEVER_RAN:
             self._may_have_run = True
-            if item.upstream not in self._ran:
-                self._ran.append(item.upstream)
         if reply.end is ExchangeEnd.REPLY and self._is_final(reply):
             self._finish(CallResult(CallEnd.REPLY, reply))
             return
@@ -288,8 +299,7 @@
         if upstream is not None:
             self._repeat(upstream)
             return
-        upstream = self._ctx.directory.choose(self.service, self._route, self._not_again(), now)
-        if upstream is None:
+        if self._tried.once_more(now) is None:
             self._fail()
             return
         self._ctx.timers.call_later(SAME_UPSTREAM_PAUSE_S, self._repeat_at_any)
@@ -298,8 +308,7 @@
         """Sends another try to an upstream that failed the request before."""
         if self.done or self._open_tries():
             return
-        now = self._ctx.clock.now()
-        upstream = self._ctx.directory.choose(self.service, self._route, self._not_again(), now)
+        upstream = self._tried.once_more(self._ctx.clock.now())
         if upstream is None:
             self._fail()
             return
@@ -327,28 +336,11 @@
         """Returns an upstream for one more try that has not had the request, or None."""
         if self._sends >= MOST_SENDS:
             return None
-        in_flight = [item.upstream for item in self._open_tries()]
-        may_run = len(self._ran) + sum(upstream not in self._ran for upstream in in_flight)
-        if may_run >= self._route.max_upstreams:
-            return None
-        excluded = [*self._ran, *self._refused, *in_flight]
-        upstream = self._ctx.directory.choose(self.service, self._route, excluded, now)
+        upstream = self._tried.another([item.upstream for item in self._open_tries()], now)
         if hedge and upstream is not None and upstream.overdue and not upstream.pool.has_room:
             return None
         return upstream
 
-    def _not_again(self) -> list[Upstream]:
-        """Returns upstreams that do not get the request once more after all had it.
-
-        These are the ones that could not be reached, and beyond the bound on upstreams all but
-        those that have run it.
-        """
-        if len(self._ran) < self._route.max_upstreams:
-            return self._unreachable
-        candidates = self._ctx.directory.candidates(self.service)
-        others = [upstream for upstream in candidates if upstream not in self._ran]
-        return [*others, *self._unreachable]
-
     def _may_repeat(self) -> bool:
         """Returns whether the request may be sent once more."""
         if self._sends >= MOST_SENDS or self._ctx.clock.now() >= self._deadline:
