Let a node beside distant shards merge their parts

Now a gather asks one node of another region for all shards that have a good upstream there; it hedges near the upstreams and sends back the greatest records once. Shards that are expected late, single ones, and those of a node that failed are asked directly; a part that did not come in time has its shard asked directly for two seconds. The request names the upstreams that may get it, so that both nodes together keep the route's bound; repeats after a lost reply are taken from the quota. Ruled out: shorter headers (they are the caller's); one node a place, as both entries are warm.

--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -9,6 +9,7 @@
     FORWARD_SECONDS,
     FORWARDED,
     PARTS_LACKING,
+    PARTS_REQUESTS,
     PEERS_READY,
     REPEATS,
     STATE_AGE,
@@ -64,6 +65,7 @@
             (FORWARDED, self._tally.outcomes),
             (UPSTREAM_TRIES, self._tally.ends),
             (REPEATS, self._tally.repeats),
+            (PARTS_REQUESTS, self._tally.delegated),
         ):
             for label, count in counts.items():
                 self._metrics.set_total(metric, count, label)
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -12,10 +12,12 @@
 from sequoiapulley.daemon.entry_port import EntryPort, PlatformCalls
 from sequoiapulley.daemon.feed_sources import FeedSources
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
+from sequoiapulley.daemon.parts_port import PARTS_PATH, HttpPartsClient, PartsPort
 from sequoiapulley.daemon.peer_source import PeerPort
 from sequoiapulley.daemon.registration import Registration
 from sequoiapulley.daemon.settings_watch import SettingsWatch
 from sequoiapulley.daemon.signal_pipe import SignalPipe
+from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.change_log import ChangeLog
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.contract import WireContract
@@ -150,6 +152,16 @@
         )
         self._quota = RetryQuota(cfg.quota)
         self._tally = Tally()
+        self._peers = PeerTable(self._me, log)
+        parts_client = HttpClient(self._reactor, self._clock, self._timers, LARGEST_REPLY)
+        self._aggregators = Aggregators(
+            cfg.region,
+            cfg.regions,
+            self._peers.ready,
+            HttpPartsClient(parts_client),
+            self._clock,
+            log,
+        )
         ctx = ForwardContext(
             self._clock,
             self._timers,
@@ -159,9 +171,9 @@
             self._quota,
             log,
             self._tally,
+            self._aggregators,
         )
         self._forwarder = Forwarder(ctx)
-        self._peers = PeerTable(self._me, log)
         changes = ChangeLog()
         self._shared = SharedState(
             self._forwarder, self._directory, self._peers, changes, self._timers, log
@@ -182,6 +194,7 @@
         self._peer_port = PeerPort(
             changes, self._timers, self._shared.image, lambda: self._feed.age
         )
+        self._parts_port = PartsPort(ctx)
         self._heartbeats = HeartbeatPort(
             self._reactor, cfg.host, cfg.heartbeat_port, log, self._on_heartbeat
         )
@@ -189,7 +202,7 @@
             calls, self._peers, lambda: self._state is NodeState.READY, cfg.most_entry_ttl
         )
         self._callers = self._listen(cfg.callers, self._on_caller)
-        self._others = [self._listen(cfg.peers, self._peer_port.serve)]
+        self._others = [self._listen(cfg.peers, self._on_peer)]
         for address in (cfg.readiness, cfg.directory):
             if address is not None:
                 self._others.append(self._listen(address, self._entries.serve))
@@ -251,7 +264,10 @@
         """Divides what all nodes share: repeats, and connections to upstreams."""
         places = max(1, len(self._cfg.regions))
         nodes = 1 + len(self._peers.registered())
-        self._quota.slack_share = slack_share(self._entries.names_me(), places, nodes)
+        is_entry = self._entries.names_me()
+        if is_entry:
+            self._aggregators.keep_connected()
+        self._quota.slack_share = slack_share(is_entry, places, nodes)
         table = self._forwarder.table
         if table is not None:
             users = min(nodes, (ENTRIES_PER_PLACE + STANDBY_NODES) * places)
@@ -296,6 +312,13 @@
         job = self._forwarder.handle(caller_req, on_answer)
         req.on_left = job.leave
 
+    def _on_peer(self, req: ServerRequest) -> None:
+        """Serves another node."""
+        if req.parsed.target == PARTS_PATH.encode():
+            self._parts_port.serve(req)
+            return
+        self._peer_port.serve(req)
+
     def _check_settings(self) -> None:
         """Applies settings that have changed without a signal, again and again."""
         self._apply_settings(self._settings.poll())
@@ -320,6 +343,7 @@
         )
         self._quota.configure(cfg.quota)
         self._sources.seeds = cfg.seeds
+        self._aggregators.regions = cfg.regions
         self._entries.most_ttl = cfg.most_entry_ttl
         changed = [name for name in RELOADED if getattr(before, name) != getattr(cfg, name)]
         self._log.log(SETTINGS_RELOADED, changed=changed)
--- /dev/null
+++ b/src/sequoiapulley/daemon/parts_port.py
@@ -0,0 +1,97 @@
+"""Parts of gathers that pass between nodes over HTTP."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from msgspec import DecodeError, ValidationError
+from msgspec.msgpack import Decoder, decode, encode
+from result import Err, Ok
+
+from sequoiapulley.daemon.peer_source import MSGPACK, STATUS_OK, STATUS_UNAVAILABLE
+from sequoiapulley.forward.aggregators import (
+    PartsFailure,
+    PartsReply,
+    PartsRequest,
+    PartsResult,
+)
+from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.log_events import PARTS_UNREADABLE
+from sequoiapulley.forward.part_collector import PartCollector
+from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+from sequoiapulley.wire.server_connection import ServerRequest
+
+PARTS_PATH: Final = "/v1/parts"
+STATUS_BAD_REQUEST: Final = 400
+
+
+class HttpPartsClient:
+    """Implements `PartsClient`."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Initialise the client.
+
+        Args:
+            client: Sends the calls.
+        """
+        self._client = client
+
+    def is_connected(self, node: NodeRecord) -> bool:
+        """Returns whether a request would leave at once; if not, a connection is opened."""
+        return self._client.prepare(node.host, node.peers_port)
+
+    def ask(
+        self,
+        node: NodeRecord,
+        request: PartsRequest,
+        timeout: float,
+        done: Callable[[PartsResult], None],
+    ) -> None:
+        """Sends a request."""
+        body = encode(request)
+        call = HttpCall(node.host, node.peers_port, "POST", PARTS_PATH, body=body, timeout=timeout)
+        self._client.request(call, lambda result: done(_decode(result)))
+
+
+class PartsPort:
+    """Answers nodes that ask for parts."""
+
+    def __init__(self, ctx: ForwardContext) -> None:
+        """Initialise the port.
+
+        Args:
+            ctx: Collaborators of the calls to upstreams.
+        """
+        self._ctx = ctx
+        self._decoder = Decoder(PartsRequest)
+
+    def serve(self, req: ServerRequest) -> None:
+        """Collects the parts that one request asks for."""
+        try:
+            request = self._decoder.decode(req.parsed.body)
+        except (DecodeError, ValidationError) as exc:
+            self._ctx.log.log(PARTS_UNREADABLE, error=str(exc))
+            req.answer(STATUS_BAD_REQUEST, (), b"")
+            return
+
+        def on_done(reply: PartsReply) -> None:
+            req.answer(STATUS_OK, MSGPACK, encode(reply))
+
+        collector = PartCollector(self._ctx, request, on_done)
+        req.on_left = collector.stop
+        collector.start()
+
+
+def _decode(result: HttpResult) -> PartsResult:
+    """Decodes a node's reply."""
+    if isinstance(result, Err):
+        return Err(PartsFailure(result.err_value.sent, result.err_value.detail))
+    reply = result.ok_value
+    if reply.status != STATUS_OK:
+        return Err(PartsFailure(reply.status != STATUS_UNAVAILABLE, f"status {reply.status}"))
+    try:
+        return Ok(decode(reply.body, type=PartsReply))
+    except (DecodeError, ValidationError) as exc:
+        return Err(PartsFailure(True, f"reply does not decode: {exc}"))
--- /dev/null
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -0,0 +1,253 @@
+"""Nodes of other regions that ask the shards near them and merge the parts.
+
+A part from another region costs a whole exchange on a dear link. A node beside the shards asks
+several of them at once and sends back the greatest records only.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Final, Protocol
+
+from msgspec import Struct
+from result import Err, Result
+
+from sequoiapulley.forward.log_events import AGGREGATOR_FAILED, AGGREGATOR_REGAINED
+from sequoiapulley.forward.messages import Headers
+from sequoiapulley.forward.roles import ranked
+from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.ids import NodeId, PlaceName, RegionName, RequestId, ServiceName, UpstreamName
+from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.runtime import Clock
+
+NODES_PER_REGION: Final = 2
+"""Nodes of a region that are asked: those that serve its callers, whose connections are warm."""
+FIRST_PAUSE_S: Final = 2.0
+"""Time for which a node is not asked after it did not answer, about half of what heartbeats need to
+show that it is gone."""
+LONGEST_PAUSE_S: Final = 16.0
+DIRECT_S: Final = 2.0
+"""Time for which a shard is asked directly after a node could not get its part in time, so that
+this node learns itself how slow the shard is."""
+
+
+class ShardTask(Struct, frozen=True, array_like=True):
+    """A shard to ask, and the upstreams that may get the request."""
+
+    service: ServiceName
+    upstreams: tuple[UpstreamName, ...]
+
+
+class PartsRequest(Struct, frozen=True, array_like=True):
+    """Asks a node for the merged parts of some shards."""
+
+    id: RequestId
+    """The caller's id of its attempt."""
+    method: bytes
+    target: bytes
+    host: str
+    headers: Headers
+    body: bytes
+    time_left: float
+    """Seconds that the caller waits."""
+    due_in: float
+    """Seconds after which the reply goes out with the parts that are there."""
+    route: str
+    goal: float
+    """The route's goal in seconds."""
+    max_upstreams: int
+    """Most upstreams of a shard that may run the request."""
+    top_k: int
+    """Records in the merged body."""
+    tasks: tuple[ShardTask, ...]
+
+
+class PartsReply(Struct, frozen=True, array_like=True):
+    """The parts that came in time."""
+
+    seals: dict[int, bytes]
+    """Proof of each part, by the position of its shard in the request."""
+    body: bytes
+    """The greatest records of these parts, greatest first."""
+    spent: float
+    """Seconds between the request's arrival and this reply."""
+
+
+class PartsFailure(Struct, frozen=True):
+    """A node that did not answer."""
+
+    sent: bool
+    """Whether the request may have reached it."""
+    detail: str
+
+
+PartsResult = Result[PartsReply, PartsFailure]
+
+
+class PartsClient(Protocol):
+    """Asks one node for parts."""
+
+    def is_connected(self, node: NodeRecord) -> bool:
+        """Returns whether a request would leave at once; if not, a connection is opened."""
+
+    def ask(
+        self,
+        node: NodeRecord,
+        request: PartsRequest,
+        timeout: float,
+        done: Callable[[PartsResult], None],
+    ) -> None:
+        """Sends a request.
+
+        Args:
+            node: Whom to ask.
+            request: What to ask.
+            timeout: Longest wait in seconds.
+            done: Receives the result, once, later.
+        """
+
+
+class _Pause:
+    """Time for which a node is not asked."""
+
+    __slots__ = ("length", "until")
+
+    def __init__(self, length: float, until: float) -> None:
+        """Initialise a pause."""
+        self.length = length
+        self.until = until
+
+
+class Aggregators:
+    """Chooses the nodes that are asked for parts, and remembers which ones fail."""
+
+    def __init__(
+        self,
+        region: RegionName,
+        regions: dict[PlaceName, RegionName],
+        ready: Callable[[], list[NodeRecord]],
+        client: PartsClient,
+        clock: Clock,
+        log: LogSink,
+    ) -> None:
+        """Initialise without failures.
+
+        Args:
+            region: Region of this node.
+            regions: Region of each place.
+            ready: Returns the peers that serve callers.
+            client: Asks a node.
+            clock: Source of time.
+            log: Receives nodes that fail and answer again.
+        """
+        self._region = region
+        self.regions = regions
+        """Region of each place."""
+        self._ready = ready
+        self._client = client
+        self._clock = clock
+        self._log = log
+        self._pauses: dict[NodeId, _Pause] = {}
+        self._direct_until: dict[ServiceName, float] = {}
+        self._turn = 0
+
+    def is_far(self, place: PlaceName) -> bool:
+        """Returns whether a place lies in another region."""
+        return self.regions.get(place, self._region) != self._region
+
+    def may_ask_for(self, service: ServiceName) -> bool:
+        """Returns whether a shard's part may come from another node."""
+        until = self._direct_until.get(service)
+        return until is None or self._clock.now() >= until
+
+    def node_in(self, region: RegionName) -> NodeRecord | None:
+        """Returns the node of a region to ask next, or None."""
+        usable = [node for node in self._usable(region) if self._client.is_connected(node)]
+        if not usable:
+            return None
+        self._turn += 1
+        return usable[self._turn % len(usable)]
+
+    def ask(
+        self,
+        node: NodeRecord,
+        request: PartsRequest,
+        timeout: float,
+        done: Callable[[PartsResult], None],
+    ) -> None:
+        """Asks a node and learns from the outcome.
+
+        Args:
+            node: Whom to ask.
+            request: What to ask.
+            timeout: Longest wait in seconds.
+            done: Receives the result, once, later.
+        """
+
+        def on_result(result: PartsResult) -> None:
+            self._learn(node, request, result)
+            done(result)
+
+        self._client.ask(node, request, timeout, on_result)
+
+    def keep_connected(self) -> None:
+        """Opens connections ahead to the nodes of other regions that lack one."""
+        for region in {*self.regions.values()} - {self._region}:
+            for node in self._usable(region):
+                self._client.is_connected(node)
+
+    def _usable(self, region: RegionName) -> list[NodeRecord]:
+        """Returns the nodes of a region that may be asked."""
+        now = self._clock.now()
+        near = [node for node in self._ready() if node.region == region]
+        return [node for node in ranked(near)[:NODES_PER_REGION] if not self._pauses_at(node, now)]
+
+    def _pauses_at(self, node: NodeRecord, now: float) -> bool:
+        """Returns whether a node is not asked at present."""
+        pause = self._pauses.get(node.name)
+        return pause is not None and now < pause.until
+
+    def _learn(self, node: NodeRecord, request: PartsRequest, result: PartsResult) -> None:
+        """Takes a node's reply or failure."""
+        now = self._clock.now()
+        if isinstance(result, Err):
+            before = self._pauses.get(node.name)
+            if before is not None and now < before.until:
+                return
+            length = FIRST_PAUSE_S if before is None else min(LONGEST_PAUSE_S, 2 * before.length)
+            self._pauses[node.name] = _Pause(length, now + length)
+            failure = result.err_value
+            self._log.log(
+                AGGREGATOR_FAILED,
+                id=request.id,
+                peer=node.name,
+                error=failure.detail,
+                pause_s=length,
+            )
+            return
+        if self._pauses.pop(node.name, None) is not None:
+            self._log.log(AGGREGATOR_REGAINED, id=request.id, peer=node.name)
+        for position, task in enumerate(request.tasks):
+            if position not in result.ok_value.seals:
+                self._direct_until[task.service] = now + DIRECT_S
+
+
+def cover_regions(regions_of: Mapping[int, Iterable[RegionName]]) -> dict[RegionName, list[int]]:
+    """Returns which shards to ask for in which region, in as few regions as possible.
+
+    Args:
+        regions_of: Regions with a good upstream, by position of the shard.
+    """
+    left = {position: frozenset(regions) for position, regions in regions_of.items()}
+    groups: dict[RegionName, list[int]] = {}
+    while left:
+        counts: dict[RegionName, int] = {}
+        for regions in left.values():
+            for region in regions:
+                counts[region] = counts.get(region, 0) + 1
+        if not counts:
+            break
+        best = min(counts, key=lambda region: (-counts[region], region))
+        groups[best] = [position for position, regions in left.items() if best in regions]
+        left = {position: regions for position, regions in left.items() if best not in regions}
+    return groups
--- a/src/sequoiapulley/forward/context.py
+++ b/src/sequoiapulley/forward/context.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.contract import WireContract
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.retry_quota import RetryQuota
@@ -24,3 +25,5 @@
     quota: RetryQuota
     log: LogSink
     tally: Tally
+    aggregators: Aggregators | None = None
+    """Nodes of other regions that merge parts; None if there are none."""
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -12,8 +12,10 @@
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
 from sequoiapulley.forward.refusal import Reason, own_answer
+from sequoiapulley.forward.remote_parts import RemoteParts, far_groups
 from sequoiapulley.forward.route_table import GatherPlan, Route
 from sequoiapulley.forward.service_call import CallEnd, CallResult, ServiceCall
+from sequoiapulley.forward.upstream import Upstream
 from sequoiapulley.ids import ServiceName
 
 ROUNDING: Final = 1e-9
@@ -50,12 +52,13 @@
         self._ctx = ctx
         self._req = req
         self._route = route
+        self._deadline = deadline
         self._plan = plan
         self._due = due
         self._on_done: Callable[[Answer, Reason | None], None] | None = on_done
         self._least = max(1, ceil(plan.least_share * len(plan.shards) - ROUNDING))
-        self._parts: list[tuple[bytes, bytes]] = []
-        self._seals: set[bytes] = set()
+        self._seals: list[bytes] = []
+        self._bodies: list[bytes] = []
         self._lacking: dict[ServiceName, str] = {}
         self._limited: list[ServiceCall] = []
         """Calls that end when the answer is due, and have no reply yet."""
@@ -80,8 +83,28 @@
         ]
         late = self._late_shards([expected for _, expected in choices], self._due - now)
         self._limited = [call for number, call in enumerate(self._calls) if number in late]
-        for call, (upstream, _) in zip(self._calls, choices, strict=True):
-            call.start_at(upstream, self._due if call in self._limited else None)
+        first = {call: choice[0] for call, choice in zip(self._calls, choices, strict=True)}
+        delegated = self._delegate(first, now)
+        for call, upstream in first.items():
+            if call not in delegated:
+                call.start_at(upstream, self._due if call in self._limited else None)
+
+    def _delegate(self, first: dict[ServiceCall, Upstream | None], now: float) -> set[ServiceCall]:
+        """Asks nodes of other regions for the parts of shards beside them; returns these calls."""
+        in_time = {
+            call: upstream
+            for call, upstream in first.items()
+            if upstream is not None and call not in self._limited
+        }
+        delegated: set[ServiceCall] = set()
+        for node, calls in far_groups(self._ctx, in_time, self._route, self._due - now):
+            assert self._ctx.aggregators is not None
+            parts = RemoteParts(
+                self._ctx, self._ctx.aggregators, node, calls, self._on_parts, self._on_no_parts
+            )
+            parts.send(self._req, self._route, self._due, self._deadline)
+            delegated.update(calls)
+        return delegated
 
     def _late_shards(self, expected: list[float], time_left: float) -> frozenset[int]:
         """Returns the positions of the shards whose calls are limited to the time left."""
@@ -108,19 +131,47 @@
         if result.end is CallEnd.REPLY and reply is not None and reply.reply is not None:
             if call in self._limited:
                 self._limited.remove(call)
-            self._add_part(call.service, reply.seal or b"", reply.reply.body)
+            self._add_parts([call], [reply.seal or b""], reply.reply.body)
         elif call not in self._limited:
             self._last_reason = result.reason or Reason.FAILED
             self._lacking[call.service] = self._last_reason.value
         self._answer_if_ready()
 
-    def _add_part(self, service: ServiceName, seal: bytes, body: bytes) -> None:
-        """Keeps a part, unless another shard's reply bears the same seal."""
-        if seal in self._seals:
-            self._lacking[service] = "repeated_seal"
+    def _on_parts(self, calls: list[ServiceCall], seals: list[bytes], body: bytes) -> None:
+        """Takes the merged parts of another node."""
+        if self._on_done is None:
+            return
+        for call in calls:
+            call.stop()
+        self._add_parts(calls, seals, body)
+        self._answer_if_ready()
+
+    def _on_no_parts(self, calls: list[ServiceCall], asked: bool) -> None:
+        """Asks shards directly whose parts another node did not send, if there is time for it."""
+        if self._on_done is None:
+            return
+        now = self._ctx.clock.now()
+        for call in calls:
+            upstream, expected = self._ctx.directory.choose_timed(
+                call.service, self._route, [], now
+            )
+            if not asked:
+                call.take_back()
+                call.start_at(upstream, None)
+            elif now + expected < self._due:
+                call.resume(self._on_call)
+            else:
+                call.stop()
+                self._limited.append(call)
+        self._answer_if_ready()
+
+    def _add_parts(self, calls: list[ServiceCall], seals: list[bytes], body: bytes) -> None:
+        """Keeps parts that came together, unless a seal among them was there before."""
+        if len({*self._seals, *seals}) < len(self._seals) + len(seals):
+            self._lacking.update((call.service, "repeated_seal") for call in calls)
             return
-        self._seals.add(seal)
-        self._parts.append((seal, body))
+        self._seals.extend(seals)
+        self._bodies.append(body)
 
     def _answer_if_ready(self) -> None:
         """Answers when all shards have ended, or enough when the answer is due."""
@@ -130,11 +181,11 @@
             return
         ended = all(call.done for call in self._calls)
         overdue = self._ctx.clock.now() >= self._due
-        if len(self._parts) >= self._least and (ended or overdue):
+        if len(self._seals) >= self._least and (ended or overdue):
             self._answer()
             return
         unlimited = sum(not call.done and call not in self._limited for call in self._calls)
-        if len(self._parts) + unlimited < self._least:
+        if len(self._seals) + unlimited < self._least:
             self._resume_limited()
 
     def _on_due(self) -> None:
@@ -150,13 +201,12 @@
 
     def _answer(self) -> None:
         """Sends the merged answer."""
-        missing = len(self._plan.shards) - len(self._parts)
+        missing = len(self._plan.shards) - len(self._seals)
         if missing:
             self._ctx.tally.parts_lacking += missing
             self._log_lacking()
-        body = merge_greatest([body for _, body in self._parts], self._plan.top_k)
-        seals = [seal for seal, _ in self._parts]
-        self._finish(self._ctx.contract.merged_answer(seals, missing, body), None)
+        body = merge_greatest(self._bodies, self._plan.top_k)
+        self._finish(self._ctx.contract.merged_answer(self._seals, missing, body), None)
 
     def _give_up(self) -> None:
         """Sends the final answer at once, as too many shards have failed."""
@@ -173,7 +223,7 @@
         lacking = {call.service: call.describe_wait() for call in self._calls if not call.done}
         lacking.update({call.service: "expected_late" for call in self._limited if call.done})
         lacking.update(self._lacking)
-        self._ctx.log.log(ANSWER_PARTIAL, id=self._req.id, parts=len(self._parts), lacking=lacking)
+        self._ctx.log.log(ANSWER_PARTIAL, id=self._req.id, parts=len(self._seals), lacking=lacking)
 
     def _finish(self, answer: Answer, reason: Reason | None) -> None:
         """Reports the answer and gives up what is in flight."""
--- a/src/sequoiapulley/forward/latency_model.py
+++ b/src/sequoiapulley/forward/latency_model.py
@@ -13,6 +13,8 @@
 """Typical work of a route without samples, as a share of its goal."""
 WAY_RISE_PER_S: Final = 0.02
 """Rise of the shortest time seen to a place, relative, for each second without a shorter one."""
+WAY_WEIGHT: Final = 0.1
+"""Weight of a longer round trip without work, which may have queued on its way."""
 HEDGE_WORK_RATIO: Final = 2.0
 """Multiple of the typical work after which a reply counts as overdue; about the 95th percentile
 of work that is spread by a third."""
@@ -71,6 +73,18 @@
         slower = latency - self.way(place) > typical
         self._work[route] = typical * (1 + WORK_STEP if slower else 1 - WORK_STEP)
 
+    def record_way(self, place: PlaceName, latency: float, now: float) -> None:
+        """Learns from a round trip without the work at its end.
+
+        Args:
+            place: The place.
+            latency: Time of the round trip in seconds.
+            now: Clock reading in seconds.
+        """
+        way = self.way(place)
+        weight = 1.0 if latency < way else WAY_WEIGHT
+        self._ways[place] = (way + weight * (latency - way), now)
+
     def overdue_after(self, route: str, goal: float, place: PlaceName) -> float:
         """Returns the time after which a reply from a place is overdue, in seconds."""
         return self.way(place) + HEDGE_WORK_RATIO * self.work(route, goal) + HEDGE_MARGIN_S
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -40,6 +40,35 @@
     Severity.INFO,
     "A caller closed its connection before its answer; the tries in flight were given up.",
 )
+PARTS_LACKING: Final = define_event(
+    2506,
+    "parts_lacking",
+    Severity.WARNING,
+    "A node of another region got a reply that lacks parts it asked for. `lacking` names each "
+    "shard with its reason, as in SP2502.",
+    "Follow the id's SP2504 lines of this node to the upstreams; see docs/OPERATIONS.md.",
+)
+AGGREGATOR_FAILED: Final = define_event(
+    2507,
+    "aggregator_failed",
+    Severity.WARNING,
+    "A node of another region did not send the parts that it was asked for. Its shards are asked "
+    "directly, and the node is not asked for `pause_s`.",
+    "Check the node and the way to it.",
+)
+AGGREGATOR_REGAINED: Final = define_event(
+    2508,
+    "aggregator_regained",
+    Severity.INFO,
+    "A node of another region that had failed merges parts again.",
+)
+PARTS_UNREADABLE: Final = define_event(
+    2509,
+    "parts_unreadable",
+    Severity.WARNING,
+    "A node asked for parts in a form that cannot be read; it was told so and asks directly.",
+    "Check for nodes of another version.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     2510,
     "configuration_applied",
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -42,6 +42,13 @@
     "`denied` tells that a service needs more repeats than the operators allow.",
     ("verdict",),
 )
+PARTS_REQUESTS: Final = define_metric(
+    "sequoiapulley_parts_requests_total",
+    MetricKind.COUNTER,
+    "Requests to nodes of other regions for merged parts, by outcome: whole, partial or failed.",
+    "`failed` names nodes out of reach: see SP2507. `partial` follows slow shards: see SP2506.",
+    ("outcome",),
+)
 UPSTREAMS: Final = define_metric(
     "sequoiapulley_upstreams",
     MetricKind.GAUGE,
--- /dev/null
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -0,0 +1,117 @@
+"""Asks shards for another node, and merges the parts that come in time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sequoiapulley.forward.aggregators import PartsReply, PartsRequest
+from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.log_events import PARTS_LACKING
+from sequoiapulley.forward.messages import CallerRequest
+from sequoiapulley.forward.record_merge import merge_greatest
+from sequoiapulley.forward.route_table import GatherPlan, Route
+from sequoiapulley.forward.service_call import CallEnd, CallResult, ServiceCall
+from sequoiapulley.ids import ServiceName
+
+
+class PartCollector:
+    """One node's request for the parts of some shards."""
+
+    def __init__(
+        self, ctx: ForwardContext, request: PartsRequest, on_done: Callable[[PartsReply], None]
+    ) -> None:
+        """Initialise without parts.
+
+        Args:
+            ctx: Collaborators.
+            request: What the other node asks for.
+            on_done: Receives the reply, once.
+        """
+        self._ctx = ctx
+        self._request = request
+        self._on_done: Callable[[PartsReply], None] | None = on_done
+        self._bodies: list[bytes] = []
+        self._seals: dict[int, bytes] = {}
+        self._failures: dict[ServiceName, str] = {}
+        now = ctx.clock.now()
+        req = _caller_request(request, now)
+        route = _route(request)
+        deadline = now + request.time_left
+        self._calls: list[ServiceCall] = []
+        for task in request.tasks:
+            call = ServiceCall(ctx, req, route, task.service, deadline, self._on_call)
+            call.allow(frozenset(task.upstreams))
+            self._calls.append(call)
+        self._began = now
+        self._timer = ctx.timers.call_at(now + request.due_in, self._finish)
+
+    def start(self) -> None:
+        """Asks every shard."""
+        for call in self._calls:
+            call.start()
+
+    def stop(self) -> None:
+        """Gives the request up, as the other node no longer waits."""
+        self._on_done = None
+        self._timer.cancel()
+        for call in self._calls:
+            if not call.done:
+                call.stop()
+
+    def _on_call(self, call: ServiceCall, result: CallResult) -> None:
+        """Takes the result of one shard."""
+        if self._on_done is None:
+            return
+        reply = result.reply
+        if result.end is CallEnd.REPLY and reply is not None and reply.reply is not None:
+            self._seals[self._calls.index(call)] = reply.seal or b""
+            self._bodies.append(reply.reply.body)
+        else:
+            self._failures[call.service] = result.reason.value if result.reason else "failed"
+        if all(call.done for call in self._calls):
+            self._finish()
+
+    def _finish(self) -> None:
+        """Replies with the parts that are there."""
+        on_done = self._on_done
+        if on_done is None:
+            return
+        if len(self._seals) < len(self._calls):
+            lacking = {call.service: call.describe_wait() for call in self._calls if not call.done}
+            lacking.update(self._failures)
+            self._ctx.log.log(
+                PARTS_LACKING, id=self._request.id, parts=len(self._seals), lacking=lacking
+            )
+        self.stop()
+        body = merge_greatest(self._bodies, self._request.top_k)
+        on_done(PartsReply(self._seals, body, self._ctx.clock.now() - self._began))
+
+
+def _caller_request(request: PartsRequest, now: float) -> CallerRequest:
+    """Returns the caller's request that the other node passes on."""
+    return CallerRequest(
+        id=request.id,
+        method=request.method,
+        target=request.target,
+        host=request.host,
+        headers=request.headers,
+        body=request.body,
+        time_left=request.time_left,
+        arrived=now,
+    )
+
+
+def _route(request: PartsRequest) -> Route:
+    """Returns as much of the route as the calls need."""
+    shards = tuple(task.service for task in request.tasks)
+    return Route(
+        name=request.route,
+        host=request.host,
+        prefix="/",
+        idempotent=True,
+        timeout=request.time_left,
+        goal=request.goal,
+        priority=0,
+        max_upstreams=request.max_upstreams,
+        gather=GatherPlan(shards, request.top_k, 0.0),
+    )
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -139,7 +139,9 @@
     @property
     def may_have_run(self) -> bool:
         """Whether an upstream may have run the request or may still do so."""
-        return self._may_have_run or any(not item.ended for item in self._tries)
+        if self._may_have_run or self.delegate is not None:
+            return True
+        return any(not item.ended for item in self._tries)
 
     def describe_wait(self) -> str:
         """Returns which upstreams have not replied, and for how long, for the log."""
@@ -193,8 +195,11 @@
         """
         self.delegate = node
         self.allow(upstreams)
-        self._has_arrived = True
-        self._may_have_run = True
+
+    def take_back(self) -> None:
+        """Ends the delegation to a node that was not reached."""
+        self.delegate = None
+        self._tried.allowed = None
 
     def resume(self, on_done: Callable[[ServiceCall, CallResult], None]) -> None:
         """Goes on without a limit and without another node, as the reply is needed after all.
@@ -202,6 +207,9 @@
         Args:
             on_done: Receives the result, once, later.
         """
+        if self.delegate is not None:
+            self._has_arrived = True
+            self._may_have_run = True
         self._limit = None
         self._on_done = on_done
         self._ctx.timers.call_later(0.0, self._go_on)
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -143,13 +143,17 @@
         for upstream in self._by_service.get(service, ()):
             if not upstream.takes_requests or upstream in excluded:
                 continue
-            way = self._model.way(upstream.record.place)
-            time = upstream.expected_time(way, work, now)
+            time = upstream.expected_time(self._model.way(upstream.record.place), work, now)
             if time < least:
                 best = upstream
                 least = time
         return best, least
 
+    def expected_time(self, upstream: Upstream, route: Route, now: float) -> float:
+        """Returns the time in which an upstream is expected to reply, in seconds."""
+        way = self._model.way(upstream.record.place)
+        return upstream.expected_time(way, self._model.work(route.name, route.goal), now)
+
     def sweep(self, now: float) -> None:
         """Closes what is idle for too long."""
         for upstream in self._upstreams.values():
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -154,6 +154,22 @@
         if self._sweep_timer is None:
             self._sweep_timer = self._timers.call_later(SWEEP_S, self._sweep)
 
+    def prepare(self, host: str, port: int) -> bool:
+        """Opens a connection ahead unless one is idle or being opened.
+
+        Returns:
+            Whether a request would leave at once.
+        """
+        server = self._servers.setdefault((host, port), _Server())
+        conn = self._take_idle(server)
+        if conn is not None:
+            server.idle.append(conn)
+            return True
+        opening = any(conn.state is ConnectionState.CONNECTING for conn in server.open)
+        if not opening and len(server.open) < CONNECTIONS_PER_SERVER:
+            self._connect(server, host, port)
+        return False
+
     def connections(self) -> int:
         """Returns the number of connections that are not closed."""
         return sum(len(server.open) for server in self._servers.values())
@@ -249,6 +265,8 @@
         try:
             conn = HttpConnection(self._reactor, host, port, self, self._bounds)
         except OSError as exc:
+            if not server.waiting:
+                return
             exchange = server.waiting.popleft()
             failure = HttpFailure(HttpFailureKind.CONNECT, False, f"{host}:{port}: {exc}")
             self._timers.call_later(0.0, lambda: exchange.finish(Err(failure)))
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -61,6 +61,17 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    def test_connection_that_was_opened_ahead_is_used(self) -> None:
+        host, port = "127.0.0.1", self.server.port
+        self.assertFalse(self.client.prepare(host, port))
+        self.assertFalse(self.client.prepare(host, port))
+        self.loop.settle()
+        self.assertTrue(self.client.prepare(host, port))
+        self.call()
+        self.loop.settle()
+        self.assertEqual((self.server.accept_all(), self.client.connections()), (1, 1))
+        self.assertFalse(self.client.prepare(host, port))
+
     def test_calls_beyond_the_bound_wait(self) -> None:
         for _ in range(CONNECTIONS_PER_SERVER + 3):
             self.call()
--- /dev/null
+++ b/tests/test_remote_parts.py
@@ -0,0 +1,273 @@
+"""Tests of gathers whose far shards are asked by a node beside them.
+
+Shards with a number from 4 on have upstreams in the other region only, ten shards in all.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from unittest import TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from sequoiapulley.forward.aggregators import (
+    FIRST_PAUSE_S,
+    Aggregators,
+    PartsFailure,
+    PartsReply,
+    PartsRequest,
+    PartsResult,
+    cover_regions,
+)
+from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
+from sequoiapulley.forward.part_collector import PartCollector
+from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.ids import Incarnation, NodeId, PlaceName, RegionName, ServiceName
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+from tests.simulated_upstreams import (
+    FAR,
+    FAR_WAY_S,
+    GOAL_S,
+    HERE,
+    SimulatedNet,
+    SimulatedUpstream,
+    ended,
+    gather_route,
+    success,
+)
+
+NEAR_REGION = RegionName("near")
+FAR_REGION = RegionName("far")
+REGIONS = {HERE: NEAR_REGION, FAR: FAR_REGION}
+SHARDS = tuple(ServiceName(f"shard-{number}") for number in range(10))
+FAR_SHARDS = SHARDS[4:]
+LEAST_SHARE = 0.8
+
+
+class Mood(Enum):
+    """What the node beside the far shards does with a request."""
+
+    WELL = "well"
+    SILENT = "silent"
+    REFUSING = "refusing"
+    RESETTING = "resetting"
+
+
+class FakeNodes:
+    """Implements `PartsClient`: a node beside the far shards, 8 ms away."""
+
+    def __init__(self, timers: TimerQueue, collect: Callable[..., None]) -> None:
+        self.timers = timers
+        self.collect = collect
+        self.mood = Mood.WELL
+        self.connected = True
+        self.requests: list[PartsRequest] = []
+
+    def is_connected(self, node: NodeRecord) -> bool:
+        return self.connected
+
+    def ask(
+        self,
+        node: NodeRecord,
+        request: PartsRequest,
+        timeout: float,
+        done: Callable[[PartsResult], None],
+    ) -> None:
+        self.requests.append(request)
+        outcomes: list[PartsResult] = []
+
+        def finish(result: PartsResult) -> None:
+            if not outcomes:
+                outcomes.append(result)
+                done(result)
+
+        lost = Err(PartsFailure(True, "no reply in time"))
+        self.timers.call_later(timeout, lambda: finish(lost))
+        if self.mood is Mood.REFUSING:
+            refused = Err(PartsFailure(False, "connection refused"))
+            self.timers.call_later(0.001, lambda: finish(refused))
+        elif self.mood is Mood.RESETTING:
+            self.timers.call_later(FAR_WAY_S / 2, lambda: finish(lost))
+        elif self.mood is Mood.WELL:
+            self.timers.call_later(FAR_WAY_S / 2, lambda: self.collect(request, finish))
+
+
+class RemotePartsTest(TestCase):
+    """A node that serves callers and one beside the far shards, on one clock."""
+
+    def setUp(self) -> None:
+        self.slow: dict[str, float] = {}
+        self.refusing: set[str] = set()
+        self.timers = TimerQueue(PausedClock())
+        self.log = MemoryLog()
+        self.nodes = FakeNodes(self.timers, self.collect)
+        record = NodeRecord(
+            NodeId("far-node"), Incarnation(1), FAR, FAR_REGION, "127.0.0.1", 1, 2, 3
+        )
+        aggregators = Aggregators(
+            NEAR_REGION, REGIONS, lambda: [record], self.nodes, self.timers.clock, self.log
+        )
+        self.net = SimulatedNet(self.behave, timers=self.timers, aggregators=aggregators)
+        self.far_net = SimulatedNet(self.behave, home=FAR, timers=self.timers)
+        for net in (self.net, self.far_net):
+            for shard in SHARDS:
+                for copy in ("a", "b"):
+                    place = FAR if shard in FAR_SHARDS else HERE
+                    net.add(f"{shard}-{copy}", shard, PlaceName(place))
+        self.net.apply(gather_route(SHARDS, LEAST_SHARE))
+
+    def behave(
+        self, pool: SimulatedUpstream, exchange: Exchange, _now: float
+    ) -> tuple[float, ExchangeReply]:
+        if pool.record.service in self.refusing:
+            return 0.001, ended(ExchangeEnd.NOT_RUN)
+        seal = f"{pool.record.service}/{exchange.req.id}".encode()
+        return self.slow.get(str(pool.record.service), 0.005), success(seal.ljust(16)[:16], seal)
+
+    def collect(self, request: PartsRequest, finish: Callable[[PartsResult], None]) -> None:
+        """Serves a request at the far node, and takes the reply back to the near one."""
+
+        def on_done(reply: PartsReply) -> None:
+            self.timers.call_later(FAR_WAY_S / 2, lambda: finish(Ok(reply)))
+
+        PartCollector(self.far_net.ctx, request, on_done).start()
+
+    def ask(self, seconds: float = 0.2) -> tuple[float, Answer]:
+        """Returns the time to the answer of one request, and the answer."""
+        answers = self.net.ask()
+        self.net.run(seconds)
+        self.assertEqual(len(answers), 1)
+        return answers[0]
+
+    def direct_sends(self) -> int:
+        """Returns the sends of the near node to far upstreams."""
+        pools = self.net.pools.values()
+        return sum(len(pool.arrivals) for pool in pools if pool.record.place == FAR)
+
+    def test_far_shards_are_asked_with_one_request(self) -> None:
+        time, answer = self.ask()
+        headers = dict(answer.headers)
+        self.assertEqual(headers[b"missing"], b"0")
+        self.assertEqual(len(set(headers[b"seals"].split(b","))), len(SHARDS))
+        self.assertEqual([task.service for task in self.nodes.requests[0].tasks], [*FAR_SHARDS])
+        self.assertEqual((len(self.nodes.requests), self.direct_sends()), (1, 0))
+        self.assertLess(time, FAR_WAY_S + 0.01)
+
+    def test_merged_body_is_the_same_as_from_direct_calls(self) -> None:
+        _, merged = self.ask()
+        self.nodes.connected = False
+        self.net._next = 0
+        _, direct = self.ask()
+        self.assertEqual(merged.body, direct.body)
+        self.assertGreater(self.direct_sends(), 0)
+
+    def test_slow_far_shard_is_lacking_and_then_asked_directly(self) -> None:
+        self.slow["shard-7"] = 0.5
+        time, answer = self.ask()
+        self.assertEqual(dict(answer.headers)[b"missing"], b"1")
+        self.assertLess(time, GOAL_S)
+        self.ask()
+        self.assertNotIn("shard-7", [task.service for task in self.nodes.requests[1].tasks])
+        self.assertGreater(self.direct_sends(), 0)
+
+    def test_silent_node_costs_one_late_answer(self) -> None:
+        self.nodes.mood = Mood.SILENT
+        time, answer = self.ask(0.5)
+        self.assertEqual(answer.status, 200)
+        self.assertGreater(time, GOAL_S)
+        for _ in range(5):
+            time, answer = self.ask()
+            self.assertLess(time, 0.05)
+            self.assertEqual(dict(answer.headers)[b"missing"], b"0")
+        self.assertEqual(len(self.nodes.requests), 1)
+
+    def test_node_is_asked_again_after_a_pause(self) -> None:
+        self.nodes.mood = Mood.SILENT
+        self.ask(0.5)
+        self.nodes.mood = Mood.WELL
+        self.net.run(FIRST_PAUSE_S)
+        self.ask()
+        self.ask()
+        self.assertEqual(len(self.nodes.requests), 3)
+
+    def test_node_that_was_not_reached_is_no_repeat(self) -> None:
+        self.nodes.mood = Mood.REFUSING
+        self.net.quota.slack_share = 0.0
+        time, answer = self.ask()
+        self.assertLess(time, 0.05)
+        self.assertEqual(dict(answer.headers)[b"missing"], b"0")
+
+    def test_lost_reply_is_repeated_within_the_quota(self) -> None:
+        self.nodes.mood = Mood.RESETTING
+        time, answer = self.ask()
+        self.assertLess(time, 0.06)
+        self.assertEqual(dict(answer.headers)[b"missing"], b"0")
+        self.assertEqual(self.net.ctx.tally.repeats["allowed"], len(FAR_SHARDS))
+
+    def test_refusal_after_a_lost_reply_does_not_promise_that_nothing_ran(self) -> None:
+        self.nodes.mood = Mood.RESETTING
+        self.net.quota.slack_share = 0.0
+        _, answer = self.ask()
+        self.assertEqual(answer.status, 502)
+
+    def test_refusal_while_a_node_asks_does_not_promise_that_nothing_ran(self) -> None:
+        self.nodes.mood = Mood.SILENT
+        self.refusing = set(SHARDS[:3])
+        time, answer = self.ask()
+        self.assertEqual(answer.status, 502)
+        self.assertLess(time, GOAL_S)
+
+    def test_both_nodes_ask_the_same_upstreams(self) -> None:
+        for shard in FAR_SHARDS:
+            self.net.add(f"{shard}-c", shard, FAR)
+            self.far_net.add(f"{shard}-c", shard, FAR)
+        self.nodes.mood = Mood.RESETTING
+        self.ask()
+        allowed = {name for task in self.nodes.requests[0].tasks for name in task.upstreams}
+        self.assertEqual(len(allowed), 2 * len(FAR_SHARDS))
+        used = {
+            name
+            for name, pool in self.net.pools.items()
+            if pool.arrivals and pool.record.place == FAR
+        }
+        self.assertLessEqual(used, allowed)
+
+    def test_collector_stops_when_the_other_node_leaves(self) -> None:
+        self.slow["shard-7"] = 0.5
+        self.net.ask()
+        self.net.run(0.01)
+        replies: list[PartsReply] = []
+        collector = PartCollector(self.far_net.ctx, self.nodes.requests[0], replies.append)
+        collector.start()
+        collector.stop()
+        self.net.run(0.6)
+        self.assertEqual(replies, [])
+        self.assertFalse(any(pool.running for pool in self.far_net.pools.values()))
+
+
+positions = st.dictionaries(
+    st.integers(0, 20), st.sets(st.sampled_from(["r1", "r2", "r3"]).map(RegionName)), max_size=20
+)
+
+
+class CoverRegionsTest(TestCase):
+    """Each shard in at most one region, all that can be covered, few regions."""
+
+    @given(positions)
+    def test_covers_each_shard_once(self, regions_of: dict[int, set[RegionName]]) -> None:
+        groups = cover_regions(regions_of)
+        covered = [position for group in groups.values() for position in group]
+        self.assertEqual(len(covered), len(set(covered)))
+        self.assertEqual(set(covered), {n for n, regions in regions_of.items() if regions})
+        for region, group in groups.items():
+            self.assertTrue(all(region in regions_of[position] for position in group))
+
+    def test_prefers_one_region_for_all(self) -> None:
+        first, second, third = (RegionName(name) for name in ("r1", "r2", "r3"))
+        groups = cover_regions({0: [first, second], 1: [second, third], 2: [second]})
+        self.assertEqual(groups, {second: [0, 1, 2]})
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -56,7 +56,6 @@
         "if self._extra or self._headers or self._body:",
         ("test_upstream_pool",),
     ),
-    Break(2, "forward/gather.py", "if seal in self._seals:", "if False:", ("test_gather",)),
     Break(
         2,
         "forward/gather.py",
@@ -117,4 +116,32 @@
         "if False:",
         ("test_peers",),
     ),
+    Break(
+        4,
+        "forward/service_call.py",
+        "if self._may_have_run or self.delegate is not None:",
+        "if self._may_have_run:",
+        ("test_remote_parts",),
+    ),
+    Break(
+        2,
+        "forward/gather.py",
+        "if len({*self._seals, *seals}) < len(self._seals) + len(seals):",
+        "if False:",
+        ("test_gather",),
+    ),
+    Break(
+        2,
+        "forward/late_shards.py",
+        "for _, position in ranked[:spare]",
+        "for _, position in ranked",
+        ("test_late_shards",),
+    ),
+    Break(
+        6,
+        "forward/remote_parts.py",
+        "for upstream in best[: route.max_upstreams]",
+        "for upstream in best",
+        ("test_remote_parts",),
+    ),
 )
