Log every answer, hedge, limited shard, silent upstream and duty

Cause: only one in twenty answers had a line, so that a user's complaint about a slow answer led nowhere; a hedge that was not sent left no trace, nor did a node that began or ceased to serve callers or to read the store. Ruled out: sampling by latency; the bound of 40 lines a second for each event holds the volume already.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -24,6 +24,7 @@
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.log_events import (
+    DUTIES_CHANGED,
     NODE_LEAVING,
     NODE_STARTED,
     NODE_STOPPED,
@@ -45,7 +46,7 @@
     PeerTable,
 )
 from sequoiapulley.forward.retry_quota import RetryQuota
-from sequoiapulley.forward.roles import ENTRIES_PER_PLACE, slack_share
+from sequoiapulley.forward.roles import ENTRIES_PER_PLACE, reader_of, slack_share
 from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.shared_state import SharedState
 from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
@@ -129,6 +130,7 @@
         self._state = NodeState.STARTING
         self._running = True
         self._leave_at = 0.0
+        self._duties = (False, False)
         self._started_at = self._clock.now()
         self._metrics: ForwardMetrics | None = None
         self._me = NodeRecord(
@@ -264,7 +266,7 @@
         """Divides what all nodes share: repeats, and connections to upstreams."""
         places = max(1, len(self._cfg.regions))
         nodes = 1 + len(self._peers.registered())
-        is_entry = self._entries.names_me()
+        is_entry = self._note_duties()
         if is_entry:
             self._aggregators.keep_connected()
         self._quota.slack_share = slack_share(is_entry, places, nodes)
@@ -273,6 +275,16 @@
             users = min(nodes, (ENTRIES_PER_PLACE + STANDBY_NODES) * places)
             self._directory.configure(table.services, users)
 
+    def _note_duties(self) -> bool:
+        """Logs a change of this node's duties; returns whether callers are sent to it."""
+        live = self._peers.live_near()
+        entry = self._entries.names_me()
+        reader = reader_of(live, self._cfg.place) is self._me
+        if (entry, reader) != self._duties:
+            self._duties = (entry, reader)
+            self._log.log(DUTIES_CHANGED, entry=entry, reader=reader, live=len(live))
+        return entry
+
     def _send_near_heartbeats(self) -> None:
         """Sends heartbeats within the place, again and again."""
         self._heartbeats.send(self._heartbeat(), self._peers.near_targets())
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -21,8 +21,6 @@
 START_HOLD_S: Final = 0.3
 """Time for which a node that has just started keeps requests until it has read its state, which
 takes some ten milliseconds while the store is well."""
-LOGGED_SUCCESSES: Final = 20
-"""One in so many ordinary answers is logged."""
 FIRST_FAILURE_STATUS: Final = 500
 
 
@@ -121,7 +119,6 @@
         self._shares = SplitShares()
         self._usual_waits: dict[str, UsualWait] = {}
         self._held: list[Job] = []
-        self._successes = 0
         self.in_flight = 0
 
     @property
@@ -186,9 +183,8 @@
         if reason is not None or answer.status >= FIRST_FAILURE_STATUS:
             self._ctx.log.log(REQUEST_GIVEN_UP, reason=outcome, **fields)
             return
-        self._successes += 1
-        if self._successes % LOGGED_SUCCESSES == 0:
-            self._ctx.log.log(REQUEST_ANSWERED, **fields)
+        goal_ms = round(job.route.goal * 1000) if job.route is not None else 0
+        self._ctx.log.log(REQUEST_ANSWERED, goal_ms=goal_ms, **fields)
 
     def note_left(self, job: Job) -> None:
         """Counts and logs a caller that left."""
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from math import ceil
+from math import ceil, isfinite
 from typing import Final
 
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.late_shards import expected_late
-from sequoiapulley.forward.log_events import ANSWER_PARTIAL
+from sequoiapulley.forward.log_events import ANSWER_PARTIAL, SHARDS_LIMITED
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
 from sequoiapulley.forward.refusal import Reason, own_answer
@@ -83,6 +83,8 @@
         ]
         late = self._late_shards([expected for _, expected in choices], self._due - now)
         self._limited = [call for number, call in enumerate(self._calls) if number in late]
+        if self._limited:
+            self._log_limited([choices[number][1] for number in sorted(late)], now)
         first = {call: choice[0] for call, choice in zip(self._calls, choices, strict=True)}
         delegated = self._delegate(first, now)
         for call, upstream in first.items():
@@ -225,6 +227,17 @@
         lacking.update(self._lacking)
         self._ctx.log.log(ANSWER_PARTIAL, id=self._req.id, parts=len(self._seals), lacking=lacking)
 
+    def _log_limited(self, expected: list[float], now: float) -> None:
+        """Logs the shards whose calls are limited."""
+        expected_ms = {
+            call.service: round(time * 1000) if isfinite(time) else "no upstream"
+            for call, time in zip(self._limited, expected, strict=True)
+        }
+        time_left_ms = round((self._due - now) * 1000)
+        self._ctx.log.log(
+            SHARDS_LIMITED, id=self._req.id, expected_ms=expected_ms, time_left_ms=time_left_ms
+        )
+
     def _finish(self, answer: Answer, reason: Reason | None) -> None:
         """Reports the answer and gives up what is in flight."""
         on_done = self._on_done
--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -6,7 +6,7 @@
 
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
-from sequoiapulley.forward.log_events import UPSTREAM_LEAVES
+from sequoiapulley.forward.log_events import UPSTREAM_ANSWERS, UPSTREAM_LEAVES, UPSTREAM_SILENT
 from sequoiapulley.forward.messages import ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.upstream import Upstream
@@ -39,6 +39,7 @@
         upstream.note_silence(now)
     else:
         upstream.note_heard()
+    _log_silence(ctx, upstream, now)
     if reply.end is ExchangeEnd.WRONG_UPSTREAM and not upstream.displaced:
         upstream.displaced = True
         name = upstream.record.name
@@ -66,11 +67,27 @@
     """
     now = ctx.clock.now()
     upstream.note_silence(now)
+    _log_silence(ctx, upstream, now)
     if exchange.conn is None:
         return
     upstream.record_latency(_work_ratio(ctx, route, upstream, now - exchange.sent_at), now)
 
 
+def _log_silence(ctx: ForwardContext, upstream: Upstream, now: float) -> None:
+    """Logs an upstream that has become silent or answers again."""
+    silent = upstream.take_silence_change(now)
+    if silent is None:
+        return
+    record = upstream.record
+    if silent:
+        silent_ms = round(upstream.silence(now) * 1000)
+        ctx.log.log(
+            UPSTREAM_SILENT, upstream=record.name, service=record.service, silent_ms=silent_ms
+        )
+        return
+    ctx.log.log(UPSTREAM_ANSWERS, upstream=record.name, service=record.service)
+
+
 def _work_ratio(ctx: ForwardContext, route: Route, upstream: Upstream, latency: float) -> float:
     """Returns the time of the work in a latency, relative to what is typical of the route."""
     way = ctx.model.way(upstream.record.place)
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -10,7 +10,7 @@
     2501,
     "request_answered",
     Severity.INFO,
-    "A request got an upstream's answer or a complete merged one. One in twenty is logged.",
+    "A request got an upstream's answer or a merged one; `goal_ms` is the route's goal.",
 )
 ANSWER_PARTIAL: Final = define_event(
     2502,
@@ -69,6 +69,33 @@
     "A node asked for parts in a form that cannot be read; it was told so and asks directly.",
     "Check for nodes of another version.",
 )
+TRY_OVERDUE: Final = define_event(
+    2515,
+    "try_overdue",
+    Severity.INFO,
+    "A reply took longer than `usual_ms`. `outcome` tells what was done: `hedged` at the upstream "
+    "`other`, `no_upstream` that has not had the request, `quota` of repeats used up, `limited` or "
+    "`not_idempotent`.",
+    "Look at the upstream if it repeats.",
+)
+SHARDS_LIMITED: Final = define_event(
+    2516,
+    "shards_limited",
+    Severity.INFO,
+    "Shards were expected later than the answer is due, in `time_left_ms`, and the answer may lack "
+    "them: each got one send that ends then. `expected_ms` names them.",
+    "Find out why their upstreams are slow or silent.",
+)
+UPSTREAM_SILENT: Final = define_event(
+    2517,
+    "upstream_silent",
+    Severity.WARNING,
+    "An upstream has answered nothing for `silent_ms`, or cannot be reached; others are preferred.",
+    "Check the upstream and the way to it.",
+)
+UPSTREAM_ANSWERS: Final = define_event(
+    2518, "upstream_answers", Severity.INFO, "An upstream that was silent answers again."
+)
 CONFIGURATION_APPLIED: Final = define_event(
     2510,
     "configuration_applied",
@@ -159,6 +186,13 @@
 NODE_STOPPED: Final = define_event(
     2542, "forward_node_stopped", Severity.INFO, "The node ends; no request is in flight."
 )
+DUTIES_CHANGED: Final = define_event(
+    2545,
+    "duties_changed",
+    Severity.INFO,
+    "This node began or ceased to serve its place's callers (`entry`) or to read the store for the "
+    "place (`reader`), as `live` nodes of the place are alive.",
+)
 SETTINGS_RELOADED: Final = define_event(
     2543, "settings_reloaded", Severity.INFO, "The settings file was read again."
 )
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -11,7 +11,7 @@
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.learning import learn_from_end, learn_from_wait
-from sequoiapulley.forward.log_events import TRY_FAILED
+from sequoiapulley.forward.log_events import TRY_FAILED, TRY_OVERDUE
 from sequoiapulley.forward.messages import (
     NEVER_RAN,
     CallerRequest,
@@ -45,6 +45,17 @@
     """No upstream ran the request or will."""
 
 
+class HedgeOutcome(Enum):
+    """What was done about a reply that is overdue."""
+
+    HEDGED = "hedged"
+    NO_UPSTREAM = "no_upstream"
+    """No other upstream may get the request or has room for it."""
+    QUOTA = "quota"
+    LIMITED = "limited"
+    NOT_IDEMPOTENT = "not_idempotent"
+
+
 class CallResult(Struct, frozen=True):
     """Result of the tries at one service."""
 
@@ -56,7 +67,7 @@
 class _Try:
     """One send to one upstream."""
 
-    __slots__ = ("counted", "ended", "exchange", "overdue", "overdue_timer", "upstream")
+    __slots__ = ("counted", "ended", "exchange", "overdue", "overdue_timer", "upstream", "usual")
 
     def __init__(self, upstream: Upstream, counted: bool) -> None:
         """Initialise a try.
@@ -70,6 +81,8 @@
         self.exchange: Exchange | None = None
         self.overdue_timer: TimerHandle | None = None
         self.overdue = False
+        self.usual = 0.0
+        """Time after which it is overdue, in seconds."""
         self.ended = False
 
 
@@ -241,8 +254,9 @@
             lambda reply: self._on_end(item, reply),
         )
         item.exchange = exchange
-        overdue = ctx.model.overdue_after(self._route.name, self._route.goal, upstream.record.place)
-        item.overdue_timer = ctx.timers.call_later(overdue, lambda: self._on_overdue(item))
+        route = self._route
+        item.usual = ctx.model.overdue_after(route.name, route.goal, upstream.record.place)
+        item.overdue_timer = ctx.timers.call_later(item.usual, lambda: self._on_overdue(item))
         upstream.note_sent(ctx.clock.now())
         upstream.pool.submit(exchange)
 
@@ -253,16 +267,32 @@
         if not item.overdue:
             item.overdue = True
             item.upstream.overdue += 1
-        if self.done or not self._route.idempotent:
+        if self.done:
             return
+        outcome, other = self._hedge(now)
+        self._ctx.log.log(
+            TRY_OVERDUE,
+            id=self._req.id,
+            service=self.service,
+            upstream=item.upstream.record.name,
+            usual_ms=round(item.usual * 1000),
+            outcome=outcome.value,
+            other=other.record.name if other is not None else "",
+        )
+
+    def _hedge(self, now: float) -> tuple[HedgeOutcome, Upstream | None]:
+        """Asks another upstream while one is overdue; returns what was done and where."""
+        if not self._route.idempotent:
+            return HedgeOutcome.NOT_IDEMPOTENT, None
         if self.limited:
-            return
+            return HedgeOutcome.LIMITED, None
         upstream = self._next_upstream(now, hedge=True)
         if upstream is None:
-            return
+            return HedgeOutcome.NO_UPSTREAM, None
         if not self._take_quota(now, hedge=True):
-            return
+            return HedgeOutcome.QUOTA, None
         self._send(upstream, True)
+        return HedgeOutcome.HEDGED, upstream
 
     def _on_end(self, item: _Try, reply: ExchangeReply) -> None:
         """Takes the end of one try: passes the reply on, or tries again."""
--- a/src/sequoiapulley/forward/upstream.py
+++ b/src/sequoiapulley/forward/upstream.py
@@ -46,6 +46,7 @@
         "_trouble",
         "_trouble_at",
         "_unanswered_since",
+        "_was_silent",
         "displaced",
         "leaving",
         "overdue",
@@ -76,6 +77,7 @@
         self._silence = 0.0
         self._silence_at = now
         self._unanswered_since: float | None = None
+        self._was_silent = False
         self._load: LoadReport | None = None
         self._load_at = now
         self._cold_until = now + record.cold_for
@@ -132,6 +134,18 @@
             return min(MOST_SILENCE_S, now - self._unanswered_since)
         return self._silence * 0.5 ** ((now - self._silence_at) / SILENCE_HALF_LIFE_S)
 
+    def take_silence_change(self, now: float) -> bool | None:
+        """Returns True if it has become silent since the last call, False if it answers again."""
+        silent = self._was_silent
+        if self.silence(now) >= MOST_SILENCE_S:
+            silent = True
+        elif self._unanswered_since is None:
+            silent = False
+        if silent is self._was_silent:
+            return None
+        self._was_silent = silent
+        return silent
+
     @property
     def takes_requests(self) -> bool:
         """Whether it may get new requests."""
--- a/tests/test_forward_node.py
+++ b/tests/test_forward_node.py
@@ -134,6 +134,9 @@
         with self.subTest("shards of another region, asked by the node beside them"):
             self.until(lambda: self.far_parts_are_merged(conn))
 
+        with self.subTest("duties are logged"):
+            self.assertIn(b'"name":"duties_changed","entry":true', first.log.read_bytes())
+
         with self.subTest("no route"):
             self.assertEqual(self._status(conn, "r3", "/none/"), 404)
 
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -17,8 +17,8 @@
     Break(
         5,
         "forward/service_call.py",
-        "if self.done or not self._route.idempotent:",
-        "if self.done:",
+        "if not self._route.idempotent:\n            return HedgeOutcome.NOT_IDEMPOTENT, None\n",
+        "",
         ("test_service_call",),
     ),
     Break(
