Take from each request's time left what its caller has spent on look-ups and connections

The time left tells it (1.000, 0.993, 0.986 or 0.979 s), but the node compared with the most common value in steps of 5 ms, which there is that of the callers who spent most. Now it compares with the longest value that a twentieth of the requests tell near the most common one.

--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -17,7 +17,8 @@
 from sequoiapulley.runtime import TimerHandle
 
 CALLER_WAY_S: Final = 0.012
-"""Time of a request and its answer between caller and node, opening the connection included."""
+"""Time of a request and its answer between caller and node: 3 ms each way by the users' sheets, and
+as much for both ends. Opening the connection shows in the time left."""
 START_HOLD_S: Final = 0.3
 """Time for which a node that has just started keeps requests until it has read its state, which
 takes some ten milliseconds while the store is well."""
@@ -217,10 +218,10 @@
         return Gather(self._ctx, req, route, route.gather, max(req.arrived, due), end, job.finish)
 
     def _time_used(self, req: CallerRequest, route: Route) -> float:
-        """Returns the time that earlier attempts of the caller have used, in seconds.
+        """Returns the time that the caller has used before, in seconds.
 
-        Callers tell the time that they have left; first attempts on a route mostly tell the same
-        value, so what a request lacks of it was used before.
+        Callers tell the time that they have left. What a request lacks of the usual longest time
+        was used for a look-up, a new connection or an earlier attempt.
         """
         if req.time_left is None:
             return 0.0
--- a/src/sequoiapulley/forward/usual_wait.py
+++ b/src/sequoiapulley/forward/usual_wait.py
@@ -1,34 +1,55 @@
-"""The deadline that most callers of a route begin with."""
+"""The time that callers of a route have at their first attempt, as most of them tell it."""
 
 from __future__ import annotations
 
 from collections import Counter
 from typing import Final
 
-STEP_S: Final = 0.005
-"""Deadlines closer than this count as equal, as callers round them."""
-MOST_VALUES: Final = 200
-"""Distinct deadlines that are counted before the counts begin anew."""
+MS_PER_S: Final = 1000.0
+LEAST_SHARE: Final = 0.05
+"""Share of the requests that must tell a time for it to count."""
+NEAR_MS: Final = 50
+"""Distance from the most common time within which a longer one is of the same callers: a look-up
+and a new connection take a few round trips."""
+MOST_COUNTED: Final = 400
+"""Requests after which all counts are halved, so that a change shows within some hundred."""
+REFRESH: Final = 20
+"""Requests between two searches for the longest time that counts."""
 
 
 class UsualWait:
-    """Finds the deadline that is told most often."""
+    """Finds the longest time left that a fair share of the ordinary callers tell.
+
+    Requests that tell less have spent the difference before: on a look-up, on a new connection, or
+    on an earlier attempt.
+    """
 
     def __init__(self) -> None:
         """Initialise without observations."""
         self._counts: Counter[int] = Counter()
-        self._usual = 0
+        self._total = 0
+        self._usual_ms = 0
 
     def observe(self, wait: float) -> float:
-        """Counts one request; returns the deadline told most often, in seconds.
+        """Counts one request; returns the longest time that counts, in seconds.
 
         Args:
             wait: Seconds that the caller has left.
         """
-        value = round(wait / STEP_S)
-        if len(self._counts) >= MOST_VALUES:
-            self._counts = Counter({self._usual: self._counts[self._usual]})
-        self._counts[value] += 1
-        if self._counts[value] >= self._counts[self._usual]:
-            self._usual = value
-        return self._usual * STEP_S
+        self._counts[round(wait * MS_PER_S)] += 1
+        self._total += 1
+        if self._total <= REFRESH or self._total % REFRESH == 0:
+            self._refresh()
+        return self._usual_ms / MS_PER_S
+
+    def _refresh(self) -> None:
+        """Searches the counts, and halves them when they are many."""
+        common = max(self._counts, key=lambda value: self._counts[value])
+        least = LEAST_SHARE * self._total
+        near = [value for value in self._counts if common <= value <= common + NEAR_MS]
+        self._usual_ms = max(value for value in near if self._counts[value] >= least)
+        if self._total < MOST_COUNTED:
+            return
+        halved = {value: count // 2 for value, count in self._counts.items() if count > 1}
+        self._counts = Counter(halved)
+        self._total = sum(halved.values())
