Merge parts beside the upstreams of other places, not only of other regions

Now a gather asks a node of each place that has a good upstream of its far shards, the nearest places first; the rule does not need to know regions.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -157,8 +157,7 @@
         self._peers = PeerTable(self._me, log)
         parts_client = HttpClient(self._reactor, self._clock, self._timers, LARGEST_REPLY)
         self._aggregators = Aggregators(
-            cfg.region,
-            cfg.regions,
+            cfg.place,
             self._peers.ready,
             HttpPartsClient(parts_client),
             self._clock,
@@ -355,7 +354,6 @@
         )
         self._quota.configure(cfg.quota)
         self._sources.seeds = cfg.seeds
-        self._aggregators.regions = cfg.regions
         self._entries.most_ttl = cfg.most_entry_ttl
         changed = [name for name in RELOADED if getattr(before, name) != getattr(cfg, name)]
         self._log.log(SETTINGS_RELOADED, changed=changed)
--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -1,7 +1,7 @@
-"""Nodes of other regions that ask the shards near them and merge the parts.
+"""Nodes of other places that ask the shards near them and merge the parts.
 
-A part from another region costs a whole exchange on a dear link. A node beside the shards asks
-several of them at once and sends back the greatest records only.
+A part from another place costs a whole exchange on a link that is dear, between regions above all. A
+node beside the shards asks several of them at once and sends back the greatest records only.
 """
 
 from __future__ import annotations
@@ -16,12 +16,12 @@
 from sequoiapulley.forward.messages import Headers
 from sequoiapulley.forward.roles import ranked
 from sequoiapulley.forward.state import NodeRecord
-from sequoiapulley.ids import NodeId, PlaceName, RegionName, RequestId, ServiceName, UpstreamName
+from sequoiapulley.ids import NodeId, PlaceName, RequestId, ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.runtime import Clock
 
-NODES_PER_REGION: Final = 2
-"""Nodes of a region that are asked: those that serve its callers, whose connections are warm."""
+NODES_PER_PLACE: Final = 2
+"""Nodes of a place that are asked: those that serve its callers, whose connections are warm."""
 FIRST_PAUSE_S: Final = 2.0
 """Time for which a node is not asked after it did not answer, about half of what heartbeats need to
 show that it is gone."""
@@ -123,8 +123,7 @@
 
     def __init__(
         self,
-        region: RegionName,
-        regions: dict[PlaceName, RegionName],
+        place: PlaceName,
         ready: Callable[[], list[NodeRecord]],
         client: PartsClient,
         clock: Clock,
@@ -133,16 +132,13 @@
         """Initialise without failures.
 
         Args:
-            region: Region of this node.
-            regions: Region of each place.
+            place: Place of this node.
             ready: Returns the peers that serve callers.
             client: Asks a node.
             clock: Source of time.
             log: Receives nodes that fail and answer again.
         """
-        self._region = region
-        self.regions = regions
-        """Region of each place."""
+        self._place = place
         self._ready = ready
         self._client = client
         self._clock = clock
@@ -152,17 +148,17 @@
         self._turn = 0
 
     def is_far(self, place: PlaceName) -> bool:
-        """Returns whether a place lies in another region."""
-        return self.regions.get(place, self._region) != self._region
+        """Returns whether a place is not this node's."""
+        return place != self._place
 
     def may_ask_for(self, service: ServiceName) -> bool:
         """Returns whether a shard's part may come from another node."""
         until = self._direct_until.get(service)
         return until is None or self._clock.now() >= until
 
-    def node_in(self, region: RegionName) -> NodeRecord | None:
-        """Returns the node of a region to ask next, or None."""
-        usable = [node for node in self._usable(region) if self._client.is_connected(node)]
+    def node_in(self, place: PlaceName) -> NodeRecord | None:
+        """Returns the node of a place to ask next, or None."""
+        usable = [node for node in self._usable(place) if self._client.is_connected(node)]
         if not usable:
             return None
         self._turn += 1
@@ -191,16 +187,16 @@
         self._client.ask(node, request, timeout, on_result)
 
     def keep_connected(self) -> None:
-        """Opens connections ahead to the nodes of other regions that lack one."""
-        for region in {*self.regions.values()} - {self._region}:
-            for node in self._usable(region):
+        """Opens connections ahead to the nodes of other places that lack one."""
+        for place in {node.place for node in self._ready()} - {self._place}:
+            for node in self._usable(place):
                 self._client.is_connected(node)
 
-    def _usable(self, region: RegionName) -> list[NodeRecord]:
-        """Returns the nodes of a region that may be asked."""
+    def _usable(self, place: PlaceName) -> list[NodeRecord]:
+        """Returns the nodes of a place that may be asked."""
         now = self._clock.now()
-        near = [node for node in self._ready() if node.region == region]
-        return [node for node in ranked(near)[:NODES_PER_REGION] if not self._pauses_at(node, now)]
+        near = [node for node in self._ready() if node.place == place]
+        return [node for node in ranked(near)[:NODES_PER_PLACE] if not self._pauses_at(node, now)]
 
     def _pauses_at(self, node: NodeRecord, now: float) -> bool:
         """Returns whether a node is not asked at present."""
@@ -232,22 +228,22 @@
                 self._direct_until[task.service] = now + DIRECT_S
 
 
-def cover_regions(regions_of: Mapping[int, Iterable[RegionName]]) -> dict[RegionName, list[int]]:
-    """Returns which shards to ask for in which region, in as few regions as possible.
+def cover_places(places_of: Mapping[int, Iterable[PlaceName]]) -> dict[PlaceName, list[int]]:
+    """Returns which shards to ask for in which place, in as few places as possible.
 
     Args:
-        regions_of: Regions with a good upstream, by position of the shard.
+        places_of: Places with a good upstream, by position of the shard.
     """
-    left = {position: frozenset(regions) for position, regions in regions_of.items()}
-    groups: dict[RegionName, list[int]] = {}
+    left = {position: frozenset(places) for position, places in places_of.items()}
+    groups: dict[PlaceName, list[int]] = {}
     while left:
-        counts: dict[RegionName, int] = {}
-        for regions in left.values():
-            for region in regions:
-                counts[region] = counts.get(region, 0) + 1
+        counts: dict[PlaceName, int] = {}
+        for places in left.values():
+            for place in places:
+                counts[place] = counts.get(place, 0) + 1
         if not counts:
             break
-        best = min(counts, key=lambda region: (-counts[region], region))
-        groups[best] = [position for position, regions in left.items() if best in regions]
-        left = {position: regions for position, regions in left.items() if best not in regions}
+        best = min(counts, key=lambda place: (-counts[place], place))
+        groups[best] = [position for position, places in left.items() if best in places]
+        left = {position: places for position, places in left.items() if best not in places}
     return groups
--- a/src/sequoiapulley/forward/context.py
+++ b/src/sequoiapulley/forward/context.py
@@ -26,4 +26,4 @@
     log: LogSink
     tally: Tally
     aggregators: Aggregators | None = None
-    """Nodes of other regions that merge parts; None if there are none."""
+    """Nodes of other places that merge parts; None if there are none."""
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -44,7 +44,7 @@
     2506,
     "parts_lacking",
     Severity.WARNING,
-    "A node of another region got a reply that lacks parts it asked for. `lacking` names each "
+    "A node of another place got a reply that lacks parts it asked for. `lacking` names each "
     "shard with its reason, as in SP2502.",
     "Follow the id's SP2504 lines of this node to the upstreams; see docs/OPERATIONS.md.",
 )
@@ -52,7 +52,7 @@
     2507,
     "aggregator_failed",
     Severity.WARNING,
-    "A node of another region did not send the parts that it was asked for. Its shards are asked "
+    "A node of another place did not send the parts that it was asked for. Its shards are asked "
     "directly, and the node is not asked for `pause_s`.",
     "Check the node and the way to it.",
 )
@@ -60,7 +60,7 @@
     2508,
     "aggregator_regained",
     Severity.INFO,
-    "A node of another region that had failed merges parts again.",
+    "A node of another place that had failed merges parts again.",
 )
 PARTS_UNREADABLE: Final = define_event(
     2509,
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -45,7 +45,7 @@
 PARTS_REQUESTS: Final = define_metric(
     "sequoiapulley_parts_requests_total",
     MetricKind.COUNTER,
-    "Requests to nodes of other regions for merged parts, by outcome: whole, partial or failed.",
+    "Requests to nodes of other places for merged parts, by outcome: whole, partial or failed.",
     "`failed` names nodes out of reach: see SP2507. `partial` follows slow shards: see SP2506.",
     ("outcome",),
 )
--- a/src/sequoiapulley/forward/remote_parts.py
+++ b/src/sequoiapulley/forward/remote_parts.py
@@ -1,4 +1,4 @@
-"""The shards of one request that a node of another region is asked for."""
+"""The shards of one request that a node of another place is asked for."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
     PartsRequest,
     PartsResult,
     ShardTask,
-    cover_regions,
+    cover_places,
 )
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.messages import CallerRequest
@@ -20,12 +20,15 @@
 from sequoiapulley.forward.service_call import ServiceCall
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.forward.upstream import Upstream
-from sequoiapulley.ids import RegionName, UpstreamName
+from sequoiapulley.ids import PlaceName, UpstreamName
 
 LEAST_SHARDS: Final = 2
-"""Shards below which a node of another region saves nothing."""
+"""Shards below which a node of another place saves nothing."""
 MERGE_S: Final = 0.004
 """Time for the work of both nodes beside the way and the upstreams."""
+SAME_WAY_S: Final = 0.005
+"""Difference of round trips within which places are equally far: between two places of a region it
+is a millisecond, between regions ten and more."""
 LEAST_DUE_S: Final = 0.02
 """Least time that a node gets to ask its shards."""
 
@@ -78,7 +81,7 @@
         now = self._ctx.clock.now()
         tasks: list[ShardTask] = []
         for call in self._calls:
-            names = _best_upstreams(self._ctx, call, route, self._node.region, now)
+            names = _best_upstreams(self._ctx, call, route, self._node.place, now)
             call.delegate_to(self._node.name, frozenset(names))
             tasks.append(ShardTask(call.service, names))
         way = self._ctx.model.way(self._node.place)
@@ -125,7 +128,7 @@
     route: Route,
     time_left: float,
 ) -> list[tuple[NodeRecord, list[ServiceCall]]]:
-    """Returns the nodes of other regions to ask, each with the calls that it makes.
+    """Returns the nodes of other places to ask, each with the calls that it makes.
 
     Args:
         ctx: Collaborators.
@@ -138,50 +141,48 @@
         return []
     now = ctx.clock.now()
     order = list(calls)
-    regions_of: dict[int, list[RegionName]] = {}
+    places_of: dict[int, list[PlaceName]] = {}
     for position, call in enumerate(order):
         if not aggregators.is_far(calls[call].record.place):
             continue
         if aggregators.may_ask_for(call.service):
-            regions_of[position] = _good_regions(ctx, aggregators, call, route, time_left, now)
+            places_of[position] = _good_places(ctx, aggregators, call, route, time_left, now)
     groups: list[tuple[NodeRecord, list[ServiceCall]]] = []
-    for region, positions in cover_regions(regions_of).items():
-        node = aggregators.node_in(region) if len(positions) >= LEAST_SHARDS else None
+    for place, positions in cover_places(places_of).items():
+        node = aggregators.node_in(place) if len(positions) >= LEAST_SHARDS else None
         if node is None or time_left - ctx.model.way(node.place) - MERGE_S < LEAST_DUE_S:
             continue
         groups.append((node, [order[position] for position in positions]))
     return groups
 
 
-def _good_regions(
+def _good_places(
     ctx: ForwardContext,
     aggregators: Aggregators,
     call: ServiceCall,
     route: Route,
     time_left: float,
     now: float,
-) -> list[RegionName]:
-    """Returns the other regions with an upstream of a shard that is expected to reply in time."""
-    regions: list[RegionName] = []
+) -> list[PlaceName]:
+    """Returns the nearest other places with an upstream of a shard that replies in time."""
+    ways: dict[PlaceName, float] = {}
     for upstream in ctx.directory.candidates(call.service):
         place = upstream.record.place
-        region = aggregators.regions.get(place)
-        if region is None or not aggregators.is_far(place):
+        if not aggregators.is_far(place):
             continue
         if ctx.directory.expected_time(upstream, route, now) < time_left:
-            regions.append(region)
-    return regions
+            ways[place] = ctx.model.way(place)
+    nearest = min(ways.values(), default=0.0)
+    return [place for place, way in ways.items() if way <= nearest + SAME_WAY_S]
 
 
 def _best_upstreams(
-    ctx: ForwardContext, call: ServiceCall, route: Route, region: RegionName, now: float
+    ctx: ForwardContext, call: ServiceCall, route: Route, place: PlaceName, now: float
 ) -> tuple[UpstreamName, ...]:
     """Returns the upstreams of a shard that a node may ask: the near and quick ones first."""
-    aggregators = ctx.aggregators
-    assert aggregators is not None
 
     def rank(upstream: Upstream) -> tuple[bool, float]:
-        far = aggregators.regions.get(upstream.record.place) != region
+        far = upstream.record.place != place
         return far, ctx.directory.expected_time(upstream, route, now)
 
     best = sorted(ctx.directory.candidates(call.service), key=rank)
--- a/tests/test_remote_parts.py
+++ b/tests/test_remote_parts.py
@@ -1,6 +1,6 @@
 """Tests of gathers whose far shards are asked by a node beside them.
 
-Shards with a number from 4 on have upstreams in the other region only, ten shards in all.
+Shards with a number from 4 on have upstreams in the other place only, ten shards in all.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
     PartsReply,
     PartsRequest,
     PartsResult,
-    cover_regions,
+    cover_places,
 )
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
@@ -41,9 +41,6 @@
     success,
 )
 
-NEAR_REGION = RegionName("near")
-FAR_REGION = RegionName("far")
-REGIONS = {HERE: NEAR_REGION, FAR: FAR_REGION}
 SHARDS = tuple(ServiceName(f"shard-{number}") for number in range(10))
 FAR_SHARDS = SHARDS[4:]
 LEAST_SHARE = 0.8
@@ -107,11 +104,9 @@
         self.log = MemoryLog()
         self.nodes = FakeNodes(self.timers, self.collect)
         record = NodeRecord(
-            NodeId("far-node"), Incarnation(1), FAR, FAR_REGION, "127.0.0.1", 1, 2, 3
-        )
-        aggregators = Aggregators(
-            NEAR_REGION, REGIONS, lambda: [record], self.nodes, self.timers.clock, self.log
+            NodeId("far-node"), Incarnation(1), FAR, RegionName("far"), "127.0.0.1", 1, 2, 3
         )
+        aggregators = Aggregators(HERE, lambda: [record], self.nodes, self.timers.clock, self.log)
         self.net = SimulatedNet(self.behave, timers=self.timers, aggregators=aggregators)
         self.far_net = SimulatedNet(self.behave, home=FAR, timers=self.timers)
         for net in (self.net, self.far_net):
@@ -251,23 +246,23 @@
 
 
 positions = st.dictionaries(
-    st.integers(0, 20), st.sets(st.sampled_from(["r1", "r2", "r3"]).map(RegionName)), max_size=20
+    st.integers(0, 20), st.sets(st.sampled_from(["r1", "r2", "r3"]).map(PlaceName)), max_size=20
 )
 
 
-class CoverRegionsTest(TestCase):
-    """Each shard in at most one region, all that can be covered, few regions."""
+class CoverPlacesTest(TestCase):
+    """Each shard in at most one place, all that can be covered, few places."""
 
     @given(positions)
-    def test_covers_each_shard_once(self, regions_of: dict[int, set[RegionName]]) -> None:
-        groups = cover_regions(regions_of)
+    def test_covers_each_shard_once(self, places_of: dict[int, set[PlaceName]]) -> None:
+        groups = cover_places(places_of)
         covered = [position for group in groups.values() for position in group]
         self.assertEqual(len(covered), len(set(covered)))
-        self.assertEqual(set(covered), {n for n, regions in regions_of.items() if regions})
-        for region, group in groups.items():
-            self.assertTrue(all(region in regions_of[position] for position in group))
+        self.assertEqual(set(covered), {n for n, places in places_of.items() if places})
+        for place, group in groups.items():
+            self.assertTrue(all(place in places_of[position] for position in group))
 
-    def test_prefers_one_region_for_all(self) -> None:
-        first, second, third = (RegionName(name) for name in ("r1", "r2", "r3"))
-        groups = cover_regions({0: [first, second], 1: [second, third], 2: [second]})
+    def test_prefers_one_place_for_all(self) -> None:
+        first, second, third = (PlaceName(name) for name in ("r1", "r2", "r3"))
+        groups = cover_places({0: [first, second], 1: [second, third], 2: [second]})
         self.assertEqual(groups, {second: [0, 1, 2]})
