Split the node's life, heartbeats, settings, tries and call results into modules; type the store client's bodies

NodeLife, HeartbeatTask, SettingsTask, SendTry and call_result have one job each; KvClient returns typed bodies; LatencyModel's unread same_place goes. Tests of leaving and of reloads without a process are new.

--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -12,7 +12,7 @@
 from sequoiapulley.forward.roles import reader_of
 from sequoiapulley.forward.state import NodeRecord, StateSource
 from sequoiapulley.forward.state_feed import ReadPlan
-from sequoiapulley.ids import ConfigVersion, Revision
+from sequoiapulley.ids import Revision
 from sequoiapulley.runtime import Clock
 from sequoiapulley.wire.http_client import HttpClient
 
@@ -90,14 +90,9 @@
             self._last = PeerSource(self._client, address)
         return ReadPlan(self._last, False, PEER_WAIT_S, PEER_PACE_S)
 
-    def _version(self) -> ConfigVersion:
-        """Returns the configuration version in force, 0 if there is none."""
-        table = self._forwarder.table
-        return table.version if table is not None else ConfigVersion(0)
-
     def _newer_configuration(self) -> Address | None:
         """Returns a peer whose configuration has been newer for some time, or None."""
-        newer = self._peers.with_newer_configuration(self._version())
+        newer = self._peers.with_newer_configuration(self._forwarder.version)
         now = self._clock.now()
         if not newer:
             self._behind_since = None
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -7,14 +7,15 @@
 from signal import SIGHUP, SIGINT, SIGTERM
 from typing import TYPE_CHECKING, Final, Protocol
 
-from msgspec.structs import replace
-
 from sequoiapulley.daemon.entry_port import EntryPort, PlatformCalls
 from sequoiapulley.daemon.feed_sources import FeedSources
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
+from sequoiapulley.daemon.heartbeat_task import HeartbeatTask
+from sequoiapulley.daemon.node_life import NodeLife
 from sequoiapulley.daemon.parts_port import PARTS_PATH, HttpPartsClient, PartsPort
 from sequoiapulley.daemon.peer_source import PeerPort
 from sequoiapulley.daemon.registration import Registration
+from sequoiapulley.daemon.settings_task import SettingsTask
 from sequoiapulley.daemon.settings_watch import SettingsWatch
 from sequoiapulley.daemon.signal_pipe import SignalPipe
 from sequoiapulley.forward.aggregators import Aggregators
@@ -28,7 +29,6 @@
     NODE_LEAVING,
     NODE_STARTED,
     NODE_STOPPED,
-    SETTINGS_RELOADED,
 )
 from sequoiapulley.forward.messages import Answer
 from sequoiapulley.forward.metrics import (
@@ -38,13 +38,7 @@
     UPSTREAMS,
 )
 from sequoiapulley.forward.node_settings import Address, NodeSettings
-from sequoiapulley.forward.peer_table import (
-    FAR_HEARTBEAT_S,
-    NEAR_HEARTBEAT_S,
-    Heartbeat,
-    NodeState,
-    PeerTable,
-)
+from sequoiapulley.forward.peer_table import Heartbeat, NodeState, PeerTable
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.roles import ENTRIES_PER_PLACE, reader_of, slack_share
 from sequoiapulley.forward.route_table import CallerLimits
@@ -54,7 +48,7 @@
 from sequoiapulley.forward.tally import Tally
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.forward.upstream_pool import UpstreamPool
-from sequoiapulley.ids import ConfigVersion, Incarnation, PlaceName
+from sequoiapulley.ids import Incarnation, PlaceName
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.observe.metric import Metric
 from sequoiapulley.observe.metrics import CONFIG_VERSION, IN_FLIGHT, UPTIME_SECONDS
@@ -71,17 +65,9 @@
 
 TICK_S: Final = 0.25
 """Pause between two looks at peers and idle connections."""
-SETTINGS_CHECK_S: Final = 2.0
-"""Pause between two looks at the settings file, which may change without a signal."""
-RELOADED: Final = ("regions", "seeds", "quota", "grace", "most_entry_ttl")
-"""Settings that take effect without a restart."""
 LONGEST_POLL_S: Final = 1.0
 STANDBY_NODES: Final = 2
 """Nodes of each place beside the entries for which connections to upstreams are left."""
-LEAVE_SHARE: Final = 0.85
-"""Part of the grace period after which a leaving node closes what is left."""
-LEAST_LEAVE_S: Final = 3.0
-"""Time for which a leaving node accepts callers that still have its address."""
 SAME_PLACE_WAY_S: Final = 0.0005
 SAME_REGION_WAY_S: Final = 0.001
 OTHER_REGION_WAY_S: Final = 0.02
@@ -119,17 +105,15 @@
         Raises:
             OSError: If a port cannot be used.
         """
-        self._cfg = cfg
-        self._settings = settings
         self._log = log
         self._calls = calls
         self._clock = SystemClock()
         self._timers = TimerQueue(self._clock)
         self._reactor = Reactor(self._clock, self._timers)
         self._random = Random()
-        self._state = NodeState.STARTING
+        self._settings = SettingsTask(cfg, settings, self._timers, log, self._on_settings)
+        self._life = NodeLife()
         self._running = True
-        self._leave_at = 0.0
         self._duties = (False, False)
         self._started_at = self._clock.now()
         self._metrics: ForwardMetrics | None = None
@@ -144,7 +128,7 @@
             heartbeat_port=cfg.heartbeat_port,
             capacity=cfg.capacity,
         )
-        model = LatencyModel(cfg.place, _assumed_ways(cfg))
+        model = LatencyModel(_assumed_ways(cfg))
         self._directory = UpstreamDirectory(
             self._clock,
             model,
@@ -196,11 +180,14 @@
             changes, self._timers, self._shared.image, lambda: self._feed.age
         )
         self._parts_port = PartsPort(ctx)
-        self._heartbeats = HeartbeatPort(
+        self._heartbeat_port = HeartbeatPort(
             self._reactor, cfg.host, cfg.heartbeat_port, log, self._on_heartbeat
         )
+        self._heartbeats = HeartbeatTask(
+            self._heartbeat_port, self._peers, self._timers, self._heartbeat
+        )
         self._entries = EntryPort(
-            calls, self._peers, lambda: self._state is NodeState.READY, cfg.most_entry_ttl
+            calls, self._peers, lambda: self._life.state is NodeState.READY, cfg.most_entry_ttl
         )
         self._callers = self._listen(cfg.callers, self._on_caller)
         self._others = [self._listen(cfg.peers, self._on_peer)]
@@ -210,18 +197,19 @@
         if cfg.metrics is not None:
             self._others.append(self._listen(cfg.metrics, self._on_scrape))
         SignalPipe(
-            self._reactor, {SIGTERM: self._leave, SIGINT: self._leave, SIGHUP: self._on_hangup}
+            self._reactor,
+            {SIGTERM: self._leave, SIGINT: self._leave, SIGHUP: self._settings.reload},
         )
 
     def run(self) -> None:
         """Serves until the node has left."""
-        self._log.log(NODE_STARTED, callers=self._cfg.callers.port, place=self._cfg.place)
+        cfg = self._settings.cfg
+        self._log.log(NODE_STARTED, callers=cfg.callers.port, place=cfg.place)
         self._feed.start()
         self._registration.start()
         self._tick()
-        self._check_settings()
-        self._send_near_heartbeats()
-        self._send_far_heartbeats()
+        self._settings.start()
+        self._heartbeats.start()
         settle_heap()
         while self._running:
             self._reactor.run_once(LONGEST_POLL_S)
@@ -247,9 +235,8 @@
         if table is None:
             return
         self._callers.limits = _server_limits(table.limits)
-        if self._state is NodeState.STARTING:
-            self._state = NodeState.READY
-            self._send_heartbeat_now()
+        if self._life.become_ready():
+            self._heartbeats.send_now()
 
     def _tick(self) -> None:
         """Looks after peers, idle connections and the end of a leaving node."""
@@ -257,13 +244,13 @@
         self._peers.tick(now)
         self._refresh_shares()
         self._directory.sweep(now)
-        if self._state is NodeState.LEAVING:
-            self._continue_leaving(now)
+        if self._life.may_close(now, self._settings.cfg.grace, len(self._callers.connections)):
+            self._close_callers()
         self._timers.call_later(TICK_S, self._tick)
 
     def _refresh_shares(self) -> None:
         """Divides what all nodes share: repeats, and connections to upstreams."""
-        places = max(1, len(self._cfg.regions))
+        places = max(1, len(self._settings.cfg.regions))
         nodes = 1 + len(self._peers.registered())
         is_entry = self._note_duties()
         if is_entry:
@@ -278,34 +265,18 @@
         """Logs a change of this node's duties; returns whether callers are sent to it."""
         live = self._peers.live_near()
         entry = self._entries.names_me()
-        reader = reader_of(live, self._cfg.place) is self._me
+        reader = reader_of(live, self._me.place) is self._me
         if (entry, reader) != self._duties:
             self._duties = (entry, reader)
             self._log.log(DUTIES_CHANGED, entry=entry, reader=reader, live=len(live))
         return entry
 
-    def _send_near_heartbeats(self) -> None:
-        """Sends heartbeats within the place, again and again."""
-        self._heartbeats.send(self._heartbeat(), self._peers.near_targets())
-        self._timers.call_later(NEAR_HEARTBEAT_S, self._send_near_heartbeats)
-
-    def _send_far_heartbeats(self) -> None:
-        """Sends heartbeats to other places, again and again."""
-        self._heartbeats.send(self._heartbeat(), self._peers.far_targets())
-        self._timers.call_later(FAR_HEARTBEAT_S, self._send_far_heartbeats)
-
-    def _send_heartbeat_now(self) -> None:
-        """Tells peers of a change of this node at once."""
-        peers = [*self._peers.near_targets(), *self._peers.far_targets()]
-        self._heartbeats.send(self._heartbeat(), peers)
-
     def _heartbeat(self) -> Heartbeat:
         """Returns what this node is and knows."""
-        table = self._forwarder.table
         return Heartbeat(
             record=self._me,
-            state=self._state,
-            version=table.version if table is not None else ConfigVersion(0),
+            state=self._life.state,
+            version=self._forwarder.version,
             revision=self._feed.revision,
         )
 
@@ -330,33 +301,11 @@
             return
         self._peer_port.serve(req)
 
-    def _check_settings(self) -> None:
-        """Applies settings that have changed without a signal, again and again."""
-        self._apply_settings(self._settings.poll())
-        self._timers.call_later(SETTINGS_CHECK_S, self._check_settings)
-
-    def _on_hangup(self) -> None:
-        """Applies the settings as they are now."""
-        self._apply_settings(self._settings.read())
-
-    def _apply_settings(self, cfg: NodeSettings | None) -> None:
-        """Applies what can change while the node runs; addresses and names hold until its end."""
-        if cfg is None:
-            return
-        before = self._cfg
-        self._cfg = replace(
-            before,
-            regions=cfg.regions,
-            seeds=cfg.seeds,
-            quota=cfg.quota,
-            grace=cfg.grace,
-            most_entry_ttl=cfg.most_entry_ttl,
-        )
+    def _on_settings(self, cfg: NodeSettings) -> None:
+        """Passes changed settings on."""
         self._quota.configure(cfg.quota)
         self._sources.seeds = cfg.seeds
         self._entries.most_ttl = cfg.most_entry_ttl
-        changed = [name for name in RELOADED if getattr(before, name) != getattr(cfg, name)]
-        self._log.log(SETTINGS_RELOADED, changed=changed)
 
     def _on_scrape(self, req: ServerRequest) -> None:
         """Answers a scrape; the metrics library is loaded with the first one."""
@@ -369,9 +318,8 @@
 
     def _gauges(self) -> dict[Metric, float]:
         """Returns the present values of gauges."""
-        table = self._forwarder.table
         return {
-            CONFIG_VERSION: table.version if table is not None else 0,
+            CONFIG_VERSION: self._forwarder.version,
             IN_FLIGHT: self._forwarder.in_flight,
             UPTIME_SECONDS: self._clock.now() - self._started_at,
             UPSTREAMS: len(self._directory),
@@ -382,23 +330,15 @@
 
     def _leave(self) -> None:
         """Begins to leave: callers are sent elsewhere, and what comes is still served."""
-        if self._state is NodeState.LEAVING:
+        if not self._life.leave(self._clock.now()):
             return
-        self._state = NodeState.LEAVING
-        self._leave_at = self._clock.now()
         self._callers.leaving = True
         self._log.log(NODE_LEAVING, in_flight=self._callers.busy)
-        self._send_heartbeat_now()
+        self._heartbeats.send_now()
         self._registration.stop()
 
-    def _continue_leaving(self, now: float) -> None:
-        """Ends the node when nobody uses it, or when the grace period is about to end."""
-        age = now - self._leave_at
-        if age < min(LEAST_LEAVE_S, LEAVE_SHARE * self._cfg.grace):
-            return
-        out_of_time = age >= LEAVE_SHARE * self._cfg.grace
-        if not out_of_time and self._callers.connections:
-            return
+    def _close_callers(self) -> None:
+        """Accepts no more callers, and ends the node once nothing is in flight."""
         self._callers.stop_listening()
         self._callers.close_idle()
         if not self._callers.busy:
@@ -410,7 +350,7 @@
         self._feed.stop()
         for server in (self._callers, *self._others):
             server.close()
-        self._heartbeats.close()
+        self._heartbeat_port.close()
 
 
 def _server_limits(limits: CallerLimits) -> ServerLimits:
--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -1,7 +1,7 @@
 """Nodes of other places that ask the shards near them and merge the parts.
 
-A part from another place costs a whole exchange on a link that is dear, between regions above all. A
-node beside the shards asks several of them at once and sends back the greatest records only.
+A part from another place costs a whole exchange on a link that is dear, above all between regions.
+A node beside the shards asks several of them at once and sends back the greatest records only.
 """
 
 from __future__ import annotations
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -14,6 +14,7 @@
 from sequoiapulley.forward.route_table import Route, RouteIndex, RouteTable
 from sequoiapulley.forward.split_shares import SplitShares
 from sequoiapulley.forward.usual_wait import UsualWait
+from sequoiapulley.ids import ConfigVersion
 from sequoiapulley.runtime import TimerHandle
 
 CALLER_WAY_S: Final = 0.012
@@ -127,6 +128,11 @@
         """The configuration in force."""
         return self._index.table if self._index is not None else None
 
+    @property
+    def version(self) -> ConfigVersion:
+        """Version of the configuration in force, 0 if there is none."""
+        return self._index.table.version if self._index is not None else ConfigVersion(0)
+
     def apply(self, table: RouteTable) -> bool:
         """Puts a configuration in force unless it is older; returns whether it did."""
         if self._index is not None and table.version <= self._index.table.version:
@@ -177,15 +183,15 @@
         fields = {
             "id": job.req.id,
             "route": job.route.name if job.route is not None else "",
-            "version": self._index.table.version if self._index is not None else 0,
+            "version": self.version,
             "status": answer.status,
             "ms": round(waited * 1000, 1),
         }
         if reason is not None or answer.status >= FIRST_FAILURE_STATUS:
             self._ctx.log.log(REQUEST_GIVEN_UP, reason=outcome, **fields)
             return
-        goal_ms = round(job.route.goal * 1000) if job.route is not None else 0
-        self._ctx.log.log(REQUEST_ANSWERED, goal_ms=goal_ms, **fields)
+        target_ms = round(job.route.goal * 1000) if job.route is not None else 0
+        self._ctx.log.log(REQUEST_ANSWERED, target_ms=target_ms, **fields)
 
     def note_left(self, job: Job) -> None:
         """Counts and logs a caller that left."""
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -6,6 +6,7 @@
 from math import ceil, isfinite
 from typing import Final
 
+from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.late_shards import expected_late
 from sequoiapulley.forward.log_events import ANSWER_PARTIAL, SHARDS_LIMITED
@@ -14,7 +15,7 @@
 from sequoiapulley.forward.refusal import Reason, own_answer
 from sequoiapulley.forward.remote_parts import RemoteParts, far_groups
 from sequoiapulley.forward.route_table import GatherPlan, Route
-from sequoiapulley.forward.service_call import CallEnd, CallResult, ServiceCall
+from sequoiapulley.forward.service_call import ServiceCall
 from sequoiapulley.forward.upstream import Upstream
 from sequoiapulley.ids import ServiceName
 
--- a/src/sequoiapulley/forward/latency_model.py
+++ b/src/sequoiapulley/forward/latency_model.py
@@ -25,14 +25,12 @@
 class LatencyModel:
     """Typical work of each route and shortest way to each place."""
 
-    def __init__(self, same_place: PlaceName, initial_ways: dict[PlaceName, float]) -> None:
+    def __init__(self, initial_ways: dict[PlaceName, float]) -> None:
         """Initialise without samples.
 
         Args:
-            same_place: Place of this node.
             initial_ways: Assumed round trips to places, in seconds, until samples come.
         """
-        self.same_place = same_place
         self._assumed = initial_ways
         self._ways: dict[PlaceName, tuple[float, float]] = {}
         self._work: dict[str, float] = {}
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -10,7 +10,7 @@
     2501,
     "request_answered",
     Severity.INFO,
-    "A request got an upstream's answer or a merged one; `goal_ms` is the route's goal.",
+    "A request got an upstream's answer or a merged one; `target_ms` is the route's goal.",
 )
 ANSWER_PARTIAL: Final = define_event(
     2502,
--- a/src/sequoiapulley/forward/part_collector.py
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable
 
 from sequoiapulley.forward.aggregators import PartsReply, PartsRequest
+from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.log_events import PARTS_LACKING
 from sequoiapulley.forward.messages import CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
 from sequoiapulley.forward.route_table import GatherPlan, Route
-from sequoiapulley.forward.service_call import CallEnd, CallResult, ServiceCall
+from sequoiapulley.forward.service_call import ServiceCall
 from sequoiapulley.ids import ServiceName
 
 
--- a/src/sequoiapulley/forward/relay.py
+++ b/src/sequoiapulley/forward/relay.py
@@ -4,11 +4,12 @@
 
 from collections.abc import Callable
 
+from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.refusal import Reason, own_answer
 from sequoiapulley.forward.route_table import Route
-from sequoiapulley.forward.service_call import CallEnd, CallResult, ServiceCall
+from sequoiapulley.forward.service_call import ServiceCall
 from sequoiapulley.ids import ServiceName
 
 
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import Enum
 from typing import Final
 
-from msgspec import Struct
-
+from sequoiapulley.forward.call_result import CallEnd, CallResult, HedgeOutcome
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.learning import learn_from_end, learn_from_wait
@@ -20,10 +18,10 @@
 )
 from sequoiapulley.forward.refusal import Reason
 from sequoiapulley.forward.route_table import Route
+from sequoiapulley.forward.send_try import SendTry
 from sequoiapulley.forward.tried_upstreams import TriedUpstreams
 from sequoiapulley.forward.upstream import Upstream
 from sequoiapulley.ids import NodeId, ServiceName, UpstreamName
-from sequoiapulley.runtime import TimerHandle
 
 MOST_SENDS: Final = 5
 """Sends of one request to one service, those included that were refused before they ran."""
@@ -34,58 +32,6 @@
 FIRST_REDIRECT_STATUS: Final = 300
 
 
-class CallEnd(Enum):
-    """How the tries at one service ended."""
-
-    REPLY = "reply"
-    """An upstream's reply that is passed on."""
-    FAILED = "failed"
-    """No reply; an upstream may have run the request."""
-    NOT_RUN = "not_run"
-    """No upstream ran the request or will."""
-
-
-class HedgeOutcome(Enum):
-    """What was done about a reply that is overdue."""
-
-    HEDGED = "hedged"
-    NO_UPSTREAM = "no_upstream"
-    """No other upstream may get the request or has room for it."""
-    QUOTA = "quota"
-    LIMITED = "limited"
-    NOT_IDEMPOTENT = "not_idempotent"
-
-
-class CallResult(Struct, frozen=True):
-    """Result of the tries at one service."""
-
-    end: CallEnd
-    reply: ExchangeReply | None = None
-    reason: Reason | None = None
-
-
-class _Try:
-    """One send to one upstream."""
-
-    __slots__ = ("counted", "ended", "exchange", "overdue", "overdue_timer", "upstream", "usual")
-
-    def __init__(self, upstream: Upstream, counted: bool) -> None:
-        """Initialise a try.
-
-        Args:
-            upstream: Where it goes.
-            counted: Whether it was taken from the quota of repeats.
-        """
-        self.upstream = upstream
-        self.counted = counted
-        self.exchange: Exchange | None = None
-        self.overdue_timer: TimerHandle | None = None
-        self.overdue = False
-        self.usual = 0.0
-        """Time after which it is overdue, in seconds."""
-        self.ended = False
-
-
 class ServiceCall:
     """Sends one request to upstreams of one service until one has answered it."""
 
@@ -132,7 +78,7 @@
         self.service = service
         self._deadline = deadline
         self._on_done: Callable[[ServiceCall, CallResult], None] | None = on_done
-        self._tries: list[_Try] = []
+        self._tries: list[SendTry] = []
         self._tried = TriedUpstreams(ctx.directory, route, service)
         self._sends = 0
         self._may_have_run = False
@@ -244,7 +190,7 @@
     def _send(self, upstream: Upstream, counted: bool) -> None:
         """Sends one try and watches its time."""
         ctx = self._ctx
-        item = _Try(upstream, counted)
+        item = SendTry(upstream, counted)
         self._sends += 1
         self._tries.append(item)
         exchange = Exchange(
@@ -260,7 +206,7 @@
         upstream.note_sent(ctx.clock.now())
         upstream.pool.submit(exchange)
 
-    def _on_overdue(self, item: _Try) -> None:
+    def _on_overdue(self, item: SendTry) -> None:
         """Asks another upstream too when a reply takes longer than usual."""
         ctx = self._ctx
         now = ctx.clock.now()
@@ -294,7 +240,7 @@
         self._send(upstream, True)
         return HedgeOutcome.HEDGED, upstream
 
-    def _on_end(self, item: _Try, reply: ExchangeReply) -> None:
+    def _on_end(self, item: SendTry, reply: ExchangeReply) -> None:
         """Takes the end of one try: passes the reply on, or tries again."""
         now = self._ctx.clock.now()
         self._close_try(item)
@@ -385,7 +331,7 @@
             return False
         return self._route.idempotent or not self._may_have_run
 
-    def _open_tries(self) -> list[_Try]:
+    def _open_tries(self) -> list[SendTry]:
         """Returns the tries that have not ended."""
         return [item for item in self._tries if not item.ended]
 
@@ -398,7 +344,7 @@
             return FIRST_SUCCESS_STATUS <= status < FIRST_REDIRECT_STATUS and reply.seal is not None
         return status < FIRST_FAILURE_STATUS or not self._route.idempotent
 
-    def _close_try(self, item: _Try) -> None:
+    def _close_try(self, item: SendTry) -> None:
         """Ends the watch over a try."""
         if item.ended:
             return
--- a/src/sequoiapulley/platform/http_store.py
+++ b/src/sequoiapulley/platform/http_store.py
@@ -16,9 +16,10 @@
     KvClient,
     KvError,
     KvErrorKind,
+    KvEvents,
     KvItem,
     KvPut,
-    KvReply,
+    KvWritten,
 )
 from sequoiapulley.platform.names import STORE_KEY_PATH, STORE_WATCH_PATH
 from sequoiapulley.platform.store import (
@@ -43,12 +44,6 @@
 }
 
 
-class _Written(Struct):
-    """Body of a transaction's reply."""
-
-    revision: int
-
-
 class _Current(Struct):
     """Items that a refused transaction found."""
 
@@ -79,15 +74,15 @@
     def get(self, key: str, done: Callable[[StoreReply], None]) -> None:
         """Reads a key."""
 
-        def on_reply(reply: KvReply) -> None:
+        def on_item(reply: Result[KvItem, KvError]) -> None:
             if isinstance(reply, Ok):
-                done(_decoded(reply.ok_value))
+                done(_value(reply.ok_value))
             elif reply.err_value.kind is KvErrorKind.NOT_FOUND:
                 done(Ok(StoreValue(key, b"", ABSENT)))
             else:
                 done(Err(_error(reply.err_value)))
 
-        self._kv.get(f"{STORE_KEY_PATH}?key={_quoted(key)}", on_reply)
+        self._kv.read(f"{STORE_KEY_PATH}?key={_quoted(key)}", KvItem, on_item)
 
     def put(
         self,
@@ -99,33 +94,25 @@
     ) -> None:
         """Writes a key if its revision is `expected`."""
 
-        def on_reply(reply: KvReply) -> None:
-            revision = _written(reply)
-            if isinstance(revision, Err):
-                done(Err(revision.err_value))
-            else:
-                done(Ok(StoreValue(key, value, revision.ok_value)))
+        def on_written(reply: KvWritten) -> None:
+            done(reply.map(lambda at: StoreValue(key, value, at)).map_err(_error))
 
-        self._kv.write({key: expected}, (KvPut(key, value, lease),), (), on_reply)
+        self._kv.write({key: expected}, (KvPut(key, value, lease),), (), on_written)
 
     def delete(self, key: str, expected: Revision, done: Callable[[StoreReply], None]) -> None:
         """Removes a key if its revision is `expected`."""
 
-        def on_reply(reply: KvReply) -> None:
-            revision = _written(reply)
-            if isinstance(revision, Err):
-                done(Err(revision.err_value))
-            else:
-                done(Ok(StoreValue(key, b"", ABSENT)))
+        def on_written(reply: KvWritten) -> None:
+            done(reply.map(lambda _at: StoreValue(key, b"", ABSENT)).map_err(_error))
 
-        self._kv.write({key: expected}, (), (key,), on_reply)
+        self._kv.write({key: expected}, (), (key,), on_written)
 
     def watch(
         self, key: str, after: Revision, wait: float, done: Callable[[StoreReply], None]
     ) -> None:
         """Waits up to `wait` seconds for a revision above `after`, then reads the key."""
 
-        def on_reply(reply: KvReply) -> None:
+        def on_events(reply: Result[KvEvents, KvError]) -> None:
             gone = isinstance(reply, Err) and reply.err_value.kind is KvErrorKind.HISTORY_GONE
             if isinstance(reply, Err) and not gone:
                 done(Err(_error(reply.err_value)))
@@ -133,7 +120,7 @@
                 self.get(key, done)
 
         path = f"{STORE_WATCH_PATH}?prefix={_quoted(key)}&after={after}&wait_ms={int(wait * 1000)}"
-        self._kv.get(path, on_reply, self._timeout + wait + WATCH_GRACE_S)
+        self._kv.read(path, KvEvents, on_events, self._timeout + wait + WATCH_GRACE_S)
 
     def grant_lease(self, ttl: float, done: Callable[[LeaseReply], None]) -> None:
         """Creates a lease of `ttl` seconds."""
@@ -145,23 +132,12 @@
     return quote(key, safe="/")
 
 
-def _decoded(body: bytes) -> StoreReply:
-    """Decodes the item of a read."""
+def _value(item: KvItem) -> StoreReply:
+    """Returns an item as edits and claims see it."""
     try:
-        item = decode(body, type=KvItem)
         return Ok(StoreValue(item.key, item.content(), Revision(item.revision)))
-    except (DecodeError, ValidationError, ValueError) as exc:
-        return Err(StoreError(StoreErrorKind.NO_REPLY, f"reply does not decode: {exc}"))
-
-
-def _written(reply: KvReply) -> Result[Revision, StoreError]:
-    """Returns the revision of a write, or how it failed."""
-    if isinstance(reply, Err):
-        return Err(_error(reply.err_value))
-    try:
-        return Ok(Revision(decode(reply.ok_value, type=_Written).revision))
-    except (DecodeError, ValidationError) as exc:
-        return Err(StoreError(StoreErrorKind.NO_REPLY, f"reply does not decode: {exc}"))
+    except ValueError as exc:
+        return Err(StoreError(StoreErrorKind.NO_REPLY, f"value is not base64: {exc}"))
 
 
 def _error(error: KvError) -> StoreError:
--- a/src/sequoiapulley/platform/kv_client.py
+++ b/src/sequoiapulley/platform/kv_client.py
@@ -5,13 +5,13 @@
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from enum import Enum
-from typing import Final
+from typing import Final, TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
-from sequoiapulley.ids import LeaseId
+from sequoiapulley.ids import LeaseId, Revision
 from sequoiapulley.platform.names import (
     STORE_KEEP_PATH,
     STORE_LEASE_END_PATH,
@@ -83,13 +83,29 @@
     lease: LeaseId | None = None
 
 
+class KvEvents(Struct, frozen=True):
+    """Changes after a revision."""
+
+    events: list[KvItem]
+    at: int
+    """The store's revision; unlike an item's `revision`, that of its last change."""
+
+
 class _Lease(Struct):
     """A new lease."""
 
     lease: int
 
 
+class _Written(Struct):
+    """Body of a transaction's reply."""
+
+    revision: int
+
+
+Body = TypeVar("Body")
 KvReply = Result[bytes, KvError]
+KvWritten = Result[Revision, KvError]
 
 
 class KvClient:
@@ -111,22 +127,29 @@
         self._port = port
         self._timeout = timeout
 
-    def get(self, path: str, done: Callable[[KvReply], None], timeout: float | None = None) -> None:
+    def read(
+        self,
+        path: str,
+        form: type[Body],
+        done: Callable[[Result[Body, KvError]], None],
+        timeout: float | None = None,
+    ) -> None:
         """Reads.
 
         Args:
             path: Path and query.
+            form: Type of the body.
             done: Receives the body or the error, once.
             timeout: Longest wait for the reply, in seconds.
         """
-        self._call("GET", path, b"", done, timeout)
+        self._call("GET", path, b"", lambda reply: done(_decoded(reply, form)), timeout)
 
     def write(
         self,
         expected: dict[str, int],
         puts: tuple[KvPut, ...],
         deletes: tuple[str, ...],
-        done: Callable[[KvReply], None],
+        done: Callable[[KvWritten], None],
     ) -> None:
         """Writes all or nothing.
 
@@ -134,8 +157,13 @@
             expected: Revision that each key must have; 0 for a key that must not exist.
             puts: Keys to write.
             deletes: Keys to remove.
-            done: Receives the body or the error, once.
+            done: Receives the store's revision or the error, once.
         """
+
+        def on_reply(reply: KvReply) -> None:
+            written = _decoded(reply, _Written)
+            done(written.map(lambda body: Revision(body.revision)))
+
         rows = [{"key": key, "revision": revision} for key, revision in expected.items()]
         body = encode(
             {
@@ -144,19 +172,13 @@
                 "deletes": list(deletes),
             }
         )
-        self._call("POST", STORE_TXN_PATH, body, done)
+        self._call("POST", STORE_TXN_PATH, body, on_reply)
 
     def grant_lease(self, ttl: float, done: Callable[[Result[LeaseId, KvError]], None]) -> None:
         """Creates a lease of `ttl` seconds."""
 
         def on_reply(reply: KvReply) -> None:
-            if isinstance(reply, Err):
-                done(reply)
-                return
-            try:
-                done(Ok(LeaseId(str(decode(reply.ok_value, type=_Lease).lease))))
-            except (DecodeError, ValidationError) as exc:
-                done(Err(KvError(KvErrorKind.NO_REPLY, f"lease does not decode: {exc}")))
+            done(_decoded(reply, _Lease).map(lambda body: LeaseId(str(body.lease))))
 
         self._call("POST", STORE_LEASE_PATH, encode({"ttl_ms": int(ttl * 1000)}), on_reply)
 
@@ -201,6 +223,16 @@
     return Err(KvError(_kind_of(reply.status), f"status {reply.status}", reply.body))
 
 
+def _decoded(reply: KvReply, form: type[Body]) -> Result[Body, KvError]:
+    """Decodes the body of a reply."""
+    if isinstance(reply, Err):
+        return reply
+    try:
+        return Ok(decode(reply.ok_value, type=form))
+    except (DecodeError, ValidationError) as exc:
+        return Err(KvError(KvErrorKind.NO_REPLY, f"reply does not decode: {exc}"))
+
+
 def _kind_of(status: int) -> KvErrorKind:
     """Returns the kind of error that a status tells of."""
     if status == STATUS_NOT_FOUND:
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Final, TypeVar
+from typing import Final
 from urllib.parse import quote
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode
+from msgspec import Struct
 from result import Err, Ok, Result
 
 from sequoiapulley.forward.state import (
@@ -31,16 +30,17 @@
     KvClient,
     KvError,
     KvErrorKind,
+    KvEvents,
     KvItem,
     KvPut,
     KvReply,
+    KvWritten,
 )
 from sequoiapulley.platform.names import STORE_RANGE_PATH, STORE_WATCH_PATH
 from sequoiapulley.wire.http_client import HttpClient
 
 EVERYTHING: Final = ""
 """Prefix of every key: one watch serves configuration, upstreams and nodes."""
-Body = TypeVar("Body")
 _ENDED: Final = frozenset({KvErrorKind.HISTORY_GONE, KvErrorKind.NOT_FOUND})
 
 
@@ -53,13 +53,6 @@
     has_more: bool = False
 
 
-class _Events(Struct):
-    """Changes after a revision."""
-
-    events: list[KvItem]
-    at: int
-
-
 class KvSource:
     """Implements `StateSource` and `NodeRegistry`."""
 
@@ -83,15 +76,10 @@
         """Reads the changes after a revision, waiting up to `wait` seconds for the first."""
         path = f"{STORE_WATCH_PATH}?prefix={EVERYTHING}&after={after}&wait_ms={int(wait * 1000)}"
 
-        def on_reply(reply: KvReply) -> None:
-            body = _decoded(reply, _Events)
-            if isinstance(body, Err):
-                done(Err(body.err_value))
-                return
-            events = body.ok_value
-            done(Ok(ChangeSet(Revision(events.at), tuple(_changes(events.events)))))
+        def on_events(reply: Result[KvEvents, KvError]) -> None:
+            done(reply.map(_change_set).map_err(_error))
 
-        self._kv.get(path, on_reply, timeout + wait)
+        self._kv.read(path, KvEvents, on_events, timeout + wait)
 
     def announce(
         self, record: NodeRecord, ttl: float, done: Callable[[AnnounceReply], None]
@@ -151,12 +139,11 @@
         if after:
             path += f"&after={quote(after, safe='/')}"
 
-        def on_reply(reply: KvReply) -> None:
-            body = _decoded(reply, _Range)
-            if isinstance(body, Err):
-                self._done(Err(body.err_value))
+        def on_page(reply: Result[_Range, KvError]) -> None:
+            if isinstance(reply, Err):
+                self._done(Err(_error(reply.err_value)))
                 return
-            page = body.ok_value
+            page = reply.ok_value
             self._items.extend(page.items)
             first = page.at if at is None else at
             if page.has_more and page.items:
@@ -165,7 +152,12 @@
             changes = tuple(_changes(self._items))
             self._done(Ok(ChangeSet(Revision(first), changes, whole=True)))
 
-        self._kv.get(path, on_reply, self._timeout)
+        self._kv.read(path, _Range, on_page, self._timeout)
+
+
+def _change_set(events: KvEvents) -> ChangeSet:
+    """Returns the changes that a watch reported."""
+    return ChangeSet(Revision(events.at), tuple(_changes(events.events)))
 
 
 def _changes(items: list[KvItem]) -> list[Change]:
@@ -187,18 +179,7 @@
         return unreadable(item.key, f"value is not base64: {exc}")
 
 
-def _decoded(reply: KvReply, body: type[Body]) -> Result[Body, SourceError]:
-    """Decodes the body of a read."""
-    if isinstance(reply, Err):
-        return Err(_error(reply.err_value))
-    try:
-        return Ok(decode(reply.ok_value, type=body))
-    except (DecodeError, ValidationError) as exc:
-        detail = f"reply does not decode: {exc}"
-        return Err(SourceError(SourceErrorKind.UNAVAILABLE, detail))
-
-
-def _lease_reply(reply: KvReply, lease: LeaseId) -> AnnounceReply:
+def _lease_reply(reply: KvReply | KvWritten, lease: LeaseId) -> AnnounceReply:
     """Returns the outcome of a call about a lease."""
     if isinstance(reply, Err):
         return Err(_error(reply.err_value))
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -152,7 +152,7 @@
         self.pools: dict[UpstreamName, SimulatedUpstream] = {}
         ways = dict.fromkeys((HERE, FAR), FAR_WAY_S)
         ways[home] = NEAR_WAY_S
-        self.model = LatencyModel(home, ways)
+        self.model = LatencyModel(ways)
         self.directory = UpstreamDirectory(self.clock, self.model, self._pool)
         self.quota = RetryQuota(quota or QuotaSettings(slack=1_000.0))
         self.quota.slack_share = 1.0
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -58,7 +58,7 @@
             net.run(0.05)
         lines = self.lines(net, REQUEST_ANSWERED)
         self.assertEqual([line["id"] for line in lines], [f"r{n}" for n in range(1, 26)])
-        self.assertEqual((lines[0]["goal_ms"], lines[0]["version"]), (100, 1))
+        self.assertEqual((lines[0]["target_ms"], lines[0]["version"]), (100, 1))
 
     def test_hedge_names_both_upstreams(self) -> None:
         self.delay = 0.5
--- a/tests/test_forward_node.py
+++ b/tests/test_forward_node.py
@@ -135,7 +135,8 @@
             self.until(lambda: self.far_parts_are_merged(conn))
 
         with self.subTest("duties are logged"):
-            self.assertIn(b'"name":"duties_changed","entry":true', first.log.read_bytes())
+            line = b'"name":"duties_changed","entry":true'
+            self.until(lambda: line in first.log.read_bytes())
 
         with self.subTest("no route"):
             self.assertEqual(self._status(conn, "r3", "/none/"), 404)
--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -18,7 +18,7 @@
     """A route whose work takes 11 ms, spread by a third."""
 
     def setUp(self) -> None:
-        self.model = LatencyModel(HERE, {HERE: 0.0005, FAR: 0.02})
+        self.model = LatencyModel({HERE: 0.0005, FAR: 0.02})
         self.random = Random(3)
         self.now = 0.0
 
--- /dev/null
+++ b/tests/test_node_life.py
@@ -0,0 +1,108 @@
+"""Tests of when a leaving node may end, and of settings that change while it runs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from msgspec.structs import replace
+from result import Err, Ok, Result
+
+from sequoiapulley.daemon.node_life import LEAST_LEAVE_S, LEAVE_SHARE, NodeLife
+from sequoiapulley.daemon.settings_task import SettingsTask
+from sequoiapulley.daemon.settings_watch import SettingsWatch
+from sequoiapulley.forward.log_events import SETTINGS_RELOADED, SETTINGS_UNREADABLE
+from sequoiapulley.forward.node_settings import Address, NodeSettings
+from sequoiapulley.forward.peer_table import NodeState
+from sequoiapulley.forward.retry_quota import QuotaSettings
+from sequoiapulley.ids import NodeId, PlaceName, RegionName
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+
+GRACE_S = 6.0
+HERE = Address("127.0.0.1", 1)
+SETTINGS = NodeSettings(
+    name=NodeId("n"),
+    place=PlaceName("p"),
+    region=RegionName("r"),
+    host="127.0.0.1",
+    regions={PlaceName("p"): RegionName("r")},
+    store=HERE,
+    callers=HERE,
+    readiness=None,
+    directory=None,
+    peers=HERE,
+    heartbeat_port=2,
+    seeds=(),
+    quota=QuotaSettings(),
+    grace=GRACE_S,
+)
+
+
+class NodeLifeTest(TestCase):
+    """A node that leaves serves its callers as long as it may."""
+
+    def setUp(self) -> None:
+        self.life = NodeLife()
+        self.life.become_ready()
+
+    def test_ready_node_does_not_close(self) -> None:
+        self.assertFalse(self.life.may_close(100.0, GRACE_S, 0))
+
+    def test_callers_that_still_have_the_address_are_accepted(self) -> None:
+        self.life.leave(0.0)
+        self.assertFalse(self.life.may_close(LEAST_LEAVE_S - 0.1, GRACE_S, 0))
+        self.assertTrue(self.life.may_close(LEAST_LEAVE_S, GRACE_S, 0))
+
+    def test_open_connections_are_waited_for_until_the_grace_period_ends(self) -> None:
+        self.life.leave(0.0)
+        self.assertFalse(self.life.may_close(LEAVE_SHARE * GRACE_S - 0.1, GRACE_S, 1))
+        self.assertTrue(self.life.may_close(LEAVE_SHARE * GRACE_S, GRACE_S, 1))
+
+    def test_short_grace_period_is_kept(self) -> None:
+        self.life.leave(0.0)
+        self.assertTrue(self.life.may_close(0.9, 1.0, 1))
+
+    def test_second_signal_changes_nothing(self) -> None:
+        self.assertTrue(self.life.leave(0.0))
+        self.assertFalse(self.life.leave(2.0))
+        self.assertFalse(self.life.become_ready())
+        self.assertIs(self.life.state, NodeState.LEAVING)
+        self.assertTrue(self.life.may_close(LEAST_LEAVE_S, GRACE_S, 0))
+
+
+class SettingsTaskTest(TestCase):
+    """A file that changes with or without a signal, and one that is broken."""
+
+    def setUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings"
+        self.path.write_text("1", encoding="utf-8")
+        self.log = MemoryLog()
+        self.next: Result[NodeSettings, str] = Ok(SETTINGS)
+        watch = SettingsWatch(self.path, lambda _path: self.next, self.log)
+        self.applied: list[NodeSettings] = []
+        self.task = SettingsTask(
+            SETTINGS, watch, TimerQueue(PausedClock()), self.log, self.applied.append
+        )
+
+    def test_only_what_may_change_is_applied(self) -> None:
+        self.next = Ok(replace(SETTINGS, grace=9.0, name=NodeId("other")))
+        self.task.reload()
+        self.assertEqual((self.task.cfg.grace, self.task.cfg.name), (9.0, NodeId("n")))
+        self.assertEqual(self.applied, [self.task.cfg])
+        event, fields = self.log.entries[-1]
+        self.assertIs(event, SETTINGS_RELOADED)
+        self.assertEqual(fields["changed"], ["grace"])
+
+    def test_broken_file_leaves_the_settings_in_force(self) -> None:
+        self.next = Err("line 1: broken")
+        self.task.reload()
+        self.assertEqual((self.task.cfg, self.applied), (SETTINGS, []))
+        self.assertIs(self.log.entries[-1][0], SETTINGS_UNREADABLE)
+
+    def test_unchanged_file_is_not_read(self) -> None:
+        self.task.start()
+        self.assertEqual(self.log.entries, [])
