Hear of a configuration from peers while the store turns a reader away silently

The store left the reader of the place without an answer from 1.4 s on; each of its reads waited 2.4 s before it asked a peer, and after one answer from a peer it went back to the store. Its state seemed young, so that its followers stayed with it. Ruled out: a follower's own way to the store, which answered it at once. Now a read waits half a second for a change, the store rests for a second after a read without an answer while peers can be asked, a follower whose reader fails asks a peer elsewhere before the store, and state older than 1.9 s is refused to followers. Store calls do not change: upstreams write all the time, so that the pace of one read a second decides.

--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -19,8 +19,11 @@
 STORE_PACE_S: Final = 1.0
 """Least time between two reads of the store: upstreams write heartbeats all the time, and a change
 must reach every node within three seconds."""
-STORE_WAIT_S: Final = 2.0
-"""Longest wait of the store for a change, so that a connection that went silent shows soon."""
+STORE_WAIT_S: Final = 0.5
+"""Longest wait of the store for a change: a store that has fallen silent for this node must show
+while there is time to hear of a change from a peer."""
+STORE_PAUSE_S: Final = 1.0
+"""Time for which a store that did not answer is not asked while a peer can be."""
 PEER_WAIT_S: Final = 0.5
 """Longest wait of a peer for a change: with the timeout, a reader that froze is noticed while there
 is time to read the store."""
@@ -64,28 +67,40 @@
         self._clock = clock
         self._last: PeerSource | None = None
         self._behind_since: float | None = None
+        self._asked_store = False
+        self._ask_store_at = float("-inf")
         self.revision = Revision(0)
         """Revision up to which this node knows everything."""
 
     def __call__(self, failures: int) -> ReadPlan:
         """Returns the next read; after a failure it goes elsewhere."""
+        now = self._clock.now()
+        if failures and self._asked_store:
+            self._ask_store_at = now + STORE_PAUSE_S
         ahead = self._newer_configuration()
         if ahead is not None and failures % 2 == 0:
             return self._peer_plan(ahead)
-        options: list[Address | None] = []
-        reader = reader_of(self._peers.live_near(), self._peers.me.place)
-        if reader is not None and reader.name != self._peers.me.name:
-            options.append(_address(reader))
-        options.append(None)
-        if failures:
-            options.extend(self._others())
+        options = self._options(failures, now)
         address = options[failures % len(options)]
         if address is None:
+            self._asked_store = True
             return ReadPlan(self._store, True, STORE_WAIT_S, STORE_PACE_S)
         return self._peer_plan(address)
 
+    def _options(self, failures: int, now: float) -> list[Address | None]:
+        """Returns where to read, the best source first; None stands for the store."""
+        store_rests = now < self._ask_store_at
+        store: list[Address | None] = [] if store_rests else [None]
+        others = self._others() if failures or store_rests else []
+        reader = reader_of(self._peers.live_near(), self._peers.me.place)
+        if reader is None or reader.name == self._peers.me.name:
+            return [*store, *others] or [None]
+        # Peers elsewhere answer at once; a store that turns this node away may never do.
+        return [_address(reader), *others, *store]
+
     def _peer_plan(self, address: Address) -> ReadPlan:
         """Returns a read from a peer."""
+        self._asked_store = False
         if self._last is None or self._last.address != address:
             self._last = PeerSource(self._client, address)
         return ReadPlan(self._last, False, PEER_WAIT_S, PEER_PACE_S)
@@ -104,10 +119,12 @@
         return _address(self._random.choice(newer))
 
     def _others(self) -> list[Address]:
-        """Returns a peer that knows more, or a seed while nothing is known."""
+        """Returns a peer that knows more or reads for itself, or a seed while nothing is known."""
+        place = self._peers.me.place
         ahead = self._peers.with_later_revision(self.revision)
-        if ahead:
-            return [_address(self._random.choice(ahead))]
+        far = [peer for peer in self._peers.ready() if peer.place != place]
+        if ahead or far:
+            return [_address(self._random.choice(ahead or far))]
         if self._forwarder.table is None and self.seeds:
             return [self._random.choice(self.seeds)]
         return []
--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -26,9 +26,9 @@
 CHANGES_PATH: Final = "/v1/changes"
 MOST_WAIT_S: Final = 5.0
 """Longest wait for a change that a peer may ask for."""
-MOST_AGE_S: Final = 2.8
-"""Age beyond which a node's state is no use to peers that can read the store: a whole wait of the
-store and a read that failed."""
+MOST_AGE_S: Final = 1.9
+"""Age beyond which a node's state is no use to peers that can read the store: twice the reader's
+pace, less than a read of the store and the bound on a configuration leave."""
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_UNAVAILABLE: Final = 503
--- /dev/null
+++ b/tests/test_turned_away_reader.py
@@ -0,0 +1,183 @@
+"""Nodes that the store turns away silently must not stay behind, nor keep their place behind.
+
+Two places of three nodes each. The store does not answer some of the first place any more, and some
+time later the operator writes a newer configuration.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+from unittest import TestCase
+
+from result import Err, Ok
+
+from sequoiapulley.daemon.feed_sources import FeedSources
+from sequoiapulley.daemon.peer_source import PeerPort
+from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.peer_table import FAR_HEARTBEAT_S, NEAR_HEARTBEAT_S, PeerTable
+from sequoiapulley.forward.state import ChangeSet, ChangesReply, NodeRecord, TableChange
+from sequoiapulley.forward.state_feed import StateFeed
+from sequoiapulley.ids import ConfigVersion, Revision
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+from sequoiapulley.wire.http_client import (
+    HttpCall,
+    HttpFailure,
+    HttpFailureKind,
+    HttpReply,
+    HttpResult,
+)
+from tests.state_fixtures import changes, heartbeat, node, table, unavailable
+
+APPLY_S = 3.0
+"""Bound on the time from the store's acknowledgement to the last node, by the users' page."""
+REPLY_S = 0.004
+BEATS_PER_S = 20
+"""Writes of upstreams, so that a waiting read returns at once."""
+START_S = 4.0
+
+
+class FakeStore:
+    """Implements `StateSource` for one node; what it holds is shared."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+
+    def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
+        self.read_changes(Revision(0), 0.0, timeout, done)
+
+    def read_changes(
+        self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
+    ) -> None:
+        timers = self.fleet.timers
+        if self.name in self.fleet.turned_away:
+            timers.call_later(wait + timeout, lambda: done(unavailable()))
+            return
+        timers.call_later(REPLY_S, lambda: done(Ok(self.fleet.changes_after(after))))
+
+
+class FakeRequest:
+    """One question to a node's port."""
+
+    def __init__(self, path: str, done: Callable[[HttpResult], None]) -> None:
+        self.parsed = SimpleNamespace(target=path.encode())
+        self._done: Callable[[HttpResult], None] | None = done
+
+    def answer(self, status: int, headers: object, body: bytes) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            done(Ok(HttpReply(status, [], body)))
+
+    def expire(self) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            done(Err(HttpFailure(HttpFailureKind.TIMEOUT, True, "no reply")))
+
+
+class FleetNode:
+    """The reading of shared state by one node."""
+
+    def __init__(self, fleet: Fleet, record: NodeRecord, random: Random) -> None:
+        self.record = record
+        self.version = ConfigVersion(0)
+        self.table = None
+        self.peers = PeerTable(record, MemoryLog())
+        self.log = ChangeLog()
+        store = FakeStore(fleet, record.name)
+        clock = fleet.timers.clock
+        self.sources = FeedSources(store, fleet, self.peers, self, (), random, clock)
+        self.feed = StateFeed(self.sources, fleet.timers, MemoryLog(), random, self.take)
+        self.port = PeerPort(self.log, fleet.timers, self.image, lambda: self.feed.age)
+
+    def take(self, found: ChangeSet, after_gap: bool) -> None:
+        for change in found.changes:
+            self.log.append(change, found.revision)
+            self.version = max(self.version, change.table.version)
+        self.log.advance(found.revision)
+        self.sources.revision = found.revision
+        self.port.wake()
+
+    def image(self, age: float) -> ChangeSet:
+        return changes(self.log.revision, TableChange(table(self.version)), whole=True, age=age)
+
+
+class Fleet:
+    """Two places; stands for the nodes' HTTP client as well."""
+
+    def __init__(self, seed: int) -> None:
+        self.timers = TimerQueue(PausedClock())
+        self.turned_away: frozenset[str] = frozenset()
+        self.versions = [(Revision(1), 1)]
+        random = Random(seed)
+        self.nodes = {
+            name: FleetNode(self, node(name, place), random)
+            for place in ("p", "q")
+            for name in (f"{place}1", f"{place}2", f"{place}3")
+        }
+        for each in self.nodes.values():
+            self.timers.call_later(random.random(), each.feed.start)
+            self.beat(each, NEAR_HEARTBEAT_S, near=True)
+            self.beat(each, FAR_HEARTBEAT_S, near=False)
+
+    @property
+    def revision(self) -> Revision:
+        return Revision(int(self.timers.clock.now() * BEATS_PER_S))
+
+    def changes_after(self, after: Revision) -> ChangeSet:
+        """Returns what the store holds beyond a revision."""
+        items = [TableChange(table(version)) for at, version in self.versions if at > after]
+        return changes(self.revision, *items, whole=after == 0)
+
+    def beat(self, sender: FleetNode, period: float, near: bool) -> None:
+        """Sends heartbeats to the nodes of the same place, or to those of others."""
+        now = self.timers.clock.now()
+        said = heartbeat(sender.record, sender.version, sender.log.revision)
+        for other in self.nodes.values():
+            if (other.record.place == sender.record.place) is near:
+                other.peers.hear(said, now)
+        self.timers.call_later(period, lambda: self.beat(sender, period, near))
+
+    def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+        """Asks a node's port."""
+        asked = FakeRequest(call.path, done)
+        self.timers.call_later(call.timeout, asked.expire)
+        self.timers.call_later(REPLY_S, lambda: self.nodes[call.host].port.serve(asked))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        clock = self.timers.clock
+        assert isinstance(clock, PausedClock)
+        end = clock.now() + seconds
+        while (due := self.timers.next_due()) is not None and due <= end:
+            clock.advance(max(0.0, due - clock.now()))
+            self.timers.run_due()
+        clock.advance(max(0.0, end - clock.now()))
+
+
+class TurnedAwayReaderTest(TestCase):
+    """Every node knows a newer configuration in time, at whatever moment it comes."""
+
+    def check(self, turned_away: frozenset[str]) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed)
+                fleet.run(START_S + (seed % 7) * 0.13)
+                self.assertEqual({each.version for each in fleet.nodes.values()}, {1})
+                fleet.turned_away = turned_away
+                fleet.run(0.067 * seed)
+                fleet.versions.append((Revision(fleet.revision + 1), 2))
+                fleet.run(APPLY_S)
+                late = [name for name, each in fleet.nodes.items() if each.version < 2]
+                self.assertEqual(late, [])
+
+    def test_reader_of_a_place(self) -> None:
+        self.check(frozenset({"p3"}))
+
+    def test_reader_and_a_node_that_serves_callers(self) -> None:
+        self.check(frozenset({"p1", "p3"}))
+
+    def test_all_nodes_of_a_place(self) -> None:
+        self.check(frozenset({"p1", "p2", "p3"}))
