Let the store rest only after a read that failed, and ask a peer that is gone no longer

The store lost its history after an outage; its refusal was taken for a failed read, so that the readers let it rest, took the old image of a peer, and met the same refusal again, without end. Only a read that failed now lets the store rest, and only until a peer fails as well. Its kernel's confirmation tells within a round trip whether a machine is there; a request that is not confirmed 10 ms after it is given up and its shards are asked directly, in time. Nodes confirm at once on their port for each other. Ruled out: asking directly when the reply itself is overdue; a fifth of all replies are, as an upstream pauses.

--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -67,6 +67,7 @@
         self._clock = clock
         self._last: PeerSource | None = None
         self._behind_since: float | None = None
+        self._failures = 0
         self._asked_store = False
         self._ask_store_at = float("-inf")
         self.revision = Revision(0)
@@ -75,8 +76,7 @@
     def __call__(self, failures: int) -> ReadPlan:
         """Returns the next read; after a failure it goes elsewhere."""
         now = self._clock.now()
-        if failures and self._asked_store:
-            self._ask_store_at = now + STORE_PAUSE_S
+        self._note_failure(failures, now)
         ahead = self._newer_configuration()
         if ahead is not None and failures % 2 == 0:
             return self._peer_plan(ahead)
@@ -87,6 +87,13 @@
             return ReadPlan(self._store, True, STORE_WAIT_S, STORE_PACE_S)
         return self._peer_plan(address)
 
+    def _note_failure(self, failures: int, now: float) -> None:
+        """Lets the store rest after a read that failed, until a peer fails as well."""
+        failed = failures > self._failures
+        self._failures = failures
+        if failed:
+            self._ask_store_at = now + STORE_PAUSE_S if self._asked_store else now
+
     def _options(self, failures: int, now: float) -> list[Address | None]:
         """Returns where to read, the best source first; None stands for the store."""
         store_rests = now < self._ask_store_at
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -72,6 +72,7 @@
 SAME_REGION_WAY_S: Final = 0.001
 OTHER_REGION_WAY_S: Final = 0.02
 """Round trips assumed until replies tell better."""
+DEFAULT_LIMITS: Final = ServerLimits()
 LARGEST_REPLY: Final = ReplyBounds(unframed=True)
 LARGEST_STATE: Final = ReplyBounds(body_bytes=16_777_216)
 
@@ -190,7 +191,7 @@
             calls, self._peers, lambda: self._life.state is NodeState.READY, cfg.most_entry_ttl
         )
         self._callers = self._listen(cfg.callers, self._on_caller)
-        self._others = [self._listen(cfg.peers, self._on_peer)]
+        self._others = [self._listen(cfg.peers, self._on_peer, ServerLimits(quick_acks=True))]
         for address in (cfg.readiness, cfg.directory):
             if address is not None:
                 self._others.append(self._listen(address, self._entries.serve))
@@ -215,11 +216,14 @@
             self._reactor.run_once(LONGEST_POLL_S)
         self._log.log(NODE_STOPPED, requests=sum(self._tally.outcomes.values()))
 
-    def _listen(self, address: Address, handler: Callable[[ServerRequest], None]) -> HttpServer:
+    def _listen(
+        self,
+        address: Address,
+        handler: Callable[[ServerRequest], None],
+        limits: ServerLimits = DEFAULT_LIMITS,
+    ) -> HttpServer:
         """Opens one listening port."""
-        return HttpServer(
-            self._reactor, self._timers, address.host, address.port, handler, ServerLimits()
-        )
+        return HttpServer(self._reactor, self._timers, address.host, address.port, handler, limits)
 
     def _take(self, changes: ChangeSet, after_gap: bool) -> None:
         """Applies what was read from the store."""
--- a/src/sequoiapulley/daemon/parts_port.py
+++ b/src/sequoiapulley/daemon/parts_port.py
@@ -11,6 +11,7 @@
 
 from sequoiapulley.daemon.peer_source import MSGPACK, STATUS_OK, STATUS_UNAVAILABLE
 from sequoiapulley.forward.aggregators import (
+    PartsBounds,
     PartsFailure,
     PartsReply,
     PartsRequest,
@@ -46,12 +47,19 @@
         self,
         node: NodeRecord,
         request: PartsRequest,
-        timeout: float,
+        bounds: PartsBounds,
         done: Callable[[PartsResult], None],
     ) -> None:
         """Sends a request."""
-        body = encode(request)
-        call = HttpCall(node.host, node.peers_port, "POST", PARTS_PATH, body=body, timeout=timeout)
+        call = HttpCall(
+            node.host,
+            node.peers_port,
+            "POST",
+            PARTS_PATH,
+            body=encode(request),
+            timeout=bounds.reply,
+            ack_timeout=bounds.confirmation,
+        )
         self._client.request(call, lambda result: done(_decode(result)))
 
 
--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -81,6 +81,15 @@
     detail: str
 
 
+class PartsBounds(Struct, frozen=True):
+    """How long to wait for a node."""
+
+    reply: float
+    """Longest wait for the reply, in seconds."""
+    confirmation: float | None
+    """Longest wait for the node's kernel to confirm the request, in seconds; None for no bound."""
+
+
 PartsResult = Result[PartsReply, PartsFailure]
 
 
@@ -94,7 +103,7 @@
         self,
         node: NodeRecord,
         request: PartsRequest,
-        timeout: float,
+        bounds: PartsBounds,
         done: Callable[[PartsResult], None],
     ) -> None:
         """Sends a request.
@@ -102,7 +111,7 @@
         Args:
             node: Whom to ask.
             request: What to ask.
-            timeout: Longest wait in seconds.
+            bounds: How long to wait.
             done: Receives the result, once, later.
         """
 
@@ -168,7 +177,7 @@
         self,
         node: NodeRecord,
         request: PartsRequest,
-        timeout: float,
+        bounds: PartsBounds,
         done: Callable[[PartsResult], None],
     ) -> None:
         """Asks a node and learns from the outcome.
@@ -176,7 +185,7 @@
         Args:
             node: Whom to ask.
             request: What to ask.
-            timeout: Longest wait in seconds.
+            bounds: How long to wait.
             done: Receives the result, once, later.
         """
 
@@ -184,7 +193,7 @@
             self._learn(node, request, result)
             done(result)
 
-        self._client.ask(node, request, timeout, on_result)
+        self._client.ask(node, request, bounds, on_result)
 
     def keep_connected(self) -> None:
         """Opens connections ahead to the nodes of other places that lack one."""
--- a/src/sequoiapulley/forward/latency_model.py
+++ b/src/sequoiapulley/forward/latency_model.py
@@ -33,6 +33,7 @@
         """
         self._assumed = initial_ways
         self._ways: dict[PlaceName, tuple[float, float]] = {}
+        self._measured: set[PlaceName] = set()
         self._work: dict[str, float] = {}
 
     def way(self, place: PlaceName) -> float:
@@ -42,6 +43,10 @@
             return known[0]
         return self._assumed.get(place, max(self._assumed.values(), default=0.0))
 
+    def knows_way(self, place: PlaceName) -> bool:
+        """Returns whether the round trip to a place was measured without work at its end."""
+        return place in self._measured
+
     def work(self, route: str, goal: float) -> float:
         """Returns the typical time of a route's work at an upstream, in seconds.
 
@@ -80,8 +85,10 @@
             now: Clock reading in seconds.
         """
         way = self.way(place)
-        weight = 1.0 if latency < way else WAY_WEIGHT
+        longer = place in self._measured and latency > way
+        weight = WAY_WEIGHT if longer else 1.0
         self._ways[place] = (way + weight * (latency - way), now)
+        self._measured.add(place)
 
     def overdue_after(self, route: str, goal: float, place: PlaceName) -> float:
         """Returns the time after which a reply from a place is overdue, in seconds."""
--- a/src/sequoiapulley/forward/remote_parts.py
+++ b/src/sequoiapulley/forward/remote_parts.py
@@ -9,6 +9,7 @@
 
 from sequoiapulley.forward.aggregators import (
     Aggregators,
+    PartsBounds,
     PartsRequest,
     PartsResult,
     ShardTask,
@@ -29,6 +30,9 @@
 SAME_WAY_S: Final = 0.005
 """Difference of round trips within which places are equally far: between two places of a region it
 is a millisecond, between regions ten and more."""
+CONFIRM_S: Final = 0.01
+"""Time beyond the way for the kernel of a node to confirm a request. It does so at once; a lost packet
+is sent again after two hundred milliseconds only."""
 LEAST_DUE_S: Final = 0.02
 """Least time that a node gets to ask its shards."""
 
@@ -101,7 +105,9 @@
             tasks=tuple(tasks),
         )
         self._sent_at = now
-        self._aggregators.ask(self._node, request, due - now + way, self._on_result)
+        known = self._ctx.model.knows_way(self._node.place)
+        bounds = PartsBounds(due - now + way, way + CONFIRM_S if known else None)
+        self._aggregators.ask(self._node, request, bounds, self._on_result)
 
     def _on_result(self, result: PartsResult) -> None:
         """Passes on what came."""
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -21,7 +21,7 @@
 from sequoiapulley.runtime import TimerQueue
 
 FIRST_RETRY_S: Final = 0.05
-MOST_RETRY_S: Final = 0.8
+MOST_RETRY_S: Final = 0.6
 """Longest pause between two tries while no source answers; a tier of a thousand nodes then makes
 fewer calls than the store takes."""
 FIRST_TIMEOUT_S: Final = 0.4
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -39,6 +39,10 @@
     body: bytes = b""
     timeout: float = 2.0
     """Longest wait for the whole reply, in seconds, queueing included."""
+    ack_timeout: float | None = None
+    """Longest wait for the other end's kernel to confirm the request, in seconds; None for no such
+    bound. It tells a machine that is gone long before a reply is overdue. The other end must
+    confirm at once, see `HttpServer`."""
 
 
 class HttpReply(Struct, frozen=True):
@@ -55,6 +59,8 @@
 
     CONNECT = "connect"
     TIMEOUT = "timeout"
+    NOT_CONFIRMED = "not_confirmed"
+    """The other end's kernel did not confirm the request in time."""
     CLOSED = "closed"
     """The connection closed before the whole reply."""
     BAD_REPLY = "bad_reply"
@@ -86,7 +92,7 @@
 class _Exchange:
     """One call on its way."""
 
-    __slots__ = ("call", "conn", "done", "timer")
+    __slots__ = ("ack_timer", "call", "conn", "done", "timer")
 
     def __init__(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
         """Initialise a call that waits for a connection."""
@@ -94,12 +100,14 @@
         self.done: Callable[[HttpResult], None] | None = done
         self.conn: HttpConnection | None = None
         self.timer: TimerHandle | None = None
+        self.ack_timer: TimerHandle | None = None
 
     def finish(self, outcome: HttpResult) -> None:
         """Calls back, once."""
         done, self.done = self.done, None
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.ack_timer):
+            if timer is not None:
+                timer.cancel()
         if done is not None:
             done(outcome)
 
@@ -148,6 +156,10 @@
         """
         exchange = _Exchange(call, done)
         exchange.timer = self._timers.call_later(call.timeout, lambda: self._expire(exchange))
+        if call.ack_timeout is not None:
+            exchange.ack_timer = self._timers.call_later(
+                call.ack_timeout, lambda: self._check_confirmed(exchange)
+            )
         server = self._servers.setdefault((call.host, call.port), _Server())
         server.waiting.append(exchange)
         self._pump(server, call.host, call.port)
@@ -174,6 +186,11 @@
         """Returns the number of connections that are not closed."""
         return sum(len(server.open) for server in self._servers.values())
 
+    def has_unconfirmed(self) -> bool:
+        """Returns whether bytes of a request are not confirmed by the other end's kernel."""
+        conns = [conn for server in self._servers.values() for conn in server.open]
+        return any(conn.unacknowledged for conn in conns)
+
     def close(self) -> None:
         """Closes every connection; calls in flight are not called back."""
         if self._sweep_timer is not None:
@@ -274,8 +291,19 @@
         conn.tag = (host, port, None)
         server.open.add(conn)
 
+    def _check_confirmed(self, exchange: _Exchange) -> None:
+        """Gives a call up if the other end has not confirmed it."""
+        conn = exchange.conn
+        if conn is None or conn.unacknowledged:
+            self._give_up(exchange, HttpFailureKind.NOT_CONFIRMED, "request not confirmed")
+
     def _expire(self, exchange: _Exchange) -> None:
         """Gives a call up at its timeout."""
+        detail = f"no reply within {exchange.call.timeout} s"
+        self._give_up(exchange, HttpFailureKind.TIMEOUT, detail)
+
+    def _give_up(self, exchange: _Exchange, kind: HttpFailureKind, detail: str) -> None:
+        """Fails a call and closes its connection and the idle ones of the same server."""
         call = exchange.call
         server = self._servers.get((call.host, call.port))
         conn = exchange.conn
@@ -288,8 +316,7 @@
                 _drop_idle(server)
         elif server is not None and exchange in server.waiting:
             server.waiting.remove(exchange)
-        detail = f"{call.host}:{call.port}: no reply within {call.timeout} s"
-        exchange.finish(Err(HttpFailure(HttpFailureKind.TIMEOUT, sent, detail)))
+        exchange.finish(Err(HttpFailure(kind, sent, f"{call.host}:{call.port}: {detail}")))
         if server is not None:
             self._pump(server, call.host, call.port)
 
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from fcntl import ioctl
 from socket import (
     AF_INET,
     AF_INET6,
@@ -19,6 +20,7 @@
     TCP_USER_TIMEOUT,
     socket,
 )
+from termios import TIOCOUTQ
 from typing import Final, Protocol
 
 from msgspec import Struct
@@ -31,6 +33,8 @@
 KEEPALIVE_IDLE_S: Final = 5
 KEEPALIVE_INTERVAL_S: Final = 2
 KEEPALIVE_PROBES: Final = 3
+NO_COUNT: Final = bytes(4)
+"""Zero as the kernel writes it: a whole number of four bytes."""
 USER_TIMEOUT_MS: Final = 10_000
 
 
@@ -222,6 +226,19 @@
         if waited is not bool(self._out):
             self._reactor.modify(self._fd, READABLE | WRITABLE if self._out else READABLE)
 
+    @property
+    def unacknowledged(self) -> bool:
+        """Whether the other end's kernel has not confirmed all bytes that were sent.
+
+        False where the system does not tell.
+        """
+        try:
+            count = ioctl(self._fd, TIOCOUTQ, NO_COUNT)
+        except OSError:
+            # A closed socket, or a system without the call; the reply's own timeout remains.
+            return False
+        return bool(self._out) or count != NO_COUNT
+
     def _read(self) -> None:
         """Reads what has arrived and reports whole replies."""
         try:
--- a/src/sequoiapulley/wire/server_connection.py
+++ b/src/sequoiapulley/wire/server_connection.py
@@ -11,6 +11,7 @@
     SO_KEEPALIVE,
     SOL_SOCKET,
     TCP_NODELAY,
+    TCP_QUICKACK,
     TCP_USER_TIMEOUT,
     socket,
 )
@@ -42,6 +43,8 @@
     """Longest time from the first byte of a request to its last, in seconds."""
     idle_timeout: float = 15.0
     """Time without a request after which a connection is closed, in seconds."""
+    quick_acks: bool = False
+    """Whether each request is confirmed at once, for callers that watch for it."""
 
 
 class ServerRequest:
@@ -172,6 +175,9 @@
         if not data:
             self.close()
             return
+        if self._server.limits.quick_acks:
+            # The kernel falls back to delayed confirmations by itself.
+            self._sock.setsockopt(IPPROTO_TCP, TCP_QUICKACK, 1)
         if self._fault is not None or self._last_answer:
             return
         if not self._parser.begun and self._current is None:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -72,6 +72,31 @@
         self.assertEqual((self.server.accept_all(), self.client.connections()), (1, 1))
         self.assertFalse(self.client.prepare(host, port))
 
+    def test_request_that_is_not_confirmed_fails_before_its_timeout(self) -> None:
+        body = bytes(32_000_000)
+        call = HttpCall(
+            "127.0.0.1", self.server.port, "POST", "/", body=body, timeout=2.0, ack_timeout=0.02
+        )
+        self.client.request(call, self.results.append)
+        self.loop.settle()
+        self.loop.advance(0.02)
+        self.assertIs(self.failure().kind, HttpFailureKind.NOT_CONFIRMED)
+        self.assertTrue(self.failure().sent)
+
+    def test_confirmed_request_waits_for_its_reply(self) -> None:
+        call = HttpCall("127.0.0.1", self.server.port, "GET", "/", timeout=2.0, ack_timeout=0.02)
+        self.client.request(call, self.results.append)
+        self.loop.settle()
+        conn = self.server.accept()
+        conn.recv(RECEIVE_BYTES)
+        # The kernel confirms on its own time, which the paused clock does not bound.
+        self.loop.until(lambda: not self.client.has_unconfirmed())
+        self.loop.advance(0.02)
+        self.assertEqual(self.results, [])
+        conn.sendall(reply_bytes(1))
+        self.loop.settle()
+        self.assertIsInstance(self.results[-1], Ok)
+
     def test_calls_beyond_the_bound_wait(self) -> None:
         for _ in range(CONNECTIONS_PER_SERVER + 3):
             self.call()
--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -53,5 +53,15 @@
         difference -= self.model.overdue_after("r", GOAL_S, HERE)
         self.assertAlmostEqual(difference, 0.0155, delta=0.006)
 
+    def test_round_trips_without_work_replace_the_assumption_at_once(self) -> None:
+        self.assertFalse(self.model.knows_way(FAR))
+        self.model.record_way(FAR, 0.04, 0.0)
+        self.assertTrue(self.model.knows_way(FAR))
+        self.assertEqual(self.model.way(FAR), 0.04)
+        self.model.record_way(FAR, 0.05, 0.1)
+        self.assertLess(self.model.way(FAR), 0.042)
+        self.model.record_way(FAR, 0.03, 0.2)
+        self.assertEqual(self.model.way(FAR), 0.03)
+
     def test_without_samples_the_goal_says_what_to_expect(self) -> None:
         self.assertLess(self.model.overdue_after("new", GOAL_S, HERE), GOAL_S / 2)
--- a/tests/test_remote_parts.py
+++ b/tests/test_remote_parts.py
@@ -16,6 +16,7 @@
 from sequoiapulley.forward.aggregators import (
     FIRST_PAUSE_S,
     Aggregators,
+    PartsBounds,
     PartsFailure,
     PartsReply,
     PartsRequest,
@@ -51,6 +52,9 @@
 
     WELL = "well"
     SILENT = "silent"
+    """It takes the request and sends nothing."""
+    GONE = "gone"
+    """It does not even confirm the request."""
     REFUSING = "refusing"
     RESETTING = "resetting"
 
@@ -72,7 +76,7 @@
         self,
         node: NodeRecord,
         request: PartsRequest,
-        timeout: float,
+        bounds: PartsBounds,
         done: Callable[[PartsResult], None],
     ) -> None:
         self.requests.append(request)
@@ -84,7 +88,9 @@
                 done(result)
 
         lost = Err(PartsFailure(True, "no reply in time"))
-        self.timers.call_later(timeout, lambda: finish(lost))
+        self.timers.call_later(bounds.reply, lambda: finish(lost))
+        if self.mood is Mood.GONE and bounds.confirmation is not None:
+            self.timers.call_later(bounds.confirmation, lambda: finish(lost))
         if self.mood is Mood.REFUSING:
             refused = Err(PartsFailure(False, "connection refused"))
             self.timers.call_later(0.001, lambda: finish(refused))
@@ -181,6 +187,13 @@
             self.assertEqual(dict(answer.headers)[b"missing"], b"0")
         self.assertEqual(len(self.nodes.requests), 1)
 
+    def test_node_that_is_gone_does_not_make_an_answer_late(self) -> None:
+        self.ask()
+        self.nodes.mood = Mood.GONE
+        time, answer = self.ask()
+        self.assertLess(time, GOAL_S)
+        self.assertEqual(dict(answer.headers)[b"missing"], b"0")
+
     def test_node_is_asked_again_after_a_pause(self) -> None:
         self.nodes.mood = Mood.SILENT
         self.ask(0.5)
--- a/tests/test_turned_away_reader.py
+++ b/tests/test_turned_away_reader.py
@@ -29,10 +29,12 @@
     HttpReply,
     HttpResult,
 )
-from tests.state_fixtures import changes, heartbeat, node, table, unavailable
+from tests.state_fixtures import changes, heartbeat, history_gone, node, table, unavailable
 
 APPLY_S = 3.0
 """Bound on the time from the store's acknowledgement to the last node, by the users' page."""
+CONTACT_S = 4.0
+"""Time after an outage of the store from which the bounds hold again, by the users' page."""
 REPLY_S = 0.004
 BEATS_PER_S = 20
 """Writes of upstreams, so that a waiting read returns at once."""
@@ -47,16 +49,26 @@
         self.name = name
 
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
-        self.read_changes(Revision(0), 0.0, timeout, done)
+        self._answer(lambda: Ok(self.fleet.changes_after(Revision(0))), timeout, done)
 
     def read_changes(
         self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
     ) -> None:
+        def read() -> ChangesReply:
+            gone = after < self.fleet.history_from
+            return history_gone() if gone else Ok(self.fleet.changes_after(after))
+
+        self._answer(read, wait + timeout, done)
+
+    def _answer(
+        self, read: Callable[[], ChangesReply], timeout: float, done: Callable[[ChangesReply], None]
+    ) -> None:
+        """Answers soon, or lets the call time out."""
         timers = self.fleet.timers
         if self.name in self.fleet.turned_away:
-            timers.call_later(wait + timeout, lambda: done(unavailable()))
+            timers.call_later(timeout, lambda: done(unavailable()))
             return
-        timers.call_later(REPLY_S, lambda: done(Ok(self.fleet.changes_after(after))))
+        timers.call_later(REPLY_S, lambda: done(read()))
 
 
 class FakeRequest:
@@ -111,6 +123,8 @@
         self.timers = TimerQueue(PausedClock())
         self.turned_away: frozenset[str] = frozenset()
         self.versions = [(Revision(1), 1)]
+        self.history_from = Revision(0)
+        """The store no longer tells the changes after earlier revisions."""
         random = Random(seed)
         self.nodes = {
             name: FleetNode(self, node(name, place), random)
@@ -173,6 +187,20 @@
                 late = [name for name, each in fleet.nodes.items() if each.version < 2]
                 self.assertEqual(late, [])
 
+    def test_store_that_returns_without_its_history(self) -> None:
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                fleet = Fleet(seed)
+                fleet.run(START_S)
+                fleet.turned_away = frozenset(fleet.nodes)
+                fleet.run(0.8 + 0.1 * seed)
+                fleet.versions.append((Revision(fleet.revision + 1), 2))
+                fleet.history_from = Revision(fleet.revision + 2)
+                fleet.turned_away = frozenset()
+                fleet.run(CONTACT_S)
+                late = [name for name, each in fleet.nodes.items() if each.version < 2]
+                self.assertEqual(late, [])
+
     def test_reader_of_a_place(self) -> None:
         self.check(frozenset({"p3"}))
 
