Say in the verdict and in the log which node an answer's missing part was left to

Cause: since every answer has a line, `explain` ended with "was answered 200" for an answer that lacked shards; and a shard that another node did not get in time was logged as expected_late, which it was not. The verdict names what the answer lacked; the log says "lacking at node N". Log text only, no figures.

--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -112,18 +112,21 @@
         way: Its lines in order.
     """
     own = [record for record in way if record.get("id") == request]
+    partial = [record for record in own if record["name"] == "answer_partial"]
     for record in reversed(own):
         name = record["name"]
         if name == "request_given_up":
             reason = str(record.get("reason"))
             told = REASONS.get(reason, f"An upstream answered {reason}, which was passed on.")
             return f"{request} got status {record.get('status')}: {told}"
-        if name == "answer_partial":
-            return f"{request} was answered without {_lacking(record)}."
         if name == "caller_left":
             return f"{request}: the caller left after {record.get('ms')} ms without an answer."
         if name == "request_answered":
-            return f"{request} was answered {record.get('status')} after {record.get('ms')} ms."
+            without = f", without {_lacking(partial[-1])}" if partial else ""
+            status, ms = record.get("status"), record.get("ms")
+            return f"{request} was answered {status} after {ms} ms{without}."
+    if partial:
+        return f"{request} was answered without {_lacking(partial[-1])}."
     failed = ", ".join(sorted({str(record.get("upstream")) for record in own}))
     return f"{request} was served in the end; tries at {failed} failed on the way."
 
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -224,7 +224,7 @@
     def _log_lacking(self) -> None:
         """Logs the shards that an answer lacks."""
         lacking = {call.service: call.describe_wait() for call in self._calls if not call.done}
-        lacking.update({call.service: "expected_late" for call in self._limited if call.done})
+        lacking.update({call.service: _why_left_out(call) for call in self._limited if call.done})
         lacking.update(self._lacking)
         self._ctx.log.log(ANSWER_PARTIAL, id=self._req.id, parts=len(self._seals), lacking=lacking)
 
@@ -245,3 +245,8 @@
         self.stop()
         if on_done is not None:
             on_done(answer, reason)
+
+
+def _why_left_out(call: ServiceCall) -> str:
+    """Returns why an answer did without a shard, for the log."""
+    return "expected_late" if call.delegate is None else f"lacking at node {call.delegate}"
--- a/src/sequoiapulley/forward/remote_parts.py
+++ b/src/sequoiapulley/forward/remote_parts.py
@@ -31,8 +31,8 @@
 """Difference of round trips within which places are equally far: between two places of a region it
 is a millisecond, between regions ten and more."""
 CONFIRM_S: Final = 0.01
-"""Time beyond the way for the kernel of a node to confirm a request. It does so at once; a lost packet
-is sent again after two hundred milliseconds only."""
+"""Time beyond the way for the kernel of a node to confirm a request. It does so at once; a packet
+that is lost is sent again after two hundred milliseconds only."""
 LEAST_DUE_S: Final = 0.02
 """Least time that a node gets to ask its shards."""
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -47,6 +47,16 @@
         self.assertEqual((text.count("u8"), text.count(" n2 ")), (0, 0))
         self.assertTrue(text.endswith("r1 was answered without s3 (failed_at_upstreams).\n"))
 
+    def test_answer_names_what_it_lacked_also_when_its_own_line_follows(self) -> None:
+        _, text = self.explain(
+            "r1",
+            line(11.0, "answer_partial", id="r1", parts=19, lacking={"s3": "expected_late"}),
+            line(11.0, "request_answered", id="r1", status=200, ms=85.4),
+        )
+        self.assertTrue(
+            text.endswith("r1 was answered 200 after 85.4 ms, without s3 (expected_late).\n")
+        )
+
     def test_refused_request(self) -> None:
         _, text = self.explain(
             "r2",
--- a/tests/test_remote_parts.py
+++ b/tests/test_remote_parts.py
@@ -24,6 +24,7 @@
     cover_places,
 )
 from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.log_events import ANSWER_PARTIAL
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.part_collector import PartCollector
 from sequoiapulley.forward.state import NodeRecord
@@ -172,6 +173,8 @@
         time, answer = self.ask()
         self.assertEqual(dict(answer.headers)[b"missing"], b"1")
         self.assertLess(time, GOAL_S)
+        line = next(fields for event, fields in self.net.log.entries if event is ANSWER_PARTIAL)
+        self.assertEqual(line["lacking"], {"shard-7": "lacking at node far-node"})
         self.ask()
         self.assertNotIn("shard-7", [task.service for task in self.nodes.requests[1].tasks])
         self.assertGreater(self.direct_sends(), 0)
