Let the soak's nodes leave shards to nodes of the other place

Every shard of the soak had an upstream in each place, so that no node asked another one for parts. Two of the four shards now have both upstreams in the second place.

--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,8 @@
 
 SHARDS: Final = ("shard-1", "shard-2", "shard-3", "shard-4")
 ONCE_SERVICES: Final = ("orders-1", "orders-2")
+FAR_SHARDS: Final = frozenset({"shard-3", "shard-4"})
+"""Shards whose upstreams all are in the second place: nodes of the first one leave them to others."""
 PLACES: Final = {"p": "g", "q": "h"}
 NODES: Final = ("p", "p", "p", "q", "q", "q")
 START_TIMEOUT_S: Final = 30.0
@@ -36,9 +38,9 @@
         self.places = list(PLACES)
         self.store = StoreStandIn()
         self.upstreams = [
-            PlatformUpstream(f"u-{service}-{place}", service, "127.0.0.1", place)
+            PlatformUpstream(f"u-{service}-{number}", service, "127.0.0.1", place)
             for service in (*SHARDS, *ONCE_SERVICES)
-            for place in PLACES
+            for number, place in enumerate(_places_of(service))
         ]
         self.proxies: list[FaultProxy] = []
         self.version = FIRST_VERSION
@@ -118,3 +120,9 @@
         return False
     finally:
         writer.close()
+
+
+def _places_of(service: str) -> tuple[str, ...]:
+    """Returns the place of each upstream of a service."""
+    first, second = PLACES
+    return (second, second) if service in FAR_SHARDS else (first, second)
