--- a/soak/world.py
+++ b/soak/world.py
@@ -18,7 +18,7 @@
 SHARDS: Final = ("shard-1", "shard-2", "shard-3", "shard-4")
 ONCE_SERVICES: Final = ("orders-1", "orders-2")
 FAR_SHARDS: Final = frozenset({"shard-3", "shard-4"})
-"""Shards whose upstreams all are in the second place: nodes of the first one leave them to others."""
+"""Shards with upstreams in the second place only: nodes of the first one leave them to others."""
 PLACES: Final = {"p": "g", "q": "h"}
 NODES: Final = ("p", "p", "p", "q", "q", "q")
 START_TIMEOUT_S: Final = 30.0
