Refuse a run that was lost unsent after its request was quarantined

Cause: Recovery._retry queued work again without asking the quarantine. A run in flight is left alone when its request is quarantined, so its loss may come later; lost unsent, it went to another upstream. The pump asks only when work is submitted.

Change: a retry of quarantined work ends it as not run.

--- a/src/sequoiapulley/upstream/_recovery.py
+++ b/src/sequoiapulley/upstream/_recovery.py
@@ -194,6 +194,10 @@
             self._core.budget(work.instance.service).on_fault()
         if work.exchanges:
             return
+        if self._core.quarantine.is_refused(work.fingerprint, now):
+            # A run stays in flight when its request is quarantined, so it may end after that.
+            self._core.fail_work(work, MissingReason.QUARANTINED, now, actions)
+            return
         not_retryable = (
             work.instance.removed or work.deadline <= now or reason is MissingReason.DEADLINE
         )
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -78,6 +78,15 @@
         self.assertIn(REQUEST_SUSPECTED, events)
         self.assertEqual(events.count(REQUEST_QUARANTINED), 1)
 
+    def test_unsent_run_is_not_retried_after_another_node_quarantined_it(self) -> None:
+        harness = DispatcherHarness()
+        harness.submit(run(1, 0.02, fingerprint="poison"))
+        harness.receive_strike("poison", "elsewhere", strikes=2)
+        harness.lose(harness.exchanges_of(1)[0], LossKind.NOT_SENT)
+        self.assertEqual(len(harness.sent[1]), 1)
+        self.assertIs(harness.runs[1].state, RunState.NOT_RUN)
+        self.assertIs(harness.runs[1].reason, RefusalReason.QUARANTINED)
+
     def test_rolling_restarts_quarantine_no_request(self) -> None:
         harness = DispatcherHarness(configuration(replicas=3))
         for turn in range(3):
