--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -27,6 +27,8 @@
     "no_route": "No route of the active configuration matches the host and path.",
     "no_upstream": "Too few services of the route had an upstream that accepts requests. "
     "The request has not run.",
+    "upstreams_paused": "Too few services of the route had an upstream that had not asked the node "
+    "for a pause. The request has not run.",
     "refused_by_upstreams": "Every upstream that was tried refused the request before running it.",
     "failed_at_upstreams": "Upstreams took the request and failed, or their replies were lost.",
     "timeout": "The route's timeout or the caller's deadline passed before enough replies came.",
--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -15,7 +15,7 @@
 from sequoiapulley.forward.roles import choose_store_reader
 from sequoiapulley.forward.state import NodeRecord, StateSource
 from sequoiapulley.forward.state_feed import ReadPlan
-from sequoiapulley.ids import Revision
+from sequoiapulley.forward.store_position import NO_POSITION
 from sequoiapulley.runtime import Clock
 from sequoiapulley.wire.http_client import HttpClient
 
@@ -74,8 +74,8 @@
         self._failures = 0
         self._last_read_was_store = False
         self._store_retry_at = float("-inf")
-        self.revision = Revision(0)
-        """Revision up to which this node has applied all changes."""
+        self.position = NO_POSITION
+        """Position up to which this node has applied all changes."""
 
     def __call__(self, failures: int) -> ReadPlan:
         """Returns the next read; after a failure it selects another source.
@@ -87,7 +87,8 @@
         self._record_failures(failures, now)
         newer_peer = self._peer_with_newer_configuration()
         if newer_peer is not None and failures % 2 == 0:
-            return self._peer_plan(newer_peer)
+            # The changes after this node's position may lack a configuration of an earlier era.
+            return self._peer_plan(newer_peer, whole=True)
         options = self._options(failures, now)
         address = options[failures % len(options)]
         if address is None:
@@ -115,12 +116,16 @@
         # Fallback peers answer at once; a store that does not serve this node may never answer.
         return [_address(reader), *fallback, *store]
 
-    def _peer_plan(self, address: Address) -> ReadPlan:
-        """Returns a read from a peer; the client for the last peer is reused."""
+    def _peer_plan(self, address: Address, whole: bool = False) -> ReadPlan:
+        """Returns a read from a peer, of its changes or its whole state.
+
+        The client for the last peer is reused.
+        """
         self._last_read_was_store = False
         if self._last_peer_source is None or self._last_peer_source.address != address:
             self._last_peer_source = PeerSource(self._client, address)
-        return ReadPlan(self._last_peer_source, False, MAX_PEER_WAIT_S, PEER_READ_INTERVAL_S)
+        source = self._last_peer_source
+        return ReadPlan(source, False, MAX_PEER_WAIT_S, PEER_READ_INTERVAL_S, whole)
 
     def _peer_with_newer_configuration(self) -> Address | None:
         """Returns a peer with a newer configuration once this node has lagged too long, or None."""
@@ -138,11 +143,11 @@
     def _fallback_addresses(self) -> list[Address]:
         """Returns a peer to read from if the store and its reader fail; empty if there is none.
 
-        It is a peer with a later revision, else one of another failure domain, which has a reader
+        It is a peer with a later position, else one of another failure domain, which has a reader
         of its own, else a seed while this node has no configuration.
         """
         domain = self._peers.local_node.failure_domain
-        later = self._peers.with_later_revision(self.revision)
+        later = self._peers.with_later_position(self.position)
         remote = [peer for peer in self._peers.ready() if peer.failure_domain != domain]
         if later or remote:
             return [_address(self._random.choice(later or remote))]
--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -13,9 +13,12 @@
     PEERS_READY,
     REPEATS,
     STATE_AGE,
+    STORE_ERA,
     UPSTREAM_CONNECTIONS,
+    UPSTREAM_PAUSES,
     UPSTREAM_TRIES,
     UPSTREAMS,
+    UPSTREAMS_LEAVING,
 )
 from sequoiapulley.forward.tally import Tally
 from sequoiapulley.observe.metric import Metric
@@ -34,6 +37,7 @@
     UPSTREAMS,
     UPSTREAM_CONNECTIONS,
     STATE_AGE,
+    STORE_ERA,
     PEERS_READY,
 )
 
@@ -70,6 +74,8 @@
             for label, count in counts.items():
                 self._metrics.set_total(metric, count, label)
         self._metrics.set_total(PARTS_LACKING, self._tally.parts_lacking)
+        self._metrics.set_total(UPSTREAM_PAUSES, self._tally.pauses)
+        self._metrics.set_total(UPSTREAMS_LEAVING, self._tally.leaving_upstreams)
         for route, seconds in self._tally.drain_latencies():
             self._metrics.observe(FORWARD_SECONDS, seconds, route)
         for metric, value in self._gauges().items():
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -24,6 +24,7 @@
 from sequoiapulley.forward.contract import WireContract
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.latency_model import LatencyModel
+from sequoiapulley.forward.learning import record_leaving
 from sequoiapulley.forward.log_events import (
     DUTIES_CHANGED,
     NODE_LEAVING,
@@ -34,17 +35,19 @@
 from sequoiapulley.forward.metrics import (
     PEERS_READY,
     STATE_AGE,
+    STORE_ERA,
     UPSTREAM_CONNECTIONS,
     UPSTREAMS,
 )
 from sequoiapulley.forward.node_settings import Address, NodeSettings
-from sequoiapulley.forward.peer_table import Heartbeat, NodeState, PeerTable
+from sequoiapulley.forward.peer_table import Heartbeat, LeavingUpstream, NodeState, PeerTable
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.roles import ENTRIES_PER_FAILURE_DOMAIN, choose_store_reader, slack_share
 from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.shared_state import SharedState
 from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
 from sequoiapulley.forward.state_feed import StateFeed
+from sequoiapulley.forward.store_position import NO_POSITION
 from sequoiapulley.forward.tally import Tally
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.forward.upstream_pool import UpstreamPool
@@ -58,6 +61,7 @@
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.http_server import HttpServer
 from sequoiapulley.wire.reactor import Reactor
+from sequoiapulley.wire.receive_budget import ReceiveBudget
 from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
 
 if TYPE_CHECKING:
@@ -74,8 +78,12 @@
 OTHER_REGION_ROUND_TRIP_S: Final = 0.02
 """Network round trips assumed until replies have been measured."""
 DEFAULT_SERVER_LIMITS: Final = ServerLimits()
-UPSTREAM_REPLY_BOUNDS: Final = ReplyBounds(unframed=True)
-STATE_REPLY_BOUNDS: Final = ReplyBounds(body_bytes=16_777_216)
+MAX_REPLY_BYTES: Final = 1_048_576
+"""Maximum size of an upstream's reply; it is as large as a value of the platform's store."""
+LARGE_REPLIES_BYTES: Final = 8_388_608
+"""Memory for incomplete large replies: a share of that of the smallest VMs, which have 152 MB."""
+STATE_REPLY_BOUNDS: Final = ReplyBounds(body_bytes=8_388_608)
+"""Limits on replies of the store and of peers, several times a full state of 4,300 upstreams."""
 
 
 class Store(StateSource, NodeRegistry, Protocol):
@@ -131,18 +139,22 @@
             heartbeat_port=cfg.heartbeat_port,
             capacity=cfg.capacity,
         )
+        reply_bounds = ReplyBounds(
+            body_bytes=MAX_REPLY_BYTES, unframed=True, budget=ReceiveBudget(LARGE_REPLIES_BYTES)
+        )
         model = LatencyModel(_assumed_round_trips(cfg))
         self._directory = UpstreamDirectory(
             self._clock,
             model,
             lambda record: UpstreamPool(
-                self._reactor, self._timers, contract, record, UPSTREAM_REPLY_BOUNDS
+                self._reactor, self._timers, contract, record, reply_bounds
             ),
         )
+        self._directory.drain = cfg.drain
         self._quota = RetryQuota(cfg.quota)
         self._tally = Tally()
         self._peers = PeerTable(self._local_node, log)
-        parts_client = HttpClient(self._reactor, self._clock, self._timers, UPSTREAM_REPLY_BOUNDS)
+        parts_client = HttpClient(self._reactor, self._clock, self._timers, reply_bounds)
         self._aggregators = Aggregators(
             cfg.failure_domain,
             self._peers.ready,
@@ -150,7 +162,7 @@
             self._clock,
             log,
         )
-        ctx = ForwardContext(
+        self._ctx = ctx = ForwardContext(
             self._clock,
             self._timers,
             contract,
@@ -235,8 +247,11 @@
 
     def _apply_changes(self, changes: ChangeSet, after_outage: bool) -> None:
         """Applies changes read from the store or from a peer."""
+        position = self._sources.position
+        if position != NO_POSITION and changes.era > position.era:
+            self._registration.check_after_restore()
         self._shared_state.apply_changes(changes, after_outage)
-        self._sources.revision = max(self._sources.revision, changes.revision)
+        self._sources.position = max(self._sources.position, changes.position)
         self._update_readiness()
         self._forwarder.serve_pending()
         self._peer_port.wake()
@@ -292,12 +307,21 @@
             record=self._local_node,
             state=self._lifecycle.state,
             version=self._forwarder.version,
-            revision=self._feed.revision,
+            revision=self._feed.position.revision,
+            era=self._feed.position.era,
+            leaving=tuple(
+                LeavingUpstream(record.name, record.started_ms)
+                for record in self._directory.announced_leaving()
+            ),
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Records a peer's heartbeat."""
+        """Records a peer's heartbeat and the shutdowns of upstreams that it carries."""
         self._peers.record_heartbeat(heartbeat, self._clock.now())
+        for news in heartbeat.leaving:
+            upstream = self._directory.find(news.name)
+            if upstream is not None and upstream.record.started_ms == news.started_ms:
+                record_leaving(self._ctx, upstream, f"announced to {heartbeat.record.name}")
 
     def _on_caller_request(self, req: ServerRequest) -> None:
         """Forwards a caller's request."""
@@ -320,6 +344,7 @@
         """Applies reloaded settings to the components that use them."""
         self._quota.configure(cfg.quota)
         self._sources.seeds = cfg.seeds
+        self._directory.drain = cfg.drain
         self._entry_port.max_ttl = cfg.most_entry_ttl
 
     def _on_scrape(self, req: ServerRequest) -> None:
@@ -340,6 +365,7 @@
             UPSTREAMS: len(self._directory),
             UPSTREAM_CONNECTIONS: self._directory.connections_opened(),
             STATE_AGE: self._feed.age,
+            STORE_ERA: self._feed.position.era,
             PEERS_READY: len(self._peers.ready()),
         }
 
--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -8,9 +8,10 @@
 
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import decode, encode
+from msgspec.structs import replace
 from result import Err, Ok
 
-from sequoiapulley.forward.change_log import NO_REVISION, ChangeLog
+from sequoiapulley.forward.change_log import ChangeLog
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.state import (
     ChangeSet,
@@ -18,7 +19,8 @@
     SourceError,
     SourceErrorKind,
 )
-from sequoiapulley.ids import Revision
+from sequoiapulley.forward.store_position import NO_ERA, NO_POSITION, StorePosition
+from sequoiapulley.ids import Era, Revision
 from sequoiapulley.runtime import TimerQueue
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
 from sequoiapulley.wire.server_connection import ServerRequest
@@ -52,31 +54,41 @@
 
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads the full state that the peer has; `exact` has no effect."""
-        self._ask(NO_REVISION, 0.0, timeout, done)
+        self._ask(NO_POSITION, 0.0, timeout, done)
 
     def read_changes(
-        self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
+        self,
+        after: StorePosition,
+        wait: float,
+        timeout: float,
+        done: Callable[[ChangesReply], None],
     ) -> None:
-        """Reads the changes after a revision, or the full state if the peer lacks some of them."""
+        """Reads the changes after a position, or the full state if the peer lacks some of them."""
         self._ask(after, wait, timeout, done)
 
     def _ask(
-        self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
+        self,
+        after: StorePosition,
+        wait: float,
+        timeout: float,
+        done: Callable[[ChangesReply], None],
     ) -> None:
-        """Sends a request for the changes after a revision."""
-        path = f"{CHANGES_PATH}?after={after}&wait_ms={int(wait * 1000)}"
+        """Sends a request for the changes after a position."""
+        query = f"after={after.revision}&era={after.era}&wait_ms={int(wait * 1000)}"
+        path = f"{CHANGES_PATH}?{query}"
         host, port = self.address.host, self.address.port
         call = HttpCall(host, port, "GET", path, timeout=wait + timeout)
-        self._client.request(call, lambda result: done(self._decode(result)))
+        self._client.request(call, lambda result: done(self._decode(result, after.era)))
 
-    def _decode(self, result: HttpResult) -> ChangesReply:
-        """Decodes a peer's reply."""
+    def _decode(self, result: HttpResult, era: Era) -> ChangesReply:
+        """Decodes a peer's reply; nodes of earlier versions state no era, so `era` applies."""
         if isinstance(result, Err):
             return self._unavailable_error(result.err_value.detail)
         if result.ok_value.status != STATUS_OK:
             return self._unavailable_error(f"status {result.ok_value.status}")
         try:
-            return Ok(decode(result.ok_value.body, type=ChangeSet))
+            changes = decode(result.ok_value.body, type=ChangeSet)
+            return Ok(changes if changes.era != NO_ERA else replace(changes, era=era))
         except (DecodeError, ValidationError) as exc:
             return self._unavailable_error(f"reply does not decode: {exc}")
 
@@ -91,7 +103,7 @@
 
     __slots__ = ("after", "req")
 
-    def __init__(self, req: ServerRequest, after: Revision) -> None:
+    def __init__(self, req: ServerRequest, after: StorePosition) -> None:
         self.req = req
         self.after = after
 
@@ -127,8 +139,15 @@
             req.answer(STATUS_NOT_FOUND, (), b"")
             return
         fields = parse_qs(query)
-        after = Revision(_parse_number(fields.get("after")))
-        if after < self._changes.revision or self._changes.revision == NO_REVISION:
+        position = self._changes.position
+        # Nodes of earlier versions ask without an era.
+        era = _parse_number(fields["era"]) if "era" in fields else position.era
+        after = StorePosition(Era(era), Revision(_parse_number(fields.get("after"))))
+        if after.era > position.era and position != NO_POSITION:
+            # The store was restored, and this node has not read it since.
+            req.answer(STATUS_UNAVAILABLE, (), b"")
+            return
+        if after < position or position == NO_POSITION:
             self._answer(req, after)
             return
         wait = min(MAX_WAIT_S, _parse_number(fields.get("wait_ms")) / 1000)
@@ -140,7 +159,7 @@
         """Answers the waiting requests for which there are changes now."""
         waiting, self._waiters = self._waiters, []
         for waiter in waiting:
-            if waiter.after < self._changes.revision:
+            if waiter.after < self._changes.position:
                 self._answer(waiter.req, waiter.after)
             else:
                 self._waiters.append(waiter)
@@ -151,22 +170,23 @@
             self._waiters.remove(waiter)
             self._answer(waiter.req, waiter.after)
 
-    def _answer(self, req: ServerRequest, after: Revision) -> None:
-        """Sends the changes after a revision, or the full state if some are no longer logged.
+    def _answer(self, req: ServerRequest, after: StorePosition) -> None:
+        """Sends the changes after a position, or the full state if some are no longer logged.
 
         Refuses if this node has no state, or if its state is stale and the peer asks for changes
         only.
         """
         age = self._age()
-        has_no_state = self._changes.revision == NO_REVISION
-        if has_no_state or (age > MAX_STATE_AGE_S and after != NO_REVISION):
+        position = self._changes.position
+        wants_full_state = after.revision == NO_POSITION.revision
+        if position == NO_POSITION or (age > MAX_STATE_AGE_S and not wants_full_state):
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return
         recent = self._changes.changes_after(after)
         if recent is None:
             changes = self._full_state(age)
         else:
-            changes = ChangeSet(self._changes.revision, recent, age=age)
+            changes = ChangeSet(position.revision, recent, age=age, era=position.era)
         req.answer(STATUS_OK, MSGPACK_HEADERS, encode(changes))
 
 
--- a/src/sequoiapulley/daemon/registration.py
+++ b/src/sequoiapulley/daemon/registration.py
@@ -8,9 +8,15 @@
 
 from result import Err
 
-from sequoiapulley.forward.state import AnnounceReply, NodeRecord, NodeRegistry, SourceErrorKind
+from sequoiapulley.forward.state import (
+    AnnounceReply,
+    NodeRecord,
+    NodeRegistry,
+    RegisteredReply,
+    SourceErrorKind,
+)
 from sequoiapulley.ids import LeaseId
-from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.runtime import TimerHandle, TimerQueue
 
 LEASE_TTL_S: Final = 60.0
 """Time to live of the node's record without renewal. Heartbeats detect lost nodes much sooner; the
@@ -19,6 +25,10 @@
 """Time between two renewals. Two such intervals, with jitter, are shorter than the lease, which
 leaves time to retry a failed renewal, at `RETRY_INTERVAL_S`."""
 RETRY_INTERVAL_S: Final = 1.0
+RESTORE_SPREAD_S: Final = 4.0
+"""Time over which the nodes check their records after a restoration of the store. With one read and
+up to two writes each, 600 nodes make 300 writes per second, which a store of several hundred
+serves."""
 JITTER: Final = 0.5
 """Width of the random variation of each interval, as a fraction of it."""
 
@@ -42,6 +52,9 @@
         self._random = random
         self._record = record
         self._lease: LeaseId | None = None
+        self._next_call: TimerHandle | None = None
+        """Timer of the next renewal or retry."""
+        self._check_timer: TimerHandle | None = None
         self._stopped = False
 
     def start(self) -> None:
@@ -55,11 +68,53 @@
         if self._lease is not None:
             self._registry.withdraw(self._lease)
 
+    def check_after_restore(self) -> None:
+        """Checks, after a random delay, whether a restored store still has the record.
+
+        The record and its lease may be newer than the store's copy. Another node may hold a new
+        lease with the same id, so a renewal would not show that.
+        """
+        if self._check_timer is not None:
+            self._check_timer.cancel()
+        delay = self._random.random() * RESTORE_SPREAD_S
+        self._check_timer = self._timers.call_later(delay, self._check)
+
+    def _check(self) -> None:
+        """Reads whether the store has the record under its lease."""
+        if self._stopped:
+            return
+        if self._lease is None:
+            # The record is being written; its reply may be of the era before the restoration.
+            self._check_timer = self._timers.call_later(RETRY_INTERVAL_S, self._check)
+            return
+        lease = self._lease
+        self._registry.is_registered(
+            self._record, lease, lambda reply: self._on_checked(lease, reply)
+        )
+
+    def _on_checked(self, lease: LeaseId, reply: RegisteredReply) -> None:
+        """Writes the record again if the store lacks it; repeats a failed check."""
+        if self._stopped or lease != self._lease:
+            return
+        if isinstance(reply, Err):
+            self._check_timer = self._timers.call_later(RETRY_INTERVAL_S, self._check)
+            return
+        if not reply.ok_value:
+            self._announce_again()
+
+    def _announce_again(self) -> None:
+        """Writes the record under a new lease, in place of the next renewal."""
+        self._lease = None
+        if self._next_call is not None:
+            self._next_call.cancel()
+        self.start()
+
     def _renew(self) -> None:
         """Renews the lease."""
         if self._stopped or self._lease is None:
             return
-        self._registry.renew(self._lease, self._on_renewed)
+        lease = self._lease
+        self._registry.renew(lease, lambda reply: self._on_renewed(lease, reply))
 
     def _on_announced(self, reply: AnnounceReply) -> None:
         """Schedules the renewal, or a retry; the state feed logs that the store is unavailable."""
@@ -67,19 +122,25 @@
             self._call_after(RETRY_INTERVAL_S, self.start)
             return
         self._lease = reply.ok_value
+        if self._stopped:
+            self._registry.withdraw(self._lease)
+            return
         self._call_after(RENEWAL_INTERVAL_S, self._renew)
 
-    def _on_renewed(self, reply: AnnounceReply) -> None:
+    def _on_renewed(self, lease: LeaseId, reply: AnnounceReply) -> None:
         """Schedules the next renewal, or registers again if the lease has expired."""
+        if lease != self._lease:
+            # The record was written again meanwhile, under another lease.
+            return
         if not isinstance(reply, Err):
             self._call_after(RENEWAL_INTERVAL_S, self._renew)
         elif reply.err_value.kind is SourceErrorKind.HISTORY_COMPACTED:
             # For a lease, this kind of error means that it has expired.
-            self.start()
+            self._announce_again()
         else:
             self._call_after(RETRY_INTERVAL_S, self._renew)
 
     def _call_after(self, pause: float, callback: Callable[[], None]) -> None:
         """Schedules a callback after a pause with jitter."""
         factor = 1 + JITTER * (self._random.random() - 0.5)
-        self._timers.call_later(pause * factor, callback)
+        self._next_call = self._timers.call_later(pause * factor, callback)
--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -73,6 +73,8 @@
     """The greatest records of these parts, in descending order."""
     elapsed: float
     """Seconds between the request's arrival and this reply."""
+    leaving: tuple[UpstreamName, ...] = ()
+    """Requested upstreams that have announced their shutdown."""
 
 
 class PartsFailure(Struct, frozen=True):
--- a/src/sequoiapulley/forward/call_result.py
+++ b/src/sequoiapulley/forward/call_result.py
@@ -39,3 +39,5 @@
     end: CallEnd
     reply: ExchangeReply | None = None
     reason: Reason | None = None
+    retry_after: float = 0.0
+    """Time until the end of the upstreams' pauses, in seconds; 0 if that is not why it failed."""
--- a/src/sequoiapulley/forward/change_log.py
+++ b/src/sequoiapulley/forward/change_log.py
@@ -6,38 +6,54 @@
 from typing import Final
 
 from sequoiapulley.forward.state import Change
+from sequoiapulley.forward.store_position import NO_POSITION, StorePosition
 from sequoiapulley.ids import Revision
 
 MAX_CHANGES: Final = 2_000
 """Maximum number of changes in the log; a peer that misses more receives the full state. A
 repartition of the largest deployment makes several hundred."""
-NO_REVISION: Final = Revision(0)
 
 
 class ChangeLog:
-    """Ordered changes, each with the store revision up to which this node had read them."""
+    """Ordered changes of one era, each with the store revision up to which this node had read."""
 
     def __init__(self) -> None:
         """Initialise an empty log."""
         self._changes: deque[tuple[Revision, Change]] = deque()
-        self._complete_after = NO_REVISION
-        self.revision = NO_REVISION
-        """Store revision up to which this node has read everything; 0 before the first read."""
+        self._complete_after = NO_POSITION.revision
+        self.position = NO_POSITION
+        """Position up to which this node has read everything; `NO_POSITION` before the first
+        read."""
+
+    def begin_era(self, position: StorePosition) -> None:
+        """Discards the changes of earlier eras, as the store was restored from a copy.
+
+        Args:
+            position: Position of the first full state of the new era.
+        """
+        self._changes.clear()
+        self._complete_after = position.revision
+        self.position = position
 
     def append(self, change: Change, revision: Revision) -> None:
-        """Adds a change from a read up to a revision."""
+        """Adds a change from a read up to a revision of the current era."""
         self._changes.append((revision, change))
         while len(self._changes) > MAX_CHANGES:
             self._complete_after = self._changes.popleft()[0]
 
-    def advance(self, revision: Revision) -> None:
-        """Records that everything up to a revision has been read."""
-        if self.revision == NO_REVISION:
-            self._complete_after = revision
-        self.revision = max(self.revision, revision)
+    def advance(self, position: StorePosition) -> None:
+        """Records that everything up to a position has been read."""
+        if self.position == NO_POSITION:
+            self._complete_after = position.revision
+        self.position = max(self.position, position)
+
+    def changes_after(self, position: StorePosition) -> tuple[Change, ...] | None:
+        """Returns the changes after a position.
 
-    def changes_after(self, revision: Revision) -> tuple[Change, ...] | None:
-        """Returns the changes after a revision, or None if the log no longer holds all of them."""
-        if revision < self._complete_after:
+        Returns:
+            The changes, or None if the log does not hold all of them. It never does for a position
+            of another era.
+        """
+        if position.era != self.position.era or position.revision < self._complete_after:
             return None
-        return tuple(change for read_revision, change in self._changes if read_revision > revision)
+        return tuple(change for revision, change in self._changes if revision > position.revision)
--- a/src/sequoiapulley/forward/exchange.py
+++ b/src/sequoiapulley/forward/exchange.py
@@ -91,6 +91,9 @@
     def abandon(self, exchange: Exchange) -> None:
         """Abandons an exchange; its outcome is reported only if it ends shortly afterwards."""
 
+    def refuse_waiting(self) -> None:
+        """Ends the requests that wait for a connection as not sent, for a paused upstream."""
+
     def close_idle(self) -> None:
         """Closes idle connections, for an upstream that drains or was removed."""
 
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -75,10 +75,9 @@
 
     def start(self) -> None:
         """Calls every shard, or refuses the request if too few of them have an upstream."""
-        candidates = self._ctx.directory.candidates
-        served = sum(bool(candidates(shard)) for shard in self._plan.shards)
-        if served < self._min_parts:
-            self._ctx.timers.call_later(0.0, self._refuse)
+        pause = self._pause_left()
+        if pause > 0.0:
+            self._ctx.timers.call_later(0.0, lambda: self._refuse(pause))
             return
         now = self._ctx.clock.now()
         choices = [
@@ -95,6 +94,16 @@
             if call not in delegated:
                 call.start_at(upstream, self._due if call in self._optional_calls else None)
 
+    def _pause_left(self) -> float:
+        """Returns the time until enough shards have an upstream that accepts requests.
+
+        Returns:
+            0 if they have now; infinite if too few of the others are paused.
+        """
+        directory = self._ctx.directory
+        pauses = sorted(directory.pause_left(shard) for shard in self._plan.shards)
+        return pauses[self._min_parts - 1] if self._min_parts <= len(pauses) else float("inf")
+
     def _delegate(self, first: dict[ServiceCall, Upstream | None], now: float) -> set[ServiceCall]:
         """Delegates calls to nodes in the failure domains of the upstreams; returns these calls."""
         in_time = {
@@ -223,11 +232,20 @@
         """Answers with an error at once, as too many shards have failed."""
         may_have_run = self._may_have_run or any(call.may_have_run for call in self._calls)
         self._log_missing()
-        self._finish(error_answer(self._last_reason, may_have_run), self._last_reason)
+        pause = self._pause_left()
+        retry_after = pause if isfinite(pause) else 0.0
+        answer = error_answer(self._last_reason, may_have_run, retry_after)
+        self._finish(answer, self._last_reason)
 
-    def _refuse(self) -> None:
-        """Answers a request with an error before anything was sent to an upstream."""
-        self._finish(error_answer(Reason.NO_UPSTREAM, may_have_run=False), Reason.NO_UPSTREAM)
+    def _refuse(self, pause: float) -> None:
+        """Answers a request with an error before anything was sent to an upstream.
+
+        Args:
+            pause: Time until enough upstreams accept requests, in seconds; infinite if unknown.
+        """
+        reason = Reason.PAUSED if isfinite(pause) else Reason.NO_UPSTREAM
+        retry_after = pause if isfinite(pause) else 0.0
+        self._finish(error_answer(reason, may_have_run=False, retry_after=retry_after), reason)
 
     def _log_missing(self) -> None:
         """Logs the shards whose parts are missing from the answer."""
--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -6,13 +6,22 @@
 
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
-from sequoiapulley.forward.log_events import UPSTREAM_ANSWERS, UPSTREAM_LEAVES, UPSTREAM_SILENT
-from sequoiapulley.forward.messages import ExchangeEnd, ExchangeReply
+from sequoiapulley.forward.log_events import (
+    PAUSE_BOUNDED,
+    UPSTREAM_ANSWERS,
+    UPSTREAM_LEAVES,
+    UPSTREAM_PAUSED,
+    UPSTREAM_SILENT,
+)
+from sequoiapulley.forward.messages import ExchangeEnd, ExchangeReply, PauseRequest
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.upstream import Upstream
 
 WITHOUT_REPLY: Final = frozenset({ExchangeEnd.NOT_SENT, ExchangeEnd.LOST})
 """Exchange ends without any bytes from the upstream."""
+MAX_PAUSE_S: Final = 300.0
+"""Maximum pause that an upstream may request, so that a wrong value does not take it out of use for
+good; it is then asked once in this time."""
 
 
 def record_try_end(
@@ -44,6 +53,11 @@
         upstream.address_reassigned = True
         name = upstream.record.name
         ctx.log.log(UPSTREAM_LEAVES, upstream=name, cause="address used by another upstream")
+    if reply.leaving:
+        record_leaving(ctx, upstream, "announced in a reply")
+        ctx.directory.announce_leaving(upstream)
+    if reply.pause is not None:
+        _record_pause(ctx, upstream, reply.pause, now)
     if reply.load is not None:
         upstream.record_load(reply.load, now)
     if failed or exchange is None or exchange.conn is None:
@@ -73,6 +87,42 @@
     upstream.record_latency(_processing_ratio(ctx, route, upstream, now - exchange.sent_at), now)
 
 
+def record_leaving(ctx: ForwardContext, upstream: Upstream, cause: str) -> None:
+    """Takes an upstream that announced its shutdown out of use.
+
+    Args:
+        ctx: Shared components of the node.
+        upstream: The upstream.
+        cause: How this node learned of it, for the log.
+    """
+    if not ctx.directory.mark_leaving(upstream):
+        return
+    ctx.tally.leaving_upstreams += 1
+    record = upstream.record
+    ctx.log.log(UPSTREAM_LEAVES, upstream=record.name, service=record.service, cause=cause)
+
+
+def _record_pause(ctx: ForwardContext, upstream: Upstream, pause: PauseRequest, now: float) -> None:
+    """Pauses an upstream that requested it; requests that wait for a connection are not sent."""
+    record = upstream.record
+    length = _bounded_pause(pause)
+    if length != pause.seconds:
+        ctx.log.log(PAUSE_BOUNDED, upstream=record.name, requested=pause.text, pause_s=length)
+    if now + length <= upstream.paused_until or length <= 0.0:
+        return
+    upstream.paused_until = now + length
+    ctx.tally.pauses += 1
+    ctx.log.log(UPSTREAM_PAUSED, upstream=record.name, service=record.service, pause_s=length)
+    upstream.pool.refuse_waiting()
+
+
+def _bounded_pause(pause: PauseRequest) -> float:
+    """Returns the pause to keep, in seconds; 0 for a value that is no positive number."""
+    if pause.seconds is None or not pause.seconds > 0.0:
+        return 0.0
+    return min(MAX_PAUSE_S, pause.seconds)
+
+
 def _log_silence(ctx: ForwardContext, upstream: Upstream, now: float) -> None:
     """Logs an upstream that became silent (stopped replying) or replies again."""
     silent = upstream.poll_silence_change(now)
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -99,6 +99,22 @@
 UPSTREAM_ANSWERS: Final = define_event(
     2518, "upstream_answers", Severity.INFO, "An unresponsive upstream replies again."
 )
+UPSTREAM_PAUSED: Final = define_event(
+    2526,
+    "upstream_paused",
+    Severity.INFO,
+    "An upstream turned a request away and asked this node for a pause of `pause_s`; until then it "
+    "receives no request from this node.",
+    "Check the load of the upstream if this event recurs.",
+)
+PAUSE_BOUNDED: Final = define_event(
+    2527,
+    "pause_bounded",
+    Severity.WARNING,
+    "The pause that an upstream `requested` is not a number of seconds within limits; the node "
+    "keeps a pause of `pause_s` instead.",
+    "Correct the upstream's Retry-After header.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     2510,
     "configuration_applied",
@@ -122,8 +138,8 @@
     2513,
     "upstream_leaves",
     Severity.INFO,
-    "An upstream receives no new requests, because it drains, its entry was removed, or another "
-    "upstream uses its address.",
+    "An upstream receives no new requests, because it drains, announced its shutdown in a reply, "
+    "its entry was removed, or another upstream uses its address.",
 )
 ENTRY_UNREADABLE: Final = define_event(
     2514,
@@ -152,6 +168,29 @@
     Severity.INFO,
     "The node read the full state, at its start or because the history was compacted.",
 )
+STORE_RESTORED: Final = define_event(
+    2523,
+    "store_restored",
+    Severity.WARNING,
+    "The store was restored from a copy: it reports a higher `era` and may lack its latest writes. "
+    "The node reads the full state, keeps its configuration, waits for entries that the copy lacks "
+    "and ignores those of upstreams that have left.",
+    "Check that the operator's latest configuration is in the store; see docs/OPERATIONS.md.",
+)
+STATE_OUTDATED: Final = define_event(
+    2524,
+    "state_outdated",
+    Severity.INFO,
+    "A source returned state of an era of the store before the restoration; it was ignored.",
+    "Check the source if this event recurs for more than a few seconds.",
+)
+ENTRY_OUTDATED: Final = define_event(
+    2525,
+    "entry_outdated",
+    Severity.INFO,
+    "The store lists an upstream that has already left, as its copy is older than that; the "
+    "upstream stays out of use until it starts again.",
+)
 PEER_LOST: Final = define_event(
     2530,
     "peer_lost",
--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -29,6 +29,8 @@
     """Remaining seconds of the slow phase after its start, as of the record's creation."""
     started_ms: int
     """Start time in Unix milliseconds; 0 if unknown."""
+    report_number: int = 0
+    """Number of the report since the upstream's start, rising; 0 if unknown."""
 
 
 class CallerRequest(Struct, frozen=True):
@@ -86,6 +88,15 @@
     slots: int
 
 
+class PauseRequest(Struct, frozen=True):
+    """Request of an upstream to send it nothing for a while."""
+
+    seconds: float | None
+    """Length of the pause; None if the upstream's value is not a number."""
+    text: str
+    """The value as the upstream sent it."""
+
+
 class ExchangeReply(Struct, frozen=True):
     """Outcome of one exchange."""
 
@@ -94,6 +105,10 @@
     seal: bytes | None = None
     """Message authentication code (seal) of the upstream's reply, forwarded unchanged."""
     load: LoadReport | None = None
+    leaving: bool = False
+    """Whether the upstream announced that it is about to shut down."""
+    pause: PauseRequest | None = None
+    """Pause that the upstream requested when it turned the request away."""
 
 
 ExchangeCallback = Callable[[ExchangeReply], None]
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -50,6 +50,24 @@
     "`failed` counts failed nodes: see SP2507. `partial` indicates slow shards: see SP2506.",
     ("outcome",),
 )
+UPSTREAM_PAUSES: Final = define_metric(
+    "sequoiapulley_upstream_pauses_total",
+    MetricKind.COUNTER,
+    "Pauses that upstreams requested when they turned a request away.",
+    "If it rises for long, the upstreams are overloaded: see SP2526 for their names.",
+)
+UPSTREAMS_LEAVING: Final = define_metric(
+    "sequoiapulley_upstreams_leaving_total",
+    MetricKind.COUNTER,
+    "Upstreams that announced their shutdown in a reply, to this node or to a peer.",
+    "Compare with the planned restarts of upstreams; SP2513 names each.",
+)
+STORE_ERA: Final = define_metric(
+    "sequoiapulley_store_era",
+    MetricKind.GAUGE,
+    "Era of the store that this node has read; each restoration from a copy increments it.",
+    "Nodes whose values differ for more than a few seconds read from different sources.",
+)
 UPSTREAMS: Final = define_metric(
     "sequoiapulley_upstreams",
     MetricKind.GAUGE,
--- a/src/sequoiapulley/forward/node_settings.py
+++ b/src/sequoiapulley/forward/node_settings.py
@@ -38,6 +38,8 @@
     quota: QuotaSettings
     grace: float = 6.0
     """Time from the stop signal to the forced exit of the process, in seconds."""
+    drain: float = 3.0
+    """Minimum time for which an upstream serves after it announced its shutdown, in seconds."""
     most_entry_ttl: float = 5.0
     """Maximum time for which callers cache a directory answer, in seconds."""
     capacity: float = 1.0
--- a/src/sequoiapulley/forward/part_collector.py
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -12,7 +12,7 @@
 from sequoiapulley.forward.record_merge import merge_greatest
 from sequoiapulley.forward.route_table import GatherPlan, Route
 from sequoiapulley.forward.service_call import ServiceCall
-from sequoiapulley.ids import ServiceName
+from sequoiapulley.ids import ServiceName, UpstreamName
 
 
 class PartCollector:
@@ -87,7 +87,18 @@
             )
         self.stop()
         body = merge_greatest(self._bodies, self._request.top_k)
-        on_done(PartsReply(self._seals, body, self._ctx.clock.now() - self._started_at))
+        elapsed = self._ctx.clock.now() - self._started_at
+        on_done(PartsReply(self._seals, body, elapsed, self._leaving()))
+
+    def _leaving(self) -> tuple[UpstreamName, ...]:
+        """Returns the requested upstreams that have announced their shutdown."""
+        leaving: list[UpstreamName] = []
+        for task in self._request.tasks:
+            for name in task.upstreams:
+                upstream = self._ctx.directory.find(name)
+                if upstream is not None and upstream.leaving_since is not None:
+                    leaving.append(name)
+        return tuple(leaving)
 
 
 def _caller_request(request: PartsRequest, now: float) -> CallerRequest:
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -10,7 +10,8 @@
 from sequoiapulley.forward.log_events import PEER_LOST, PEER_SEEN
 from sequoiapulley.forward.roles import ranked
 from sequoiapulley.forward.state import NodeRecord
-from sequoiapulley.ids import ConfigVersion, FailureDomainName, NodeId, Revision
+from sequoiapulley.forward.store_position import NO_ERA, StorePosition
+from sequoiapulley.ids import ConfigVersion, Era, FailureDomainName, NodeId, Revision, UpstreamName
 from sequoiapulley.observe.log_event import LogSink
 
 LOCAL_HEARTBEAT_INTERVAL_S: Final = 0.4
@@ -38,6 +39,14 @@
     LEAVING = "leaving"
 
 
+class LeavingUpstream(Struct, frozen=True, array_like=True):
+    """An upstream that announced its shutdown."""
+
+    name: UpstreamName
+    started_ms: int
+    """Start time in Unix milliseconds, which identifies its process; 0 if unknown."""
+
+
 class Heartbeat(Struct, frozen=True, array_like=True):
     """Message that a node sends to its peers periodically."""
 
@@ -47,6 +56,15 @@
     """Active configuration version; 0 for none."""
     revision: Revision
     """Store revision up to which the node has read everything."""
+    era: Era = NO_ERA
+    """Era of the store to which the revision belongs."""
+    leaving: tuple[LeavingUpstream, ...] = ()
+    """Upstreams that recently announced their shutdown in a reply to the node."""
+
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history up to which the node has read everything."""
+        return StorePosition(self.era, self.revision)
 
 
 class _Peer:
@@ -190,12 +208,12 @@
             if last_heartbeat.version > version
         ]
 
-    def with_later_revision(self, revision: Revision) -> list[NodeRecord]:
-        """Returns the live peers that have read the store beyond a revision."""
+    def with_later_position(self, position: StorePosition) -> list[NodeRecord]:
+        """Returns the live peers that have read the store beyond a position."""
         return [
             peer.record
             for peer, last_heartbeat in self._live_peers()
-            if last_heartbeat.revision > revision
+            if last_heartbeat.position > position
         ]
 
     def _live_peers(self) -> list[tuple[_Peer, Heartbeat]]:
--- a/src/sequoiapulley/forward/refusal.py
+++ b/src/sequoiapulley/forward/refusal.py
@@ -24,6 +24,8 @@
     NO_ROUTE = "no_route"
     NO_UPSTREAM = "no_upstream"
     """Too few services of the route have an upstream that accepts requests."""
+    PAUSED = "upstreams_paused"
+    """Too few services of the route have an upstream that has not asked this node for a pause."""
     REFUSED = "refused_by_upstreams"
     """The upstreams refused the request before it ran."""
     FAILED = "failed_at_upstreams"
@@ -39,6 +41,7 @@
     Reason.NO_CONFIGURATION: 503,
     Reason.NO_ROUTE: 404,
     Reason.NO_UPSTREAM: 503,
+    Reason.PAUSED: 503,
     Reason.REFUSED: 503,
     Reason.FAILED: 502,
     Reason.TIMEOUT: 504,
@@ -49,6 +52,7 @@
 _RETRY_AFTER: Final = {
     Reason.NO_CONFIGURATION: STARTING_RETRY_AFTER_S,
     Reason.NO_UPSTREAM: STARTING_RETRY_AFTER_S,
+    Reason.PAUSED: BUSY_RETRY_AFTER_S,
     Reason.REFUSED: BUSY_RETRY_AFTER_S,
     Reason.QUOTA: BUSY_RETRY_AFTER_S,
     Reason.EXPIRED: BUSY_RETRY_AFTER_S,
@@ -57,18 +61,21 @@
 BAD_GATEWAY: Final = 502
 
 
-def error_answer(reason: Reason, may_have_run: bool) -> Answer:
+def error_answer(reason: Reason, may_have_run: bool, retry_after: float = 0.0) -> Answer:
     """Returns the error answer to a request.
 
     Args:
         reason: Why the request failed.
         may_have_run: Whether an upstream may have run the request; 502 then replaces 503, as 503
             states that the request was not run.
+        retry_after: Time after which the request can be served, in seconds; the usual time of the
+            reason applies if it is longer.
     """
     status = _STATUS[reason]
     if status == NOT_EXECUTED_STATUS and may_have_run:
         status = BAD_GATEWAY
     headers = [(b"Content-Type", b"application/json")]
     if status == NOT_EXECUTED_STATUS:
-        headers.append((b"Retry-After", b"%g" % _RETRY_AFTER[reason]))
+        delay = max(_RETRY_AFTER[reason], retry_after)
+        headers.append((b"Retry-After", b"%g" % round(delay, 3)))
     return Answer(status, tuple(headers), encode({"error": reason.value}))
--- a/src/sequoiapulley/forward/relay.py
+++ b/src/sequoiapulley/forward/relay.py
@@ -60,4 +60,5 @@
             on_done(self._ctx.contract.forwarded_answer(result.reply), None)
             return
         reason = result.reason or Reason.FAILED
-        on_done(error_answer(reason, result.end is CallEnd.FAILED or call.may_have_run), reason)
+        may_have_run = result.end is CallEnd.FAILED or call.may_have_run
+        on_done(error_answer(reason, may_have_run, result.retry_after), reason)
--- a/src/sequoiapulley/forward/remote_parts.py
+++ b/src/sequoiapulley/forward/remote_parts.py
@@ -16,6 +16,7 @@
     cover_failure_domains,
 )
 from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.learning import record_leaving
 from sequoiapulley.forward.messages import CallerRequest
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.service_call import ServiceCall
@@ -119,6 +120,10 @@
             return
         reply = result.ok_value
         now = self._ctx.clock.now()
+        for name in reply.leaving:
+            upstream = self._ctx.directory.find(name)
+            if upstream is not None:
+                record_leaving(self._ctx, upstream, f"announced to {self._node.name}")
         self._ctx.model.record_round_trip(
             self._node.failure_domain, now - self._sent_at - reply.elapsed, now
         )
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import isfinite
 from typing import Final
 
 from sequoiapulley.forward.call_result import CallEnd, CallResult, HedgeOutcome
@@ -383,16 +384,27 @@
 
     def _fail_without_upstream(self) -> None:
         """Ends the call, as no upstream accepts requests."""
-        if not self.done:
-            self._finish(CallResult(CallEnd.NOT_RUN, reason=Reason.NO_UPSTREAM))
+        if self.done:
+            return
+        pause = self._pause_left()
+        reason = Reason.PAUSED if pause else Reason.NO_UPSTREAM
+        self._finish(CallResult(CallEnd.NOT_RUN, reason=reason, retry_after=pause))
+
+    def _pause_left(self) -> float:
+        """Returns the time until a paused upstream accepts requests; 0 if none is paused."""
+        pause = self._ctx.directory.pause_left(self.service)
+        return pause if isfinite(pause) else 0.0
 
     def _fail(self) -> None:
         """Ends the call as failed, with the last failure reply if there is one."""
         end = CallEnd.FAILED if self._may_have_run else CallEnd.NOT_RUN
         reason = Reason.FAILED if self._may_have_run else Reason.REFUSED
+        pause = self._pause_left()
+        if pause and not self._may_have_run:
+            reason = Reason.PAUSED
         if self._out_of_quota:
             reason = Reason.QUOTA
-        self._finish(CallResult(end, self.last_failure, reason))
+        self._finish(CallResult(end, self.last_failure, reason, pause))
 
     def _finish(self, result: CallResult) -> None:
         """Reports the result and abandons the tries in flight."""
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -9,10 +9,12 @@
 from sequoiapulley.forward.log_events import (
     CONFIGURATION_APPLIED,
     CONFIGURATION_UNREADABLE,
+    ENTRY_OUTDATED,
     ENTRY_UNREADABLE,
     UPSTREAM_LEAVES,
     UPSTREAM_REGISTERED,
 )
+from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.peer_table import PeerTable
 from sequoiapulley.forward.state import (
     Change,
@@ -63,15 +65,21 @@
         self._timers = timers
         self._log = log
         self._pending_removals: dict[UpstreamName, float] = {}
+        self._outdated: set[UpstreamName] = set()
+        """Upstreams whose outdated entries were logged in this era."""
 
     def apply_changes(self, changes: ChangeSet, after_outage: bool) -> None:
         """Applies changes.
 
         Args:
             changes: The changes.
-            after_outage: Whether the changes follow an outage of the store, so that a removed entry
-                may have expired during the outage.
+            after_outage: Whether the changes follow an outage or a restoration of the store, so
+                that a removed entry may have expired or be missing in the copy.
         """
+        if changes.era > self._change_log.position.era:
+            self._change_log.begin_era(changes.position)
+            self._directory.era = changes.era
+            self._outdated.clear()
         revision = changes.revision
         for change in changes.changes:
             self._apply(change, after_outage, revision)
@@ -83,7 +91,7 @@
             }
             for name in self._directory.names() - named:
                 self._remove(UpstreamRemoval(name, after_outage), revision)
-        self._change_log.advance(revision)
+        self._change_log.advance(changes.position)
 
     def full_state(self, age: float) -> ChangeSet:
         """Returns the full state of this node, for a peer.
@@ -97,7 +105,8 @@
         changes.extend(UpstreamChange(record) for record in self._directory.records())
         changes.extend(NodeChange(record) for record in self._peers.registered())
         changes.extend(UpstreamRemoval(name, may_return=True) for name in self._pending_removals)
-        return ChangeSet(self._change_log.revision, tuple(changes), True, age)
+        position = self._change_log.position
+        return ChangeSet(position.revision, tuple(changes), True, age, position.era)
 
     def _apply(self, change: Change, after_outage: bool, revision: Revision) -> None:
         """Applies one change."""
@@ -120,6 +129,9 @@
     def _put(self, change: UpstreamChange, revision: Revision) -> None:
         """Registers an upstream or updates its record."""
         record = change.record
+        if self._directory.is_outdated(record):
+            self._log_outdated(record, revision)
+            return
         returned = self._pending_removals.pop(record.name, None) is not None
         if not self._directory.put(record) and not returned:
             return
@@ -132,6 +144,15 @@
             revision=revision,
         )
 
+    def _log_outdated(self, record: UpstreamRecord, revision: Revision) -> None:
+        """Logs an entry that precedes the departure of its upstream, once in an era."""
+        if record.name in self._outdated:
+            return
+        self._outdated.add(record.name)
+        self._log.log(
+            ENTRY_OUTDATED, upstream=record.name, service=record.service, revision=revision
+        )
+
     def _apply_table(self, change: TableChange, revision: Revision) -> None:
         """Activates a configuration if it is newer."""
         table = change.table
@@ -162,6 +183,7 @@
             return
         self._change_log.append(change, revision)
         if not change.may_return:
+            self._directory.record_removal(name)
             self._remove_now(name, "entry removed")
             return
         due = self._timers.clock.now() + REREGISTRATION_S
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -11,7 +11,9 @@
 
 from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.route_table import RouteTable
+from sequoiapulley.forward.store_position import NO_ERA, StorePosition
 from sequoiapulley.ids import (
+    Era,
     FailureDomainName,
     Incarnation,
     LeaseId,
@@ -95,6 +97,13 @@
     """Whether this is the full state, so that upstreams that are not listed were removed."""
     age: float = 0.0
     """Age of the state: seconds since the store was read."""
+    era: Era = NO_ERA
+    """Era of the store to which the revision belongs."""
+
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history up to which the changes reach."""
+        return StorePosition(self.era, self.revision)
 
 
 class SourceErrorKind(Enum):
@@ -111,10 +120,13 @@
 
     kind: SourceErrorKind
     detail: str
+    era: Era = NO_ERA
+    """Era of the store that the failed call reported; 0 if it reported none."""
 
 
 ChangesReply = Result[ChangeSet, SourceError]
 AnnounceReply = Result[LeaseId, SourceError]
+RegisteredReply = Result[bool, SourceError]
 
 
 class StateSource(Protocol):
@@ -131,12 +143,19 @@
         """
 
     def read_changes(
-        self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
+        self,
+        after: StorePosition,
+        wait: float,
+        timeout: float,
+        done: Callable[[ChangesReply], None],
     ) -> None:
-        """Reads the changes after a revision.
+        """Reads the changes after a position.
+
+        The reply may be of another era, if the store was restored meanwhile. Its changes are then
+        not the ones that follow the position.
 
         Args:
-            after: Revision up to which everything has been read.
+            after: Position up to which everything has been read.
             wait: Maximum time that the source waits for the first change, in seconds.
             timeout: Timeout of the reply, in addition to `wait`, in seconds.
             done: Called with the result.
@@ -154,5 +173,10 @@
     def renew(self, lease: LeaseId, done: Callable[[AnnounceReply], None]) -> None:
         """Renews a node's lease; the error `HISTORY_COMPACTED` means that the lease has expired."""
 
+    def is_registered(
+        self, record: NodeRecord, lease: LeaseId, done: Callable[[RegisteredReply], None]
+    ) -> None:
+        """Reads whether the store holds a node's record under its lease."""
+
     def withdraw(self, lease: LeaseId) -> None:
         """Revokes a node's lease without waiting for a reply."""
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -8,15 +8,23 @@
 from msgspec import Struct
 from result import Err
 
-from sequoiapulley.forward.change_log import NO_REVISION
-from sequoiapulley.forward.log_events import STORE_LOST, STORE_READ_WHOLE, STORE_REGAINED
+from sequoiapulley.forward.log_events import (
+    STATE_OUTDATED,
+    STORE_LOST,
+    STORE_READ_WHOLE,
+    STORE_REGAINED,
+    STORE_RESTORED,
+)
 from sequoiapulley.forward.state import (
     ChangeSet,
     ChangesReply,
     SourceError,
     SourceErrorKind,
     StateSource,
+    TableChange,
 )
+from sequoiapulley.forward.store_position import NO_ERA, NO_POSITION
+from sequoiapulley.ids import Era
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.runtime import TimerQueue
 
@@ -46,6 +54,8 @@
     """Maximum time that the source waits for a change, in seconds."""
     pace: float
     """Minimum time from this read to the next one, in seconds, before jitter."""
+    whole: bool = False
+    """Whether to read the full state although the changes would suffice."""
 
 
 class SourceSelector(Protocol):
@@ -67,8 +77,8 @@
 
         Args:
             changes: The changes.
-            after_outage: Whether the changes follow an outage of the store, so that a removed entry
-                may have expired during the outage.
+            after_outage: Whether the changes follow an outage or a restoration of the store, so
+                that a removed entry may have expired or be missing in the copy.
         """
 
 
@@ -97,14 +107,16 @@
         self._log = log
         self._random = random
         self._on_changes = on_changes
-        self.revision = NO_REVISION
-        """Store revision up to which everything has been read."""
+        self.position = NO_POSITION
+        """Position up to which everything has been read."""
         self.read_at = float("-inf")
         """Clock reading at which the store was in the state that this node has read."""
         self._store_lost_at: float | None = None
         self._failures = 0
         self._needs_full_read = True
         self._exact = False
+        self._restored_era = NO_ERA
+        """Latest era that began by a restoration, 0 if there was none; earlier state is ignored."""
         self._read_started_at = 0.0
         self._plan: ReadPlan | None = None
         self._stopped = False
@@ -129,10 +141,10 @@
         self._read_started_at = self._timers.clock.now()
         plan = self._plan = self._choose(self._failures)
         timeout = min(MAX_TIMEOUT_S, INITIAL_TIMEOUT_S * 2**self._failures)
-        if self._needs_full_read:
+        if self._needs_full_read or plan.whole:
             plan.source.read_all(self._exact, timeout, self._on_reply)
         else:
-            plan.source.read_changes(self.revision, plan.wait, timeout, self._on_reply)
+            plan.source.read_changes(self.position, plan.wait, timeout, self._on_reply)
 
     def _on_reply(self, reply: ChangesReply) -> None:
         """Applies the changes of a read, or schedules another read after an error."""
@@ -144,42 +156,105 @@
             return
         now = self._timers.clock.now()
         changes = reply.ok_value
+        if changes.era < max(self.position.era, self._restored_era):
+            self._on_outdated(changes)
+            return
+        restored = self._is_restored(changes.era)
+        if restored and not (changes.whole and (self._exact or not plan.is_store)):
+            # The changes after a revision of another era are not those that this node lacks.
+            self._read_restored(changes.era, now)
+            return
         self._failures = 0
         after_outage = plan.is_store and self._on_store_available() and self.age >= OUTAGE_S
         self.read_at = now - changes.age
-        if changes.whole and changes.revision < self.revision:
+        if changes.whole and changes.position < self.position:
             # A stale full state would restore entries that were removed since.
+            self._apply_configuration(changes)
             self._schedule_read(now + self._jittered(plan.pace))
             return
         if changes.whole:
             self._log.log(
                 STORE_READ_WHOLE,
                 revision=changes.revision,
+                era=changes.era,
                 entries=len(changes.changes),
                 store=plan.is_store,
             )
+        if restored:
+            self._log_restoration(changes.era)
         self._needs_full_read = False
-        self._on_changes(changes, after_outage)
-        self.revision = max(self.revision, changes.revision)
+        self._on_changes(changes, after_outage or restored)
+        self.position = max(self.position, changes.position)
         # A full state may be stale, so the changes since then are read at once.
         pace = 0.0 if changes.whole else plan.pace
         self._schedule_read(self._read_started_at + self._jittered(pace))
 
+    def _is_restored(self, era: Era) -> bool:
+        """Returns whether the store was restored since the last read, as its era shows."""
+        return self.position != NO_POSITION and era > self.position.era
+
+    def _read_restored(self, era: Era, now: float) -> None:
+        """Reads the full state of a restored store at once, without the stale one before it."""
+        self._log_restoration(era)
+        self._needs_full_read = True
+        self._exact = True
+        self._schedule_read(now)
+
+    def _log_restoration(self, era: Era) -> None:
+        """Logs the start of an era, once."""
+        if era <= self._restored_era:
+            return
+        self._restored_era = era
+        self._log.log(
+            STORE_RESTORED,
+            era=era,
+            previous_era=self.position.era,
+            previous_revision=self.position.revision,
+        )
+
+    def _on_outdated(self, changes: ChangeSet) -> None:
+        """Ignores state of an earlier era, except its configuration, and reads another source."""
+        latest_era = max(self.position.era, self._restored_era)
+        self._log.log(STATE_OUTDATED, era=changes.era, latest_era=latest_era)
+        self._exact = True
+        if changes.whole:
+            self._apply_configuration(changes)
+        self._retry()
+
+    def _apply_configuration(self, changes: ChangeSet) -> None:
+        """Applies only the configuration of a full state that is older than this node's.
+
+        Versions only increase, and a restored store may lack a version that was in force.
+        """
+        tables = tuple(change for change in changes.changes if isinstance(change, TableChange))
+        if tables:
+            position = self.position
+            self._on_changes(ChangeSet(position.revision, tables, era=position.era), False)
+
     def _on_error(self, plan: ReadPlan, error: SourceError) -> None:
         """Schedules the next read after an error."""
         now = self._timers.clock.now()
-        if error.kind is SourceErrorKind.HISTORY_COMPACTED and not self._needs_full_read:
+        restored = self._is_restored(error.era)
+        if restored:
+            self._log_restoration(error.era)
+        compacted = error.kind is SourceErrorKind.HISTORY_COMPACTED
+        if (restored or compacted) and not self._needs_full_read:
             # A stale full state could have a revision whose history is compacted as well.
             self._needs_full_read = True
             self._exact = True
-            self._schedule_read(now)
-            return
+            if compacted:
+                self._schedule_read(now)
+                return
         if plan.is_store and self._store_lost_at is None:
             self._store_lost_at = now
-            self._log.log(STORE_LOST, error=error.detail, revision=self.revision)
+            self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
+        self._retry()
+
+    def _retry(self) -> None:
+        """Schedules the next read after a failed one."""
         delay = min(MAX_RETRY_S, INITIAL_RETRY_S * 2**self._failures)
         self._failures += 1
-        self._schedule_read(now + self._jittered(delay))
+        self._schedule_read(self._timers.clock.now() + self._jittered(delay))
 
     def _on_store_available(self) -> bool:
         """Records a reply of the store; returns whether it had been unavailable."""
--- a/src/sequoiapulley/forward/tally.py
+++ b/src/sequoiapulley/forward/tally.py
@@ -25,6 +25,10 @@
         """Requests to remote nodes for parts, by outcome."""
         self.parts_lacking = 0
         """Total number of shards missing from merged answers."""
+        self.leaving_upstreams = 0
+        """Total number of upstreams that announced their shutdown."""
+        self.pauses = 0
+        """Total number of pauses that upstreams requested."""
         self._latencies: deque[tuple[str, float]] = deque(maxlen=MAX_SAMPLES)
 
     def record_latency(self, route: str, seconds: float) -> None:
--- a/src/sequoiapulley/forward/upstream.py
+++ b/src/sequoiapulley/forward/upstream.py
@@ -30,6 +30,9 @@
 """Half-life of the last observed silence while no request is overdue."""
 MAX_LOAD_REPORT_AGE_S: Final = 0.2
 """Age after which a load report is ignored."""
+DRAIN_MARGIN_S: Final = 1.0
+"""Time before the end of an upstream's drain after which it receives no request: a request waits
+for a connection for up to half a second, and callers' requests are on their way meanwhile."""
 COLD_START_RATIO: Final = 1.6
 """Processing time of an upstream that has just started, relative to its usual one."""
 
@@ -54,7 +57,9 @@
         "_unanswered_since",
         "_was_silent",
         "address_reassigned",
+        "leaving_since",
         "overdue_requests",
+        "paused_until",
         "pool",
         "record",
         "retired",
@@ -75,6 +80,10 @@
         self.address_reassigned = False
         """Whether another upstream replied at its address; cleared only by a restart of this
         one."""
+        self.leaving_since: float | None = None
+        """Clock reading at which this node learned that it announced its shutdown, or None."""
+        self.paused_until = float("-inf")
+        """Clock reading until which it requested a pause of this node."""
         self.overdue_requests = 0
         """Number of overdue requests of this node in flight."""
         self._slowness = 1.0
@@ -153,10 +162,31 @@
         self._was_silent = silent
         return silent
 
-    @property
-    def accepts_requests(self) -> bool:
-        """Whether it may receive new requests."""
-        return not self.retired and not self.address_reassigned
+    def accepts_requests(self, now: float) -> bool:
+        """Returns whether it may receive new requests."""
+        return (
+            not self.retired
+            and not self.address_reassigned
+            and self.leaving_since is None
+            and now >= self.paused_until
+        )
+
+    def is_last_resort(self, drain: float, now: float) -> bool:
+        """Returns whether it may still receive requests that no other upstream accepts.
+
+        Args:
+            drain: Time for which an upstream serves after it announced its shutdown, in seconds.
+            now: Clock reading in seconds.
+        """
+        if self.leaving_since is None or self.retired or self.address_reassigned:
+            return False
+        return now >= self.paused_until and now < self.leaving_since + drain - DRAIN_MARGIN_S
+
+    def pause_left(self, now: float) -> float:
+        """Returns the time until it accepts requests again; infinite if it will not."""
+        if self.retired or self.address_reassigned or self.leaving_since is not None:
+            return float("inf")
+        return max(0.0, self.paused_until - now)
 
     def record_end(self, failed: bool, unreachable: bool, now: float) -> None:
         """Records the outcome of a request.
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -5,12 +5,14 @@
 from collections.abc import Callable
 from typing import Final
 
+from sequoiapulley.forward.departures import Departures
 from sequoiapulley.forward.exchange import Pool
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.route_table import Route, ServiceConfig
+from sequoiapulley.forward.store_position import NO_ERA
 from sequoiapulley.forward.upstream import Upstream
-from sequoiapulley.ids import ServiceName, UpstreamName
+from sequoiapulley.ids import Era, ServiceName, UpstreamName
 from sequoiapulley.runtime import Clock
 
 CONNECTION_SHARE: Final = 0.9
@@ -20,6 +22,11 @@
 MAX_CONNECTIONS: Final = 16
 """Maximum connection limit of a node for one upstream, as an upstream runs a few requests at a
 time."""
+NEWS_S: Final = 3.0
+"""Time for which heartbeats carry an announced shutdown: two intervals between failure domains, in
+case one datagram is lost."""
+MAX_NEWS: Final = 16
+"""Maximum number of announced shutdowns in a heartbeat, which is one datagram."""
 
 PoolFactory = Callable[[UpstreamRecord], Pool]
 
@@ -42,6 +49,13 @@
         self._by_service: dict[ServiceName, list[Upstream]] = {}
         self._configs: dict[ServiceName, ServiceConfig] = {}
         self._nodes = 1
+        self._departures = Departures()
+        self._announced: list[Upstream] = []
+        """Upstreams that announced their shutdown in a reply to this node, oldest first."""
+        self.era: Era = NO_ERA
+        """Era of the store whose entries are being applied."""
+        self.drain = 0.0
+        """Time for which an upstream serves after it announced its shutdown, in seconds."""
 
     def __len__(self) -> int:
         """Returns the number of registered upstreams."""
@@ -71,6 +85,12 @@
         Returns:
             Whether the upstream is new, was replaced, or started or stopped draining.
         """
+        if self.is_outdated(record):
+            return False
+        if record.draining:
+            self._departures.record(record, self.era, False, self._clock.now())
+        else:
+            self._departures.forget(record.name)
         existing = self._upstreams.get(record.name)
         if existing is None:
             self._add(record)
@@ -91,6 +111,43 @@
             existing.pool.close_idle()
         return changed
 
+    def is_outdated(self, record: UpstreamRecord) -> bool:
+        """Returns whether a record precedes the departure of its upstream."""
+        return not record.draining and self._departures.is_outdated(record, self.era)
+
+    def record_removal(self, name: UpstreamName) -> None:
+        """Records that the entry of an upstream was removed, so that the upstream has left."""
+        upstream = self._upstreams.get(name)
+        if upstream is not None:
+            self._departures.record(upstream.record, self.era, False, self._clock.now())
+
+    def mark_leaving(self, upstream: Upstream) -> bool:
+        """Marks an upstream that announced its shutdown; returns whether that was unknown."""
+        if upstream.leaving_since is not None:
+            return False
+        now = self._clock.now()
+        upstream.leaving_since = now
+        self._departures.record(upstream.record, self.era, True, now)
+        return True
+
+    def announce_leaving(self, upstream: Upstream) -> None:
+        """Adds an upstream to the announced shutdowns that heartbeats carry."""
+        self._announced.append(upstream)
+
+    def announced_leaving(self) -> list[UpstreamRecord]:
+        """Returns the upstreams that recently announced their shutdown to this node."""
+        oldest = self._clock.now() - NEWS_S
+        self._announced = [
+            upstream
+            for upstream in self._announced
+            if upstream.leaving_since is not None and upstream.leaving_since >= oldest
+        ]
+        return [upstream.record for upstream in self._announced[-MAX_NEWS:]]
+
+    def find(self, name: UpstreamName) -> Upstream | None:
+        """Returns the registered upstream with a name, or None."""
+        return self._upstreams.get(name)
+
     def remove(self, name: UpstreamName) -> bool:
         """Removes an upstream; returns whether it was registered."""
         upstream = self._upstreams.pop(name, None)
@@ -116,10 +173,28 @@
             upstream.pool.connection_limit = self._connection_limit(upstream.record.service)
 
     def candidates(self, service: ServiceName) -> list[Upstream]:
-        """Returns the upstreams of a service that accept new requests."""
-        return [
-            upstream for upstream in self._by_service.get(service, []) if upstream.accepts_requests
-        ]
+        """Returns the upstreams of a service that accept new requests.
+
+        If none does, they are those that announced their shutdown but still serve.
+        """
+        now = self._clock.now()
+        registered = self._by_service.get(service, [])
+        accepting = [upstream for upstream in registered if upstream.accepts_requests(now)]
+        if accepting:
+            return accepting
+        return [upstream for upstream in registered if upstream.is_last_resort(self.drain, now)]
+
+    def pause_left(self, service: ServiceName) -> float:
+        """Returns the time until an upstream of a service accepts requests, in seconds.
+
+        Returns:
+            0 if one does now; infinite if none is paused either.
+        """
+        if self.candidates(service):
+            return 0.0
+        now = self._clock.now()
+        pauses = [upstream.pause_left(now) for upstream in self._by_service.get(service, [])]
+        return min(pauses, default=float("inf"))
 
     def choose(
         self, service: ServiceName, route: Route, excluded: list[Upstream], now: float
@@ -141,8 +216,8 @@
         best: Upstream | None = None
         least = float("inf")
         processing_time = self._model.processing_time(route.name, route.goal)
-        for upstream in self._by_service.get(service, ()):
-            if not upstream.accepts_requests or upstream in excluded:
+        for upstream in self.candidates(service):
+            if upstream in excluded:
                 continue
             time = upstream.expected_time(
                 self._model.round_trip(upstream.record.failure_domain), processing_time, now
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -119,6 +119,10 @@
             return
         self._timers.call_later(ABANDONED_TIMEOUT_S, lambda: self._end_abandoned(exchange))
 
+    def refuse_waiting(self) -> None:
+        """Ends the requests that wait for a connection as not sent, for a paused upstream."""
+        self._fail_waiting()
+
     def close_idle(self) -> None:
         """Closes idle connections, for an upstream that drains or was removed."""
         for conn in tuple(self._idle):
--- a/src/sequoiapulley/platform/boot_settings.py
+++ b/src/sequoiapulley/platform/boot_settings.py
@@ -11,6 +11,7 @@
 
 from sequoiapulley.forward.node_settings import Address, NodeSettings
 from sequoiapulley.forward.retry_quota import QuotaSettings
+from sequoiapulley.forward.route_table import MS_PER_S
 from sequoiapulley.ids import FailureDomainName, NodeId, RegionName
 
 DEFAULT_PEERS_PORT: Final = 7380
@@ -22,6 +23,8 @@
 
     grace_s: float = 6.0
     """Time from the stop signal to the forced exit of the process."""
+    drain_ms: float = 3000.0
+    """Time for which an upstream serves after it announced its shutdown."""
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
     retry_slack: float = 100.0
@@ -121,6 +124,7 @@
             window=boot.bounds.retry_window_s,
         ),
         grace=boot.bounds.grace_s,
+        drain=boot.bounds.drain_ms / MS_PER_S,
         most_entry_ttl=boot.bounds.ttl_max_s,
         capacity=boot.limits.cpu_share * boot.limits.cores,
     )
--- a/src/sequoiapulley/platform/documents.py
+++ b/src/sequoiapulley/platform/documents.py
@@ -101,6 +101,8 @@
     cold_left_ms: float = 0.0
     born: int = 0
     """Start time of the upstream, in Unix milliseconds."""
+    sequence: int = 0
+    """Number of the entry's writes since the upstream's start."""
 
 
 def decode_table(value: bytes) -> RouteTable:
@@ -155,6 +157,7 @@
         draining=doc.state == DRAINING,
         cold_for=max(0.0, doc.cold_left_ms / MS_PER_S),
         started_ms=doc.born,
+        report_number=doc.sequence,
     )
 
 
--- a/src/sequoiapulley/platform/http_store.py
+++ b/src/sequoiapulley/platform/http_store.py
@@ -19,6 +19,7 @@
     KvEvents,
     KvItem,
     KvPut,
+    KvSuccess,
     KvWriteReply,
 )
 from sequoiapulley.platform.names import STORE_KEY_PATH, STORE_WATCH_PATH
@@ -41,6 +42,7 @@
     KvErrorKind.UNAVAILABLE: StoreErrorKind.UNAVAILABLE,
     KvErrorKind.NO_REPLY: StoreErrorKind.NO_REPLY,
     KvErrorKind.REFUSED: StoreErrorKind.REFUSED,
+    KvErrorKind.TOO_LARGE: StoreErrorKind.NO_REPLY,
 }
 
 
@@ -75,9 +77,9 @@
     def get(self, key: str, done: Callable[[StoreReply], None]) -> None:
         """Reads a key."""
 
-        def on_item(reply: Result[KvItem, KvError]) -> None:
+        def on_item(reply: Result[KvSuccess[KvItem], KvError]) -> None:
             if isinstance(reply, Ok):
-                done(_decode_value(reply.ok_value))
+                done(_decode_value(reply.ok_value.body))
             elif reply.err_value.kind is KvErrorKind.NOT_FOUND:
                 done(Ok(StoreValue(key, b"", ABSENT)))
             else:
@@ -117,7 +119,7 @@
         early, and so does compacted history.
         """
 
-        def on_events(reply: Result[KvEvents, KvError]) -> None:
+        def on_events(reply: Result[KvSuccess[KvEvents], KvError]) -> None:
             compacted = (
                 isinstance(reply, Err) and reply.err_value.kind is KvErrorKind.HISTORY_COMPACTED
             )
--- a/src/sequoiapulley/platform/kv_client.py
+++ b/src/sequoiapulley/platform/kv_client.py
@@ -5,20 +5,28 @@
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from enum import Enum
-from typing import Final, TypeVar
+from typing import Final, Generic, TypeVar
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
-from sequoiapulley.ids import LeaseId, Revision
+from sequoiapulley.forward.store_position import NO_ERA
+from sequoiapulley.ids import Era, LeaseId, Revision
 from sequoiapulley.platform.names import (
+    STORE_ERA,
     STORE_LEASE_END_PATH,
     STORE_LEASE_PATH,
     STORE_LEASE_RENEW_PATH,
     STORE_TXN_PATH,
 )
-from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+from sequoiapulley.wire.http_client import (
+    HttpCall,
+    HttpClient,
+    HttpFailureKind,
+    HttpReply,
+    HttpResult,
+)
 
 CALL_TIMEOUT_S: Final = 1.5
 """Timeout of a call; the store answers in milliseconds, and in some hundred when slow."""
@@ -30,6 +38,8 @@
 MIN_SERVER_ERROR_STATUS: Final = 500
 NOT_STARTED_STATUSES: Final = frozenset({429, 503})
 """Statuses with which the store turns away a call before starting it."""
+MAX_ERA_DIGITS: Final = 18
+"""Maximum length of an era's number, so that it fits 64 bits."""
 
 
 class KvErrorKind(Enum):
@@ -47,6 +57,8 @@
     """No valid reply was received; a write may have taken effect."""
     REFUSED = "refused"
     """The store rejected the call as invalid; nothing was done."""
+    TOO_LARGE = "too_large"
+    """The reply exceeds the size limit; a read of fewer items may succeed."""
 
 
 class KvError(Struct, frozen=True):
@@ -55,6 +67,8 @@
     kind: KvErrorKind
     detail: str
     body: bytes = b""
+    era: Era = NO_ERA
+    """Era that the store reported; 0 if there is no reply."""
 
 
 class KvItem(Struct, frozen=True):
@@ -66,6 +80,8 @@
     value: str = ""
     """Content in standard base64 with padding."""
     deleted: bool = False
+    lease: int = 0
+    """Lease whose end removes the key; 0 for none."""
 
     def content(self) -> bytes:
         """Returns the decoded value.
@@ -105,7 +121,17 @@
 
 
 Body = TypeVar("Body")
-KvReply = Result[bytes, KvError]
+
+
+class KvSuccess(Struct, Generic[Body], frozen=True):
+    """A successful reply."""
+
+    body: Body
+    era: Era
+    """Era of the store that replied."""
+
+
+KvReply = Result[KvSuccess[bytes], KvError]
 KvWriteReply = Result[Revision, KvError]
 
 
@@ -127,12 +153,13 @@
         self._host = host
         self._port = port
         self._timeout = timeout
+        self._latest_era = NO_ERA
 
     def read(
         self,
         path: str,
         body_type: type[Body],
-        done: Callable[[Result[Body, KvError]], None],
+        done: Callable[[Result[KvSuccess[Body], KvError]], None],
         timeout: float | None = None,
     ) -> None:
         """Sends a read.
@@ -163,7 +190,7 @@
 
         def on_reply(reply: KvReply) -> None:
             written = _decode_body(reply, _WriteBody)
-            done(written.map(lambda body: Revision(body.revision)))
+            done(written.map(lambda success: Revision(success.body.revision)))
 
         rows = [{"key": key, "revision": revision} for key, revision in expected.items()]
         body = encode(
@@ -179,7 +206,8 @@
         """Creates a lease of `ttl` seconds."""
 
         def on_reply(reply: KvReply) -> None:
-            done(_decode_body(reply, _LeaseBody).map(lambda body: LeaseId(str(body.lease))))
+            granted = _decode_body(reply, _LeaseBody)
+            done(granted.map(lambda success: LeaseId(str(success.body.lease))))
 
         self._call("POST", STORE_LEASE_PATH, encode({"ttl_ms": int(ttl * 1000)}), on_reply)
 
@@ -203,7 +231,41 @@
         headers = JSON_HEADERS if body else ()
         wait = self._timeout if timeout is None else timeout
         call = HttpCall(self._host, self._port, method, path, headers, body, wait)
-        self._client.request(call, lambda result: done(_classify_result(result)))
+        self._client.request(call, lambda result: done(self._classify_result(result)))
+
+    def _classify_result(self, result: HttpResult) -> KvReply:
+        """Converts the result of an HTTP call to the body or a `KvError`."""
+        if isinstance(result, Err):
+            failure = result.err_value
+            kind = KvErrorKind.NO_REPLY if failure.sent else KvErrorKind.UNAVAILABLE
+            if failure.kind is HttpFailureKind.TOO_LARGE:
+                kind = KvErrorKind.TOO_LARGE
+            return Err(KvError(kind, f"{failure.kind.value}: {failure.detail}"))
+        reply = result.ok_value
+        try:
+            era = self._era_of(reply)
+        except ValueError as exc:
+            return Err(KvError(KvErrorKind.NO_REPLY, str(exc)))
+        if reply.status == STATUS_OK:
+            return Ok(KvSuccess(reply.body, era))
+        kind = _kind_of_status(reply.status)
+        return Err(KvError(kind, f"status {reply.status}", reply.body, era))
+
+    def _era_of(self, reply: HttpReply) -> Era:
+        """Returns the era of a reply; without the header, the latest one that was reported.
+
+        Raises:
+            ValueError: If the header is not a number.
+        """
+        for name, value in reply.headers:
+            if name != STORE_ERA:
+                continue
+            if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+                raise ValueError(f"the store's era {value[:40]!r} is not a number")
+            era = Era(int(value))
+            self._latest_era = max(self._latest_era, era)
+            return era
+        return self._latest_era
 
 
 def _encode_put(put: KvPut) -> dict[str, object]:
@@ -212,26 +274,16 @@
     return {"key": put.key, "value": b64encode(put.content).decode(), "lease": lease}
 
 
-def _classify_result(result: HttpResult) -> KvReply:
-    """Converts the result of an HTTP call to the body or a `KvError`."""
-    if isinstance(result, Err):
-        failure = result.err_value
-        kind = KvErrorKind.NO_REPLY if failure.sent else KvErrorKind.UNAVAILABLE
-        return Err(KvError(kind, f"{failure.kind.value}: {failure.detail}"))
-    reply = result.ok_value
-    if reply.status == STATUS_OK:
-        return Ok(reply.body)
-    return Err(KvError(_kind_of_status(reply.status), f"status {reply.status}", reply.body))
-
-
-def _decode_body(reply: KvReply, body_type: type[Body]) -> Result[Body, KvError]:
+def _decode_body(reply: KvReply, body_type: type[Body]) -> Result[KvSuccess[Body], KvError]:
     """Decodes the body of a reply."""
     if isinstance(reply, Err):
         return reply
+    success = reply.ok_value
     try:
-        return Ok(decode(reply.ok_value, type=body_type))
+        return Ok(KvSuccess(decode(success.body, type=body_type), success.era))
     except (DecodeError, ValidationError) as exc:
-        return Err(KvError(KvErrorKind.NO_REPLY, f"reply does not decode: {exc}"))
+        detail = f"reply does not decode: {exc}"
+        return Err(KvError(KvErrorKind.NO_REPLY, detail, era=success.era))
 
 
 def _kind_of_status(status: int) -> KvErrorKind:
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -15,10 +15,12 @@
     ChangeSet,
     ChangesReply,
     NodeRecord,
+    RegisteredReply,
     SourceError,
     SourceErrorKind,
 )
-from sequoiapulley.ids import LeaseId, Revision
+from sequoiapulley.forward.store_position import StorePosition
+from sequoiapulley.ids import Era, LeaseId, Revision
 from sequoiapulley.platform.documents import (
     decode_item,
     decode_removal,
@@ -34,9 +36,10 @@
     KvItem,
     KvPut,
     KvReply,
+    KvSuccess,
     KvWriteReply,
 )
-from sequoiapulley.platform.names import STORE_RANGE_PATH, STORE_WATCH_PATH
+from sequoiapulley.platform.names import STORE_KEY_PATH, STORE_RANGE_PATH, STORE_WATCH_PATH
 from sequoiapulley.wire.http_client import HttpClient
 
 ALL_KEYS: Final = ""
@@ -44,6 +47,9 @@
 _EXPIRED_KINDS: Final = frozenset({KvErrorKind.HISTORY_COMPACTED, KvErrorKind.NOT_FOUND})
 """Errors of a call that refers to a compacted revision or to an expired lease; both are reported
 as `SourceErrorKind.HISTORY_COMPACTED`."""
+MAX_READ_RESTARTS: Final = 2
+"""Maximum number of times that a read of several pages starts again because the store was restored
+between two of them."""
 
 
 class _Range(Struct):
@@ -73,13 +79,18 @@
         _RangeRead(self._kv, exact, timeout, done).read_page("", None)
 
     def read_changes(
-        self, after: Revision, wait: float, timeout: float, done: Callable[[ChangesReply], None]
+        self,
+        after: StorePosition,
+        wait: float,
+        timeout: float,
+        done: Callable[[ChangesReply], None],
     ) -> None:
         """Reads the changes after a revision; waits up to `wait` seconds for the first one."""
-        path = f"{STORE_WATCH_PATH}?prefix={ALL_KEYS}&after={after}&wait_ms={int(wait * 1000)}"
+        query = f"prefix={ALL_KEYS}&after={after.revision}&wait_ms={int(wait * 1000)}"
+        path = f"{STORE_WATCH_PATH}?{query}"
 
-        def on_events(reply: Result[KvEvents, KvError]) -> None:
-            done(reply.map(_decode_change_set).map_err(_source_error))
+        def on_events(reply: Result[KvSuccess[KvEvents], KvError]) -> None:
+            done(reply.map(_decode_change_set).map_err(_watch_error))
 
         self._kv.read(path, KvEvents, on_events, timeout + wait)
 
@@ -102,6 +113,22 @@
         """Renews a node's lease; fails with `HISTORY_COMPACTED` if the lease has expired."""
         self._kv.renew_lease(lease, lambda reply: done(_lease_reply(reply, lease)))
 
+    def is_registered(
+        self, record: NodeRecord, lease: LeaseId, done: Callable[[RegisteredReply], None]
+    ) -> None:
+        """Reads whether the store holds a node's record under its lease."""
+
+        def on_item(reply: Result[KvSuccess[KvItem], KvError]) -> None:
+            if isinstance(reply, Ok):
+                item = reply.ok_value.body
+                done(Ok(str(item.lease) == lease and _holds(item, record)))
+            elif reply.err_value.kind is KvErrorKind.NOT_FOUND:
+                done(Ok(False))
+            else:
+                done(Err(_source_error(reply.err_value)))
+
+        self._kv.read(f"{STORE_KEY_PATH}?key={quote(node_key(record), safe='/')}", KvItem, on_item)
+
     def withdraw(self, lease: LeaseId) -> None:
         """Revokes a node's lease; if the call is lost, the lease expires on its own."""
         self._kv.revoke_lease(lease, lambda _reply: None)
@@ -111,7 +138,8 @@
     """Reads all items, page by page.
 
     The pages are not a consistent snapshot. The result therefore has the revision of the first
-    page, so that the watch that follows reports every change made after it.
+    page, so that the watch that follows reports every change made after it. All pages are of one
+    era: if the store is restored meanwhile, the read starts again.
     """
 
     def __init__(
@@ -126,13 +154,14 @@
         self._timeout = timeout
         self._done = done
         self._items: list[KvItem] = []
+        self._restarts = 0
 
-    def read_page(self, after: str, at: int | None) -> None:
+    def read_page(self, after: str, first: StorePosition | None) -> None:
         """Requests the page that follows a key.
 
         Args:
             after: Last key that was read; empty for the first page.
-            at: Revision of the first page; None when requesting that page.
+            first: Position of the first page; None when requesting that page.
         """
         path = f"{STORE_RANGE_PATH}?prefix={ALL_KEYS}"
         if not self._exact:
@@ -140,25 +169,48 @@
         if after:
             path += f"&after={quote(after, safe='/')}"
 
-        def on_page(reply: Result[_Range, KvError]) -> None:
+        def on_page(reply: Result[KvSuccess[_Range], KvError]) -> None:
             if isinstance(reply, Err):
                 self._done(Err(_source_error(reply.err_value)))
                 return
-            page = reply.ok_value
+            page, era = reply.ok_value.body, reply.ok_value.era
+            if first is not None and era != first.era:
+                self._restart(first.era, era)
+                return
             self._items.extend(page.items)
-            first_revision = page.at if at is None else at
+            position = first or StorePosition(era, Revision(page.at))
             if page.has_more and page.items:
-                self.read_page(page.items[-1].key, first_revision)
+                self.read_page(page.items[-1].key, position)
                 return
             changes = tuple(_decode_changes(self._items))
-            self._done(Ok(ChangeSet(Revision(first_revision), changes, whole=True)))
+            self._done(Ok(ChangeSet(position.revision, changes, whole=True, era=era)))
 
         self._kv.read(path, _Range, on_page, self._timeout)
 
+    def _restart(self, first_era: Era, era: Era) -> None:
+        """Starts again, as the store was restored between two pages."""
+        if self._restarts == MAX_READ_RESTARTS:
+            detail = f"pages of eras {first_era} and {era} after {MAX_READ_RESTARTS} restarts"
+            self._done(Err(SourceError(SourceErrorKind.UNAVAILABLE, detail, max(first_era, era))))
+            return
+        self._restarts += 1
+        self._items.clear()
+        self.read_page("", None)
+
+
+def _holds(item: KvItem, record: NodeRecord) -> bool:
+    """Returns whether an item has a node's record as its value."""
+    try:
+        return item.content() == encode_node(record)
+    except ValueError:
+        # Another writer's value; the node writes its record again.
+        return False
 
-def _decode_change_set(events: KvEvents) -> ChangeSet:
+
+def _decode_change_set(success: KvSuccess[KvEvents]) -> ChangeSet:
     """Decodes the changes that a watch reported."""
-    return ChangeSet(Revision(events.at), tuple(_decode_changes(events.events)))
+    events = success.body
+    return ChangeSet(Revision(events.at), tuple(_decode_changes(events.events)), era=success.era)
 
 
 def _decode_changes(items: list[KvItem]) -> list[Change]:
@@ -187,8 +239,15 @@
     return Ok(lease)
 
 
+def _watch_error(error: KvError) -> SourceError:
+    """Converts an error of a watch; changes that exceed one reply are read as the full state."""
+    if error.kind is KvErrorKind.TOO_LARGE:
+        return SourceError(SourceErrorKind.HISTORY_COMPACTED, error.detail, error.era)
+    return _source_error(error)
+
+
 def _source_error(error: KvError) -> SourceError:
     """Converts an error of the client to a `SourceError`."""
     expired = error.kind in _EXPIRED_KINDS
     kind = SourceErrorKind.HISTORY_COMPACTED if expired else SourceErrorKind.UNAVAILABLE
-    return SourceError(kind, error.detail)
+    return SourceError(kind, error.detail, error.era)
--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -11,6 +11,7 @@
     ExchangeReply,
     Headers,
     LoadReport,
+    PauseRequest,
     UpstreamRecord,
 )
 from sequoiapulley.forward.route_table import MS_PER_S
@@ -18,6 +19,7 @@
 from sequoiapulley.platform.names import (
     ATTEMPT_ID,
     EXPECTED_UPSTREAM,
+    LEAVING,
     LOAD,
     MISSING_PARTS,
     NOT_EXECUTED,
@@ -49,6 +51,12 @@
 REWRITTEN_ANSWER_HEADERS: Final = frozenset({b"content-length"})
 """Headers of a reply that the node replaces when it forwards the reply."""
 WRONG_UPSTREAM_STATUS: Final = 421
+TURNED_AWAY_STATUS: Final = 503
+LEAVING_VALUE: Final = b"1"
+RETRY_AFTER: Final = b"retry-after"
+"""With a refusal: seconds for which the upstream wants no requests from this node."""
+MAX_PAUSE_TEXT: Final = 40
+"""Maximum number of bytes of a pause's value; more are not a number and would fill the log."""
 LOAD_FIELD_COUNT: Final = 3
 BODYLESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
@@ -87,18 +95,19 @@
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
         """Classifies a complete reply: executed, not executed, wrong upstream or malformed."""
-        load = _decode_load(_header(reply.headers, LOAD))
         if reply.status == WRONG_UPSTREAM_STATUS:
+            # Another upstream replied, so the reply says nothing about the expected one.
             return ExchangeReply(ExchangeEnd.WRONG_UPSTREAM, reply)
-        if _header(reply.headers, NOT_EXECUTED) is not None:
-            return ExchangeReply(ExchangeEnd.NOT_RUN, reply, load=load)
-        if _header(reply.headers, b"content-encoding") is not None:
-            # Callers ask for unencoded bodies, so the upstream did not produce this body.
-            return ExchangeReply(ExchangeEnd.MALFORMED, load=load)
+        load = _decode_load(_header(reply.headers, LOAD))
+        leaving = _header(reply.headers, LEAVING) == LEAVING_VALUE
+        pause = _decode_pause(reply)
         seal = _header(reply.headers, SEAL)
-        if seal is None:
-            return ExchangeReply(ExchangeEnd.MALFORMED, load=load)
-        return ExchangeReply(ExchangeEnd.REPLY, reply, seal, load)
+        if _header(reply.headers, NOT_EXECUTED) is not None:
+            return ExchangeReply(ExchangeEnd.NOT_RUN, reply, None, load, leaving, pause)
+        if seal is None or _header(reply.headers, b"content-encoding") is not None:
+            # Callers ask for unencoded bodies, so the upstream did not produce an encoded one.
+            return ExchangeReply(ExchangeEnd.MALFORMED, None, None, load, leaving, pause)
+        return ExchangeReply(ExchangeEnd.REPLY, reply, seal, load, leaving, pause)
 
     def forwarded_answer(self, reply: ExchangeReply) -> Answer:
         """Returns the answer that forwards an upstream's reply without its hop-by-hop headers."""
@@ -182,6 +191,20 @@
     return frozenset(connection_options)
 
 
+def _decode_pause(reply: ParsedReply) -> PauseRequest | None:
+    """Decodes the pause that an upstream requests with a refusal; None without one."""
+    if reply.status != TURNED_AWAY_STATUS:
+        return None
+    value = _header(reply.headers, RETRY_AFTER)
+    if value is None:
+        return None
+    text = value[:MAX_PAUSE_TEXT].decode("latin-1").strip()
+    try:
+        return PauseRequest(float(text), text)
+    except ValueError:
+        return PauseRequest(None, text)
+
+
 def _decode_load(value: bytes | None) -> LoadReport | None:
     """Decodes a load report; returns None if it is missing or malformed."""
     if value is None:
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -65,7 +65,9 @@
     CLOSED = "closed"
     """The connection closed before the reply was complete."""
     BAD_REPLY = "bad_reply"
-    """The reply was not valid HTTP or exceeded a size limit."""
+    """The reply was not valid HTTP."""
+    TOO_LARGE = "too_large"
+    """The reply exceeded a size limit."""
 
 
 class HttpFailure(Struct, frozen=True):
@@ -85,7 +87,7 @@
     CloseReason.PATH_LOST: HttpFailureKind.CLOSED,
     CloseReason.TRUNCATED: HttpFailureKind.CLOSED,
     CloseReason.MALFORMED: HttpFailureKind.BAD_REPLY,
-    CloseReason.TOO_LARGE: HttpFailureKind.BAD_REPLY,
+    CloseReason.TOO_LARGE: HttpFailureKind.TOO_LARGE,
     CloseReason.LOCAL: HttpFailureKind.CLOSED,
 }
 
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -26,6 +26,7 @@
 from msgspec import Struct
 
 from sequoiapulley.wire.reactor import BROKEN, READABLE, WRITABLE, Reactor
+from sequoiapulley.wire.receive_budget import ReceiveBudget
 from sequoiapulley.wire.reply_parser import ParsedReply, ReplyError, ReplyParser
 
 RECEIVE_BYTES: Final = 65_536
@@ -73,13 +74,15 @@
     """This process closed the connection."""
 
 
-class ReplyBounds(Struct, frozen=True):
+class ReplyBounds(Struct, frozen=True, kw_only=True):
     """Size limits of a reply, and its permitted framing."""
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
     unframed: bool = False
     """Whether a reply without a length or chunks may end with its connection."""
+    budget: ReceiveBudget | None = None
+    """Limit on the memory of large bodies that several connections share; None for no limit."""
 
 
 class ConnectionOwner(Protocol):
@@ -137,7 +140,7 @@
         """
         self._reactor = reactor
         self._owner = owner
-        self._parser = ReplyParser(bounds.header_bytes, bounds.body_bytes)
+        self._parser = ReplyParser(bounds.header_bytes, bounds.body_bytes, bounds.budget)
         self._unframed = bounds.unframed
         self._unsent = b""
         self.state = _CONNECTING
@@ -187,6 +190,7 @@
         if self.state is _CLOSED:
             return
         self.state = _CLOSED
+        self._parser.close()
         self._reactor.unregister(self._fd)
         self._sock.close()
 
--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -8,8 +8,12 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from msgspec import Struct
 
+from sequoiapulley.wire.receive_budget import SMALL_BODY_BYTES, ReceiveBudget
+
 FIRST_FINAL_STATUS: Final = 200
 BODYLESS_STATUSES: Final = frozenset({204, 304})
+MAX_LENGTH_DIGITS: Final = 18
+"""Number of digits of a stated length that are compared with the limit."""
 MAX_BYTES_PER_BODY_BYTE: Final = 2
 """Received bytes permitted per byte of the body, in addition to the header limit: the byte itself
 and its chunk framing."""
@@ -51,6 +55,8 @@
         "_accepts",
         "_body",
         "_body_bytes",
+        "_budget",
+        "_budget_taken",
         "_done",
         "_has_extra_data",
         "_has_unaccepted_reply",
@@ -59,22 +65,30 @@
         "_max_header_bytes",
         "_message_bytes",
         "_parser",
+        "_too_large",
         "_unframed",
     )
 
-    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+    def __init__(
+        self, max_header_bytes: int, max_body_bytes: int, budget: ReceiveBudget | None = None
+    ) -> None:
         """Creates a parser for a new connection.
 
         Args:
             max_header_bytes: Maximum size of status line and headers.
             max_body_bytes: Maximum size of a body.
+            budget: Limits the memory of large bodies on several connections; None for no limit.
         """
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
         self._parser = HttpResponseParser(self)
         self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
+        self._body: bytes | bytearray = b""
         self._body_bytes = 0
+        self._budget = budget
+        self._budget_taken = 0
+        self._too_large = ""
+        """Which size limit the reply exceeds; empty if it exceeds none."""
         self._message_bytes = 0
         self._has_extra_data = False
         self._done: ParsedReply | None = None
@@ -116,8 +130,8 @@
         except HttpParserUpgrade:
             raise ReplyError("the reply requests a protocol upgrade") from None
         except HttpParserError as exc:
-            if self._body_bytes > self._max_body_bytes:
-                raise ReplyError("the body exceeds its size limit", too_large=True) from None
+            if self._too_large:
+                raise ReplyError(self._too_large, too_large=True) from None
             if self._done is None:
                 raise ReplyError(f"the reply is not valid HTTP: {exc}") from exc
             self._has_extra_data = True
@@ -131,6 +145,7 @@
             return None
         self._done = None
         self._message_bytes = 0
+        self._release()
         if self._has_extra_data or self._has_unaccepted_reply or self._headers or self._body:
             return ParsedReply(done.status, done.headers, done.body, False)
         return done
@@ -145,29 +160,69 @@
         if not self._unframed:
             return None
         self._unframed = False
-        reply = ParsedReply(
-            self._parser.get_status_code(), self._headers, b"".join(self._body), False
-        )
+        self._release()
+        reply = ParsedReply(self._parser.get_status_code(), self._headers, bytes(self._body), False)
         return reply if self._accepts is None or self._accepts(reply) else None
 
+    def close(self) -> None:
+        """Frees the memory of an incomplete reply, as the connection was closed.
+
+        The parser is part of a reference cycle, so that it may stay in memory for long.
+        """
+        self._release()
+        self._body = b""
+        self._headers = []
+
+    def _release(self) -> None:
+        """Returns to the budget what the body has taken."""
+        if self._budget is not None and self._budget_taken:
+            self._budget.release(self._budget_taken)
+            self._budget_taken = 0
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Records whether the body ends with the connection."""
+        """Records whether the body ends with the connection; refuses a length over the limit."""
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
             return
-        names = {name for name, _ in self._headers}
-        self._unframed = names.isdisjoint((b"content-length", b"transfer-encoding"))
+        self._unframed = True
+        for name, value in self._headers:
+            if name == b"transfer-encoding":
+                self._unframed = False
+            elif name == b"content-length":
+                self._unframed = False
+                if value.isdigit() and int(value[:MAX_LENGTH_DIGITS]) > self._max_body_bytes:
+                    self._refuse(f"a body of {value.decode()} of {self._max_body_bytes} bytes")
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
-            raise ValueError("the body exceeds its size limit")
-        self._body.append(body)
+            self._refuse(f"the body exceeds {self._max_body_bytes} bytes")
+        if self._budget is not None and self._body_bytes > SMALL_BODY_BYTES:
+            wanted = self._body_bytes - self._budget_taken
+            if not self._budget.take(wanted):
+                self._refuse(f"no memory for a body of {self._body_bytes} bytes or more")
+            self._budget_taken += wanted
+        if not self._body:
+            self._body = body
+            return
+        if isinstance(self._body, bytes):
+            # A list of the parts would take many times the memory of a body that drips in.
+            self._body = bytearray(self._body)
+        self._body += body
+
+    def _refuse(self, detail: str) -> None:
+        """Ends the parsing of a reply that exceeds a limit.
+
+        Raises:
+            ValueError: Always; the HTTP parser passes it on.
+        """
+        self._too_large = detail
+        raise ValueError(detail)
 
     def on_message_complete(self) -> None:
         """Completes a reply; skips an interim (1xx) reply."""
@@ -178,9 +233,8 @@
         if self._done is not None:
             self._has_extra_data = True
             return
-        parts, self._body = self._body, []
+        body, self._body = bytes(self._body), b""
         self._body_bytes = 0
-        body = parts[0] if len(parts) == 1 else b"".join(parts)
         reply = ParsedReply(status, headers, body, self._parser.should_keep_alive())
         self._unframed = False
         if self._accepts is None or self._accepts(reply):
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -10,9 +10,11 @@
     Task,
     Transport,
     get_running_loop,
+    sleep,
 )
 from collections import deque
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from typing import Final
@@ -22,6 +24,10 @@
 from msgspec import Struct, json
 
 REASON_PHRASE: Final = b"-"
+ENDLESS_CHUNK_BYTES: Final = 16_384
+MAX_UNSENT_BYTES: Final = 131_072
+"""Number of unsent bytes above which an endless reply waits for the client to read."""
+ENDLESS_POLL_S: Final = 0.002
 
 
 class Request(Struct):
@@ -35,6 +41,27 @@
     body: bytes
 
 
+class EndlessPart(Enum):
+    """Part of a reply that never ends."""
+
+    HEAD = "head"
+    BODY = "body"
+    """Body without a length."""
+    LENGTH_BODY = "length_body"
+    """Body with a length that it does not reach."""
+    CHUNKED_BODY = "chunked_body"
+
+
+class Endless(Struct, frozen=True):
+    """Bytes that are sent instead of a reply until the client closes the connection."""
+
+    part: EndlessPart
+    chunk_bytes: int = ENDLESS_CHUNK_BYTES
+    """Number of bytes per write."""
+    pause: float = 0.0
+    """Pause between two writes, in seconds."""
+
+
 class Response(Struct):
     """An HTTP reply, with faults to inject when it is sent."""
 
@@ -45,6 +72,8 @@
     """Reset the connection instead of sending the reply."""
     cut_to: int | None = None
     """Send only this many bytes of the encoded reply, then close the connection."""
+    endless: Endless | None = None
+    """Send the head, and then these bytes without end."""
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -64,6 +93,30 @@
     return head + b"\r\n\r\n" + response.body
 
 
+def _endless_head(response: Response, part: EndlessPart) -> bytes:
+    """Encodes the beginning of a reply whose head or body never ends."""
+    head = f"HTTP/1.1 {response.status} ".encode() + REASON_PHRASE + b"\r\n"
+    for name, value in response.headers:
+        head += f"{name}: {value}\r\n".encode("latin-1")
+    if part is EndlessPart.HEAD:
+        return head
+    if part is EndlessPart.LENGTH_BODY:
+        head += b"content-length: 1000000000000\r\n"
+    elif part is EndlessPart.CHUNKED_BODY:
+        head += b"transfer-encoding: chunked\r\n"
+    return head + b"\r\n"
+
+
+def _endless_chunk(endless: Endless) -> bytes:
+    """Returns the bytes of one write of an endless reply."""
+    data = b"a" * endless.chunk_bytes
+    if endless.part is EndlessPart.HEAD:
+        return b"x-filler: " + data + b"\r\n"
+    if endless.part is EndlessPart.CHUNKED_BODY:
+        return b"%x\r\n%b\r\n" % (len(data), data)
+    return data
+
+
 class HttpServerConnection(Protocol):
     """A client connection; pipelined requests are answered in order, one at a time."""
 
@@ -138,7 +191,11 @@
         """Answers the queued requests in order."""
         try:
             while self._requests and not self.silent:
-                self.send(await self._handler(self._requests.popleft()))
+                response = await self._handler(self._requests.popleft())
+                if response.endless is not None:
+                    await self._send_endless(response, response.endless)
+                    return
+                self.send(response)
         except CancelledError:
             pass
         finally:
@@ -158,6 +215,18 @@
         self.transport.write(data[: response.cut_to])
         self.close()
 
+    async def _send_endless(self, response: Response, endless: Endless) -> None:
+        """Sends the beginning of a reply and further bytes until the client closes."""
+        if self.transport is not None:
+            self.transport.write(_endless_head(response, endless.part))
+        data = _endless_chunk(endless)
+        while self.transport is not None and not self.transport.is_closing():
+            if self.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                await sleep(ENDLESS_POLL_S)
+                continue
+            self.transport.write(data)
+            await sleep(endless.pause)
+
     def close(self) -> None:
         """Closes the connection after the buffered data has been sent."""
         if self.transport is not None:
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -107,6 +107,9 @@
     def abandon(self, exchange: Exchange) -> None:
         self.net.timers.call_later(0.3, lambda: self.cancel(exchange))
 
+    def refuse_waiting(self) -> None:
+        """Does nothing: no request waits for a connection."""
+
     def close_idle(self) -> None:
         """Does nothing: there are no idle connections."""
 
--- /dev/null
+++ b/tests/state_fleet.py
@@ -0,0 +1,216 @@
+"""Several nodes that read shared state from a store and from one another, on a paused clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+
+from msgspec.structs import replace
+from result import Err, Ok
+
+from sequoiapulley.daemon.feed_sources import FeedSourceSelector
+from sequoiapulley.daemon.peer_source import PeerPort
+from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.peer_table import (
+    LOCAL_HEARTBEAT_INTERVAL_S,
+    REMOTE_HEARTBEAT_INTERVAL_S,
+    PeerTable,
+)
+from sequoiapulley.forward.state import ChangeSet, ChangesReply, NodeRecord, TableChange
+from sequoiapulley.forward.state_feed import StateFeed
+from sequoiapulley.forward.store_position import StorePosition
+from sequoiapulley.ids import ConfigVersion, Incarnation, Revision
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock, TimerQueue
+from sequoiapulley.wire.http_client import (
+    HttpCall,
+    HttpFailure,
+    HttpFailureKind,
+    HttpReply,
+    HttpResult,
+)
+from tests.state_fixtures import changes, heartbeat, history_compacted, node, table, unavailable
+
+REPLY_S = 0.004
+WRITES_PER_S = 20
+"""Writes of upstreams to the store; because of them, a waiting read returns at once."""
+
+
+class FakeStore:
+    """Implements `StateSource` for one node; all nodes read the same data."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+
+    def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
+        self._answer(lambda: Ok(self.fleet.full_state()), timeout, done)
+
+    def read_changes(
+        self,
+        after: StorePosition,
+        wait: float,
+        timeout: float,
+        done: Callable[[ChangesReply], None],
+    ) -> None:
+        def read() -> ChangesReply:
+            compacted = after.revision < self.fleet.history_from
+            return (
+                history_compacted() if compacted else Ok(self.fleet.changes_after(after.revision))
+            )
+
+        self._answer(read, wait + timeout, done)
+
+    def _answer(
+        self, read: Callable[[], ChangesReply], timeout: float, done: Callable[[ChangesReply], None]
+    ) -> None:
+        """Answers after a short delay, or lets the call time out for an affected node."""
+        timers = self.fleet.timers
+        if self.name in self.fleet.unresponsive_for:
+            timers.call_later(timeout, lambda: done(unavailable()))
+            return
+        timers.call_later(REPLY_S, lambda: done(read()))
+
+
+class FakeRequest:
+    """One request to a node's port."""
+
+    def __init__(self, path: str, done: Callable[[HttpResult], None]) -> None:
+        self.parsed = SimpleNamespace(target=path.encode())
+        self._done: Callable[[HttpResult], None] | None = done
+
+    def answer(self, status: int, headers: object, body: bytes) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            done(Ok(HttpReply(status, [], body)))
+
+    def expire(self) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            done(Err(HttpFailure(HttpFailureKind.TIMEOUT, True, "no reply")))
+
+
+class FleetNode:
+    """The components of one node that read and serve the shared state.
+
+    It also replaces the node's forwarder, of which the sources read the version and the table.
+    """
+
+    def __init__(self, fleet: Fleet, record: NodeRecord, random: Random) -> None:
+        self.record = record
+        self.version = ConfigVersion(0)
+        self.table = None
+        self.applied: list[ConfigVersion] = []
+        """Versions in the order in which they were read."""
+        self.peers = PeerTable(record, MemoryLog())
+        self.log = ChangeLog()
+        store = FakeStore(fleet, record.name)
+        clock = fleet.timers.clock
+        self.sources = FeedSourceSelector(store, fleet, self.peers, self, (), random, clock)
+        self.feed = StateFeed(self.sources, fleet.timers, MemoryLog(), random, self.apply_changes)
+        self.port = PeerPort(self.log, fleet.timers, self.full_state, lambda: self.feed.age)
+
+    def apply_changes(self, changes_read: ChangeSet, after_outage: bool) -> None:
+        if changes_read.era > self.log.position.era:
+            self.log.begin_era(changes_read.position)
+        for change in changes_read.changes:
+            self.log.append(change, changes_read.revision)
+            self.version = max(self.version, change.table.version)
+            self.applied.append(change.table.version)
+        self.log.advance(changes_read.position)
+        self.sources.position = changes_read.position
+        self.port.wake()
+
+    def full_state(self, age: float) -> ChangeSet:
+        return changes(
+            self.log.position.revision, TableChange(table(self.version)), whole=True, age=age
+        )
+
+
+class Fleet:
+    """Nodes of two failure domains; also replaces the nodes' HTTP client."""
+
+    def __init__(self, seed: int) -> None:
+        self.timers = TimerQueue(PausedClock())
+        self.unresponsive_for: frozenset[str] = frozenset()
+        self.versions = [(Revision(1), 1)]
+        """Configuration versions in the store, each with the revision of its write."""
+        self.era = 0
+        self._revisions_lost = 0
+        self.history_from = Revision(0)
+        """Lowest revision after which the store still has all changes; the rest is compacted."""
+        random = Random(seed)
+        self.nodes = {
+            name: FleetNode(self, node(name, domain), random)
+            for domain in ("p", "q")
+            for name in (f"{domain}1", f"{domain}2", f"{domain}3")
+        }
+        for fleet_node in self.nodes.values():
+            self.timers.call_later(random.random(), fleet_node.feed.start)
+            self.send_heartbeats(fleet_node, LOCAL_HEARTBEAT_INTERVAL_S, local=True)
+            self.send_heartbeats(fleet_node, REMOTE_HEARTBEAT_INTERVAL_S, local=False)
+
+    @property
+    def revision(self) -> Revision:
+        """Revision of the store; upstreams write all the time."""
+        return Revision(int(self.timers.clock.now() * WRITES_PER_S) - self._revisions_lost)
+
+    def restart(self, name: str) -> None:
+        """Replaces a node by a new process without state."""
+        old = self.nodes[name]
+        old.feed.stop()
+        record = replace(old.record, incarnation=Incarnation(old.record.incarnation + 1))
+        started = FleetNode(self, record, Random(len(name)))
+        self.nodes[name] = started
+        started.feed.start()
+        self.send_heartbeats(started, LOCAL_HEARTBEAT_INTERVAL_S, local=True)
+        self.send_heartbeats(started, REMOTE_HEARTBEAT_INTERVAL_S, local=False)
+
+    def write_configuration(self, version: int) -> None:
+        """Writes a configuration version under the next revision."""
+        self.versions.append((Revision(self.revision + 1), version))
+
+    def restore(self, seconds: float) -> None:
+        """Restores the store from a copy of `seconds` ago; later writes are lost."""
+        self._revisions_lost += int(seconds * WRITES_PER_S)
+        self.versions = [item for item in self.versions if item[0] <= self.revision]
+        self.era += 1
+
+    def full_state(self) -> ChangeSet:
+        """Returns the store's full state."""
+        items = [TableChange(table(version)) for _, version in self.versions[-1:]]
+        return changes(self.revision, *items, whole=True, era=self.era)
+
+    def changes_after(self, after: Revision) -> ChangeSet:
+        """Returns the store's changes after a revision."""
+        items = [TableChange(table(version)) for at, version in self.versions if at > after]
+        return changes(self.revision, *items, era=self.era)
+
+    def send_heartbeats(self, sender: FleetNode, period: float, local: bool) -> None:
+        """Sends heartbeats to the nodes of the same failure domain, or to those of others."""
+        if self.nodes[sender.record.name] is not sender:
+            return
+        now = self.timers.clock.now()
+        position = sender.log.position
+        message = heartbeat(sender.record, sender.version, position.revision, era=position.era)
+        for other in self.nodes.values():
+            if (other.record.failure_domain == sender.record.failure_domain) is local:
+                other.peers.record_heartbeat(message, now)
+        self.timers.call_later(period, lambda: self.send_heartbeats(sender, period, local))
+
+    def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+        """Sends a request to a node's port."""
+        req = FakeRequest(call.path, done)
+        self.timers.call_later(call.timeout, req.expire)
+        self.timers.call_later(REPLY_S, lambda: self.nodes[call.host].port.serve(req))
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock and runs the timers that become due."""
+        clock = self.timers.clock
+        assert isinstance(clock, PausedClock)
+        end = clock.now() + seconds
+        while (due := self.timers.next_due()) is not None and due <= end:
+            clock.advance(max(0.0, due - clock.now()))
+            self.timers.run_due()
+        clock.advance(max(0.0, end - clock.now()))
--- /dev/null
+++ b/tests/test_node_contract.py
@@ -0,0 +1,222 @@
+"""Tests of node processes against what the platform and upstreams ask of them.
+
+A store that is restored from a copy, upstreams that announce their shutdown, and upstreams that ask
+for a pause. Real processes and sockets; the times are those of the users' contract.
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPConnection, HTTPException
+from time import monotonic, sleep
+from typing import Final
+from unittest import TestCase
+
+from msgspec import json
+
+from standins.http_server import Endless, EndlessPart
+from standins.platform_fleet import (
+    CALLERS_PORT,
+    METRICS_PORT,
+    READY_PORT,
+    FleetSettings,
+    PlatformFleet,
+)
+from standins.platform_upstream import PlatformUpstream, UpstreamFaults
+from standins.store import StoreStandIn
+
+TIMEOUT_S: Final = 30.0
+APPLY_S: Final = 3.0
+"""Bound on the time from the store's acknowledgement of a configuration to its activation."""
+DRAIN_S: Final = 3.0
+"""Time after an announced shutdown from which an upstream receives no requests."""
+PAUSE_GRACE_S: Final = 0.5
+"""Time after a requested pause began from which requests count."""
+MAX_REQUESTS_IN_PAUSE: Final = 2
+MAX_GROWTH_KB: Final = 32_000
+"""Memory that endless replies may cost a node: a quarter of what a node of 20 MB has left on the
+smallest VMs, which have 152 MB."""
+
+
+class NodeContractTest(TestCase):
+    """Two nodes in one failure domain, a service with two upstreams, and a remote one."""
+
+    def setUp(self) -> None:
+        self.requests = 0
+        self.store = StoreStandIn()
+        self.store.start()
+        self.addCleanup(self.store.stop)
+        self.upstreams = [PlatformUpstream(f"u-{n}", "s", "127.0.0.1", "p") for n in range(2)]
+        for upstream in self.upstreams:
+            upstream.start()
+            self.addCleanup(upstream.stop)
+            self.register(upstream)
+        self.put_configuration(10)
+        shape = FleetSettings("127.9.3", f"{self.store.host}:{self.store.port}", {"p": "g"})
+        self.fleet = PlatformFleet(shape, ["p", "p"])
+        self.addCleanup(self.fleet.close)
+        self.fleet.start()
+        self.until(lambda: all(self.get(n, READY_PORT, "/readiness") == 200 for n in (0, 1)))
+
+    def register(self, upstream: PlatformUpstream, state: str = "ready") -> None:
+        record = upstream.record(state=state)
+        self.store.put(f"servers/{upstream.name}", json.encode(record))
+
+    def put_configuration(self, version: int) -> None:
+        base = {"host": "x.example", "timeout_ms": 2000, "goal_ms": 500, "max_attempts": 2}
+        route = {**base, "name": "r", "prefix": "/r/", "type": "idempotent", "service": "s"}
+        once = {**base, "name": "o", "prefix": "/o/", "type": "non_idempotent", "service": "s"}
+        config = {"version": version, "routes": [route, once]}
+        self.store.put("op/config", json.encode(config))
+
+    def until(self, condition: object, limit: float = TIMEOUT_S) -> None:
+        assert callable(condition)
+        end = monotonic() + limit
+        while not condition():
+            self.assertLess(monotonic(), end, "the condition did not hold in time")
+            sleep(0.02)
+
+    def get(self, node: int, port: int, path: str) -> int:
+        return self.fetch(node, port, path)[0]
+
+    def fetch(self, node: int, port: int, path: str) -> tuple[int, bytes]:
+        conn = HTTPConnection(self.fleet.nodes[node].host, port, timeout=TIMEOUT_S)
+        try:
+            conn.request("GET", path)
+            reply = conn.getresponse()
+            return reply.status, reply.read()
+        except OSError:
+            return 0, b""
+        finally:
+            conn.close()
+
+    def ask(self, conn: HTTPConnection, path: str = "/r/1") -> int:
+        """Sends a request; returns the status of the answer, 0 if there is none."""
+        self.requests += 1
+        headers = {
+            "Host": "x.example",
+            "X-Attempt-Id": f"r{self.requests}",
+            "X-Deadline-Ms": "2000",
+        }
+        try:
+            conn.request("GET", path, None, headers)
+            reply = conn.getresponse()
+            reply.read()
+            return reply.status
+        except (OSError, HTTPException):
+            conn.close()
+            return 0
+
+    def connect(self, node: int = 0) -> HTTPConnection:
+        conn = HTTPConnection(self.fleet.nodes[node].host, CALLERS_PORT, timeout=TIMEOUT_S)
+        self.addCleanup(conn.close)
+        return conn
+
+    def load(self, seconds: float, conn: HTTPConnection) -> list[int]:
+        """Sends a request every 10 ms; returns the statuses of the answers."""
+        statuses = []
+        end = monotonic() + seconds
+        while monotonic() < end:
+            statuses.append(self.ask(conn))
+            sleep(0.01)
+        return statuses
+
+    def has_version(self, version: int) -> bool:
+        text = b"config_version %d" % version
+        return all(text in self.fetch(node, METRICS_PORT, "/metrics")[1] for node in (0, 1))
+
+    def resident_kb(self, node: int) -> int:
+        process = self.fleet.nodes[node].process
+        assert process is not None
+        with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
+            line = next(line for line in status if line.startswith("VmRSS"))
+        return int(line.split()[1])
+
+    def test_restored_store(self) -> None:
+        conn = self.connect()
+        self.store.save()
+        for _ in range(9):
+            self.store.put("other/key", b"x")
+        self.put_configuration(20)
+        self.until(lambda: self.has_version(20), APPLY_S)
+        self.register(self.upstreams[1], "draining")
+        self.until(lambda: b'"draining":true' in self.fleet.nodes[0].log.read_bytes())
+        self.store.faults.down = True
+        sleep(1.0)
+        self.store.restore()
+        self.store.faults.down = False
+        for upstream in self.upstreams:
+            upstream.arrivals.clear()
+        self.assertEqual(set(self.load(1.0, conn)), {200})
+        self.assertTrue(self.has_version(20), "the copy's configuration was activated")
+        self.put_configuration(20)
+        self.register(self.upstreams[0])
+        sleep(1.0)
+        self.put_configuration(30)
+        self.until(lambda: self.has_version(30), APPLY_S)
+        self.assertEqual(set(self.load(3.0, conn)), {200})
+        self.assertEqual(self.upstreams[1].arrivals, [], "an upstream that left was used again")
+        for node in self.fleet.nodes:
+            log = node.log.read_bytes()
+            self.assertEqual(log.count(b'"name":"store_restored"'), 1)
+        self.until(lambda: self.store.has("nodes/node-1") and self.store.has("nodes/node-2"))
+
+    def test_announced_shutdown(self) -> None:
+        conn = self.connect()
+        self.load(0.3, conn)
+        for upstream in self.upstreams:
+            upstream.faults.work = 0.02
+        first = self.upstreams[0]
+        first.faults = UpstreamFaults(leaving=True)
+        self.until(lambda: b"announced in a reply" in self.read_log(0, conn))
+        announced = first.thread_time()
+        self.assertEqual(set(self.load(DRAIN_S + 1.0, conn)), {200})
+        late = [at for at in first.arrivals if at > announced + DRAIN_S]
+        self.assertEqual(late, [])
+        news = b'"cause":"announced to node-1"'
+        self.until(lambda: news in self.fleet.nodes[1].log.read_bytes())
+
+    def read_log(self, node: int, conn: HTTPConnection) -> bytes:
+        """Returns the log of a node after one more request."""
+        self.ask(conn)
+        return self.fleet.nodes[node].log.read_bytes()
+
+    def test_requested_pause(self) -> None:
+        conn = self.connect()
+        self.load(0.3, conn)
+        first = self.upstreams[0]
+        first.faults = UpstreamFaults(pause=3.0)
+        self.until(lambda: b"upstream_paused" in self.read_log(0, conn))
+        began = first.thread_time()
+        self.assertEqual(set(self.load(3.2, conn)), {200})
+        during = [at for at in first.arrivals if began + PAUSE_GRACE_S < at < began + 2.9]
+        self.assertLessEqual(len(during), MAX_REQUESTS_IN_PAUSE)
+        self.upstreams[1].faults = UpstreamFaults(pause=3.0)
+        self.load(0.2, conn)
+        start = monotonic()
+        self.assertEqual(self.ask(conn), 503)
+        self.assertEqual(self.ask(conn, "/o/1"), 503)
+        self.assertLess(monotonic() - start, 0.2)
+
+    def test_endless_replies(self) -> None:
+        conn = self.connect()
+        self.load(0.5, conn)
+        before = self.resident_kb(0)
+        for part in EndlessPart:
+            for chunk, pause in ((16_384, 0.0), (2, 0.001)):
+                with self.subTest(part=part, chunk=chunk):
+                    for upstream in self.upstreams:
+                        upstream.faults = UpstreamFaults(endless=Endless(part, chunk, pause))
+                    conns = [self.connect() for _ in range(6)]
+                    for number, other in enumerate(conns):
+                        headers = {
+                            "Host": "x.example",
+                            "X-Attempt-Id": f"e-{part.value}-{chunk}-{number}",
+                            "X-Deadline-Ms": "700",
+                        }
+                        other.request("GET", "/r/1", None, headers)
+                    statuses = {other.getresponse().status for other in conns}
+                    self.assertLessEqual(statuses, {502, 504})
+                    self.assertLess(self.resident_kb(0) - before, MAX_GROWTH_KB)
+        for upstream in self.upstreams:
+            upstream.faults = UpstreamFaults()
+        self.until(lambda: self.ask(conn) == 200)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -56,12 +56,14 @@
             ReplyBounds(unframed=True),
         )
         self.ends: dict[str, ExchangeReply] = {}
+        self.exchanges: dict[str, Exchange] = {}
         self.accepted: list[socket] = []
 
     def send(self, name: str = "r1", may_reuse_idle: bool = True) -> Exchange:
         now = self.loop.clock.now()
         req = CallerRequest(RequestId(name), b"GET", b"/x?y", "h", (), b"", 1.0, now)
         exchange = Exchange(req, now + 1.0, may_reuse_idle, self._recorder(name))
+        self.exchanges[name] = exchange
         self.pool.submit(exchange)
         self.loop.settle()
         return exchange
@@ -206,6 +208,30 @@
         self.assertEqual(self.accepted[0].recv(9_000)[-1:], b"\n")
         self.assertEqual(self.accepted[0].recv(1), b"")
 
+    def test_pause_ends_the_requests_that_wait_for_a_connection(self) -> None:
+        """The reply that requests the pause also frees the connection for the next request."""
+        self.pool.connection_limit = 1
+        self.send("r1")
+        conn = self.accept()
+        self.send("r2")
+        finish = self.ends.__setitem__
+
+        def pause(name: str, found: ExchangeReply) -> None:
+            finish(name, found)
+            self.assertIsNotNone(found.pause)
+            self.pool.refuse_waiting()
+
+        conn.recv(9_000)
+        exchange = self.exchanges["r1"]
+        exchange.done = lambda found: pause("r1", found)
+        refusal = b"HTTP/1.1 503 x\r\nX-Attempt-Id: r1\r\nX-Not-Executed: 1\r\nRetry-After: 3\r\n"
+        conn.sendall(refusal + b"Content-Length: 0\r\n\r\n")
+        self.loop.settle()
+        self.assertIs(self.ends["r1"].end, ExchangeEnd.NOT_RUN)
+        self.assertIs(self.ends["r2"].end, ExchangeEnd.NOT_SENT)
+        with self.assertRaises(BlockingIOError):
+            conn.recv(9_000)
+
     def test_requests_beyond_the_connection_limit_are_queued(self) -> None:
         self.pool.connection_limit = 1
         self.send("r1")
