Close the ways in which one message, a planned stop or a restart could lose or mix up work

Found and mended, each with a test that failed before: - One malformed message took a process down: a port of 70000 in a heartbeat, a node's record or an upstream's entry raised OverflowError in a socket call, and a goal of 0 in a request for parts divided by zero, which also left the upstream's connection in use for good; NaN as a due time broke the order of all timers. Addresses and numbers are checked when they are decoded, a name instead of an address no longer blocks the loop in a look-up, and the event loop logs unexpected errors (SP2546), answers the request concerned with 502 and goes on. Periodic tasks and the feed go on as well. - A planned stop reset connections that the kernel had queued, and kept connections with an unread request (callers' ports of both programs): 6 of 6 requests lost in the test of the node's port. - A copy of a reply without an id, late, on a connection in use again, is told by its seal; replies for parts name their request. - A restarted node applied a full state that may be seconds old and used upstreams that had left until it had read the changes since; it now applies both together. Not found: an answer broken off that looks complete (test_upstream_pool, test_broken_replies), work of a silent node started again (test_remote_parts, test_service_call).

An unreadable record of a node was logged as an unreadable configuration; it is SP2514 now.

test_state_feed: three tests of the feed read the changes after the first state before they go on, as that state is no longer applied on its own; what they check is the same.

--- a/src/sequoiapulley/daemon/heartbeat_port.py
+++ b/src/sequoiapulley/daemon/heartbeat_port.py
@@ -9,6 +9,7 @@
 from msgspec import DecodeError, ValidationError
 from msgspec.msgpack import Decoder, encode
 
+from sequoiapulley.forward.addresses import check_addresses
 from sequoiapulley.forward.log_events import HEARTBEAT_UNREADABLE
 from sequoiapulley.forward.peer_table import Heartbeat
 from sequoiapulley.forward.state import NodeRecord
@@ -65,6 +66,9 @@
                 # The next heartbeat replaces it; a peer that receives none marks this node as lost.
                 continue
 
+    def on_failure(self) -> None:
+        """Does nothing: the next datagram is read."""
+
     def on_ready(self, events: int) -> None:
         """Reads the datagrams that have arrived, up to a limit for each event."""
         for _ in range(MAX_DATAGRAMS_PER_EVENT):
@@ -74,7 +78,8 @@
                 return
             try:
                 heartbeat = self._decoder.decode(data)
-            except (DecodeError, ValidationError) as exc:
+                check_addresses(heartbeat.record)
+            except (DecodeError, ValidationError, ValueError) as exc:
                 self._log.log(HEARTBEAT_UNREADABLE, error=str(exc))
                 continue
             self._on_heartbeat(heartbeat)
--- a/src/sequoiapulley/daemon/heartbeat_task.py
+++ b/src/sequoiapulley/daemon/heartbeat_task.py
@@ -49,10 +49,11 @@
 
     def _send_local(self) -> None:
         """Sends a heartbeat within the failure domain and schedules the next one."""
-        self._port.send(self._make_heartbeat(), self._peers.local_heartbeat_targets())
+        # The next one is scheduled first, so that an unexpected error does not end the series.
         self._timers.call_later(LOCAL_HEARTBEAT_INTERVAL_S, self._send_local)
+        self._port.send(self._make_heartbeat(), self._peers.local_heartbeat_targets())
 
     def _send_remote(self) -> None:
         """Sends a heartbeat to other failure domains and schedules the next one."""
-        self._port.send(self._make_heartbeat(), self._peers.remote_heartbeat_targets())
         self._timers.call_later(REMOTE_HEARTBEAT_INTERVAL_S, self._send_remote)
+        self._port.send(self._make_heartbeat(), self._peers.remote_heartbeat_targets())
--- a/src/sequoiapulley/daemon/parts_port.py
+++ b/src/sequoiapulley/daemon/parts_port.py
@@ -21,11 +21,14 @@
 from sequoiapulley.forward.log_events import PARTS_UNREADABLE
 from sequoiapulley.forward.part_collector import PartCollector
 from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.ids import RequestId
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
 from sequoiapulley.wire.server_connection import ServerRequest
 
 PARTS_PATH: Final = "/v1/parts"
 STATUS_BAD_REQUEST: Final = 400
+MAX_REQUEST_TIME_S: Final = 86_400.0
+"""Maximum of the times in a request, so that they are finite."""
 
 
 class HttpPartsClient:
@@ -60,7 +63,7 @@
             timeout=timeouts.reply,
             ack_timeout=timeouts.confirmation,
         )
-        self._client.request(call, lambda result: done(_decode(result)))
+        self._client.request(call, lambda result: done(_decode(result, request.id)))
 
 
 class PartsPort:
@@ -79,7 +82,8 @@
         """Decodes a request, collects its parts from upstreams and answers it."""
         try:
             request = self._decoder.decode(req.parsed.body)
-        except (DecodeError, ValidationError) as exc:
+            _check_request(request)
+        except (DecodeError, ValidationError, ValueError) as exc:
             self._ctx.log.log(PARTS_UNREADABLE, error=str(exc))
             req.answer(STATUS_BAD_REQUEST, (), b"")
             return
@@ -92,8 +96,25 @@
         collector.start()
 
 
-def _decode(result: HttpResult) -> PartsResult:
-    """Decodes a node's reply, or classifies its failure."""
+def _check_request(request: PartsRequest) -> None:
+    """Checks the numbers in another node's request.
+
+    Raises:
+        ValueError: If one of them is out of range.
+    """
+    for name, seconds in (
+        ("time_left", request.time_left),
+        ("due_in", request.due_in),
+        ("goal", request.goal),
+    ):
+        if not 0.0 < seconds <= MAX_REQUEST_TIME_S:
+            raise ValueError(f"{name} {seconds} is not between 0 and {MAX_REQUEST_TIME_S} s")
+    if request.max_upstreams < 1 or request.top_k < 0:
+        raise ValueError(f"max_upstreams {request.max_upstreams}, top_k {request.top_k}")
+
+
+def _decode(result: HttpResult, request: RequestId) -> PartsResult:
+    """Decodes a node's reply to a request, or classifies its failure."""
     if isinstance(result, Err):
         return Err(PartsFailure(result.err_value.sent, result.err_value.detail))
     reply = result.ok_value
@@ -101,6 +122,9 @@
         # As on the callers' port, status 503 means that no upstream ran the request.
         return Err(PartsFailure(reply.status != STATUS_UNAVAILABLE, f"status {reply.status}"))
     try:
-        return Ok(decode(reply.body, type=PartsReply))
+        parts = decode(reply.body, type=PartsReply)
     except (DecodeError, ValidationError) as exc:
         return Err(PartsFailure(True, f"reply does not decode: {exc}"))
+    if parts.id and parts.id != request:
+        return Err(PartsFailure(True, f"reply to request {parts.id} instead of {request}"))
+    return Ok(parts)
--- a/src/sequoiapulley/daemon/settings_task.py
+++ b/src/sequoiapulley/daemon/settings_task.py
@@ -48,8 +48,9 @@
 
     def start(self) -> None:
         """Applies the file if it has changed, now and at regular intervals."""
-        self._apply_settings(self._watch.poll())
+        # The next check is scheduled first, so that an unexpected error does not end the series.
         self._timers.call_later(SETTINGS_POLL_INTERVAL_S, self.start)
+        self._apply_settings(self._watch.poll())
 
     def reload(self) -> None:
         """Reads and applies the file even if it has not changed."""
--- a/src/sequoiapulley/daemon/signal_pipe.py
+++ b/src/sequoiapulley/daemon/signal_pipe.py
@@ -29,6 +29,9 @@
             signal(number, lambda _number, _frame: None)
         reactor.register(self._fd, READABLE, self)
 
+    def on_failure(self) -> None:
+        """Does nothing: the next signal is handled."""
+
     def on_ready(self, events: int) -> None:
         """Calls the handlers of the signals that have arrived."""
         for number in read(self._fd, READ_BYTES):
--- a/src/sequoiapulley/entry/connection_guard.py
+++ b/src/sequoiapulley/entry/connection_guard.py
@@ -24,6 +24,9 @@
 """Maximum time to receive one complete request."""
 IDLE_TIMEOUT_S: Final = 75.0
 """Maximum time that a connection stays open without a request."""
+STOP_GRACE_S: Final = 0.25
+"""Time in which requests that arrived before the port stopped are read: many turns of the event
+loop."""
 MAX_CONNECTIONS: Final = 4_000
 
 
@@ -89,7 +92,14 @@
         return sock in self._connections
 
     def stop_accepting(self) -> None:
-        """Closes idle connections and refuses new ones; the others close after their answers."""
+        """Closes idle connections shortly; the others close after their answers.
+
+        Requests that have already arrived on an idle connection are read and answered first.
+        """
+        self._timers.call_later(STOP_GRACE_S, self._close_idle)
+
+    def _close_idle(self) -> None:
+        """Closes idle connections and refuses new ones."""
         self._accepting = False
         for sock, conn in list(self._connections.items()):
             if conn.idle:
--- a/src/sequoiapulley/entry/guarded_server.py
+++ b/src/sequoiapulley/entry/guarded_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from socket import IPPROTO_TCP, SO_REUSEADDR, SOL_SOCKET, TCP_NODELAY, socket
 from typing import Any, Final
 
@@ -66,8 +67,18 @@
         return int(self._guard.open_connections)
 
     def stop_accepting(self) -> None:
-        """Closes the listening socket and idle connections; requests in progress are answered."""
+        """Closes the listening socket and idle connections; requests in progress are answered.
+
+        Connections that the kernel has queued are accepted first, as closing the socket would reset
+        them although their callers may have sent a request.
+        """
         self._shutting_down = True
+        for _ in range(LISTEN_BACKLOG):
+            before = len(self._tcp._clients)
+            # The TCP server accepts one connection for each event of its listening socket.
+            deque(self._tcp._accept(), maxlen=0)
+            if len(self._tcp._clients) == before:
+                break
         self.fire(close(self._listener), self._tcp_channel)
         self._guard.stop_accepting()
 
--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -75,6 +75,8 @@
     """Seconds between the request's arrival and this reply."""
     leaving: tuple[UpstreamName, ...] = ()
     """Requested upstreams that have announced their shutdown."""
+    id: RequestId = RequestId("")
+    """Id of the request; empty in replies of nodes of earlier versions."""
 
 
 class PartsFailure(Struct, frozen=True):
--- a/src/sequoiapulley/forward/contract.py
+++ b/src/sequoiapulley/forward/contract.py
@@ -22,8 +22,16 @@
             time_left: Seconds until the deadline, after which the upstream may stop.
         """
 
-    def is_reply_to(self, req: CallerRequest, reply: ParsedReply) -> bool:
-        """Returns whether a reply belongs to the request; a late one may not."""
+    def is_reply_to(
+        self, req: CallerRequest, reply: ParsedReply, previous_seal: bytes | None
+    ) -> bool:
+        """Returns whether a reply belongs to the request; a late one may not.
+
+        Args:
+            req: The request.
+            reply: The reply.
+            previous_seal: Seal of the last reply on the same connection, or None.
+        """
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
         """Returns the outcome of the request as stated by a complete reply."""
--- a/src/sequoiapulley/forward/latency_model.py
+++ b/src/sequoiapulley/forward/latency_model.py
@@ -11,6 +11,8 @@
 which a few slow upstreams hardly affect, and follows a change within some tens of samples."""
 INITIAL_PROCESSING_SHARE: Final = 0.1
 """Typical processing time of a route without samples, as a share of its goal."""
+MIN_PROCESSING_TIME_S: Final = 0.0001
+"""Minimum of the estimate, so that times can be related to it whatever the goal of a route is."""
 ROUND_TRIP_RISE_PER_S: Final = 0.02
 """Relative increase per second of the minimum latency observed to a failure domain, while no
 shorter one is observed."""
@@ -57,7 +59,8 @@
             route: Name of the route.
             goal: Latency goal of the route in seconds, used while there are no samples.
         """
-        return self._processing_times.get(route, goal * INITIAL_PROCESSING_SHARE)
+        typical = self._processing_times.get(route, goal * INITIAL_PROCESSING_SHARE)
+        return max(MIN_PROCESSING_TIME_S, typical)
 
     def record(
         self, route: str, goal: float, failure_domain: FailureDomainName, latency: float, now: float
--- a/src/sequoiapulley/forward/part_collector.py
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -88,7 +88,7 @@
         self.stop()
         body = merge_greatest(self._bodies, self._request.top_k)
         elapsed = self._ctx.clock.now() - self._started_at
-        on_done(PartsReply(self._seals, body, elapsed, self._leaving()))
+        on_done(PartsReply(self._seals, body, elapsed, self._leaving(), self._request.id))
 
     def _leaving(self) -> tuple[UpstreamName, ...]:
         """Returns the requested upstreams that have announced their shutdown."""
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -171,7 +171,7 @@
         self, change: UnreadableEntry, after_outage: bool, revision: Revision
     ) -> None:
         """Logs an unreadable entry; the upstream that it would register is removed."""
-        event = ENTRY_UNREADABLE if change.upstream is not None else CONFIGURATION_UNREADABLE
+        event = CONFIGURATION_UNREADABLE if change.is_configuration else ENTRY_UNREADABLE
         self._log.log(event, key=change.key, error=change.detail)
         if change.upstream is not None:
             self._remove(UpstreamRemoval(change.upstream, after_outage), revision)
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -83,6 +83,8 @@
     detail: str
     upstream: UpstreamName | None = None
     """The upstream that the entry's key names, if any."""
+    is_configuration: bool = False
+    """Whether it is the operator's configuration."""
 
 
 Change = TableChange | UpstreamChange | UpstreamRemoval | NodeChange | NodeRemoval | UnreadableEntry
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -115,6 +115,9 @@
         self._failures = 0
         self._needs_full_read = True
         self._exact = False
+        self._held: ChangeSet | None = None
+        """First full state, which may be stale, until the changes since then have been read. Until
+        then it might bring an upstream back into use that left before this process started."""
         self._restored_era = NO_ERA
         """Latest era that began by a restoration, 0 if there was none; earlier state is ignored."""
         self._read_started_at = 0.0
@@ -139,12 +142,22 @@
         if self._stopped:
             return
         self._read_started_at = self._timers.clock.now()
+        try:
+            self._request()
+        except Exception:
+            # The feed goes on; the event loop logs the error.
+            self._retry()
+            raise
+
+    def _request(self) -> None:
+        """Requests the state or its changes from the selected source."""
         plan = self._plan = self._choose(self._failures)
         timeout = min(MAX_TIMEOUT_S, INITIAL_TIMEOUT_S * 2**self._failures)
         if self._needs_full_read or plan.whole:
             plan.source.read_all(self._exact, timeout, self._on_reply)
         else:
-            plan.source.read_changes(self.position, plan.wait, timeout, self._on_reply)
+            wait = plan.wait if self._held is None else 0.0
+            plan.source.read_changes(self.position, wait, timeout, self._on_reply)
 
     def _on_reply(self, reply: ChangesReply) -> None:
         """Applies the changes of a read, or schedules another read after an error."""
@@ -154,11 +167,23 @@
         if isinstance(reply, Err):
             self._on_error(plan, reply.err_value)
             return
+        try:
+            self._on_read(plan, reply.ok_value)
+        except Exception:
+            # The changes may be applied in part. The feed goes on; the event loop logs the error.
+            self._needs_full_read = True
+            self._retry()
+            raise
+
+    def _on_read(self, plan: ReadPlan, changes: ChangeSet) -> None:
+        """Applies the changes of a read."""
         now = self._timers.clock.now()
-        changes = reply.ok_value
         if changes.era < max(self.position.era, self._restored_era):
             self._on_outdated(changes)
             return
+        if changes.whole and plan.is_store and self.position == NO_POSITION:
+            self._hold(changes, now)
+            return
         restored = self._is_restored(changes.era)
         if restored and not (changes.whole and (self._exact or not plan.is_store)):
             # The changes after a revision of another era are not those that this node lacks.
@@ -173,15 +198,12 @@
             self._schedule_read(now + self._jittered(plan.pace))
             return
         if changes.whole:
-            self._log.log(
-                STORE_READ_WHOLE,
-                revision=changes.revision,
-                era=changes.era,
-                entries=len(changes.changes),
-                store=plan.is_store,
-            )
+            self._log_full_read(changes, plan.is_store)
         if restored:
             self._log_restoration(changes.era)
+        if not changes.whole:
+            self._apply_held()
+        self._held = None
         self._needs_full_read = False
         self._on_changes(changes, after_outage or restored)
         self.position = max(self.position, changes.position)
@@ -189,6 +211,32 @@
         pace = 0.0 if changes.whole else plan.pace
         self._schedule_read(self._read_started_at + self._jittered(pace))
 
+    def _hold(self, changes: ChangeSet, now: float) -> None:
+        """Keeps the first full state back and reads the changes since then at once."""
+        self._held = changes
+        self._needs_full_read = False
+        self._failures = 0
+        self._on_store_available()
+        self.position = changes.position
+        self._log_full_read(changes, is_store=True)
+        self._schedule_read(now)
+
+    def _apply_held(self) -> None:
+        """Applies the first full state, if it is still held back."""
+        held, self._held = self._held, None
+        if held is not None:
+            self._on_changes(held, False)
+
+    def _log_full_read(self, changes: ChangeSet, is_store: bool) -> None:
+        """Logs that a full state was read."""
+        self._log.log(
+            STORE_READ_WHOLE,
+            revision=changes.revision,
+            era=changes.era,
+            entries=len(changes.changes),
+            store=is_store,
+        )
+
     def _is_restored(self, era: Era) -> bool:
         """Returns whether the store was restored since the last read, as its era shows."""
         return self.position != NO_POSITION and era > self.position.era
@@ -196,6 +244,7 @@
     def _read_restored(self, era: Era, now: float) -> None:
         """Reads the full state of a restored store at once, without the stale one before it."""
         self._log_restoration(era)
+        self._held = None
         self._needs_full_read = True
         self._exact = True
         self._schedule_read(now)
@@ -217,9 +266,10 @@
         latest_era = max(self.position.era, self._restored_era)
         self._log.log(STATE_OUTDATED, era=changes.era, latest_era=latest_era)
         self._exact = True
+        self._retry()
+        self._apply_held()
         if changes.whole:
             self._apply_configuration(changes)
-        self._retry()
 
     def _apply_configuration(self, changes: ChangeSet) -> None:
         """Applies only the configuration of a full state that is older than this node's.
@@ -242,6 +292,7 @@
             # A stale full state could have a revision whose history is compacted as well.
             self._needs_full_read = True
             self._exact = True
+            self._held = None
             if compacted:
                 self._schedule_read(now)
                 return
@@ -249,6 +300,8 @@
             self._store_lost_at = now
             self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
         self._retry()
+        # Without the changes since then, the state that was read is the best that there is.
+        self._apply_held()
 
     def _retry(self) -> None:
         """Schedules the next read after a failed one."""
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -12,6 +12,7 @@
     ExchangeReply,
     UpstreamRecord,
 )
+from sequoiapulley.ids import RequestId
 from sequoiapulley.runtime import TimerQueue
 from sequoiapulley.wire.http_connection import (
     CloseReason,
@@ -75,6 +76,8 @@
         self._open: set[HttpConnection] = set()
         self._idle: list[HttpConnection] = []
         self._idle_timeouts: dict[HttpConnection, float] = {}
+        self._last_replies: dict[HttpConnection, tuple[RequestId, bytes]] = {}
+        """Request and seal of the last reply of each connection that has had one."""
         self._connecting = 0
         self._waiting: deque[Exchange] = deque()
 
@@ -158,6 +161,8 @@
             self._idle.append(conn)
             self._record_idle_timeout(conn, reply)
         outcome = self._contract.classify(reply)
+        if outcome.seal is not None and conn in self._open:
+            self._last_replies[conn] = (exchange.req.id, outcome.seal)
         if outcome.end is ExchangeEnd.WRONG_UPSTREAM:
             self.close_idle()
         exchange.finish(outcome)
@@ -185,7 +190,11 @@
         conn.tag = exchange
         req = exchange.req
         data = self._contract.encode_request(req, self.record, max(0.0, exchange.deadline - now))
-        conn.send(data, lambda reply: self._contract.is_reply_to(req, reply))
+        previous_id, previous_seal = self._last_replies.get(conn, (None, None))
+        if previous_id == req.id:
+            # A further reply to the same request may have the same seal.
+            previous_seal = None
+        conn.send(data, lambda reply: self._contract.is_reply_to(req, reply, previous_seal))
 
     def _pop_idle(self, may_reuse_idle: bool) -> HttpConnection | None:
         """Returns the most recently used idle connection, unless it was idle for too long."""
@@ -255,6 +264,7 @@
         """Removes a connection from the pool without closing it."""
         self._open.discard(conn)
         self._idle_timeouts.pop(conn, None)
+        self._last_replies.pop(conn, None)
         if conn in self._idle:
             self._idle.remove(conn)
 
--- a/src/sequoiapulley/platform/documents.py
+++ b/src/sequoiapulley/platform/documents.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from ipaddress import IPv4Address
 from typing import Final
 
 from msgspec import DecodeError, Struct, ValidationError, field
 from msgspec.json import decode, encode
 
+from sequoiapulley.forward.addresses import check_addresses, check_port
 from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.route_table import (
     MS_PER_S,
@@ -145,8 +147,10 @@
     except (DecodeError, ValidationError) as exc:
         raise ValueError(str(exc)) from exc
     host, _, port = doc.address.rpartition(":")
-    if doc.state not in (READY, DRAINING) or not host or not port.isdigit() or not doc.service:
+    if doc.state not in (READY, DRAINING) or not port.isdecimal() or not doc.service:
         raise ValueError(f"invalid state {doc.state!r} or address {doc.address!r}, or no service")
+    IPv4Address(host)
+    check_port(int(port))
     return UpstreamRecord(
         name=name,
         service=ServiceName(doc.service),
@@ -169,7 +173,9 @@
         if key.startswith(UPSTREAMS_PREFIX):
             return UpstreamChange(decode_upstream(upstream_name(key), value))
         if key.startswith(NODES_PREFIX):
-            return NodeChange(decode(value, type=NodeRecord))
+            record = decode(value, type=NodeRecord)
+            check_addresses(record)
+            return NodeChange(record)
     except (ValueError, DecodeError, ValidationError) as exc:
         return unreadable_entry(key, str(exc))
     return None
@@ -178,7 +184,7 @@
 def unreadable_entry(key: str, detail: str) -> UnreadableEntry:
     """Returns the change for an item that does not decode."""
     upstream = upstream_name(key) if key.startswith(UPSTREAMS_PREFIX) else None
-    return UnreadableEntry(key, detail, upstream)
+    return UnreadableEntry(key, detail, upstream, key == CONFIGURATION_KEY)
 
 
 def decode_removal(key: str) -> Change | None:
--- a/src/sequoiapulley/runtime/timer_queue.py
+++ b/src/sequoiapulley/runtime/timer_queue.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from math import isnan
 
 from sequoiapulley.runtime.clock import Clock
 
@@ -33,13 +34,15 @@
 class TimerQueue:
     """The timers of a process, ordered by due time."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, on_error: Callable[[Exception], None] | None = None) -> None:
         """Initialise an empty queue.
 
         Args:
             clock: Source of time.
+            on_error: Receives the unexpected errors of callbacks; with None, `run_due` raises them.
         """
         self.clock = clock
+        self._on_error = on_error
         self._heap: list[tuple[float, int, TimerHandle]] = []
         self._sequence = count()
 
@@ -52,7 +55,12 @@
 
         Returns:
             A handle that cancels the call.
+
+        Raises:
+            ValueError: If the time is NaN, which would break the order of the queue.
         """
+        if isnan(due):
+            raise ValueError("the due time of a timer is not a number")
         handle = TimerHandle(due, callback)
         heappush(self._heap, (due, next(self._sequence), handle))
         return handle
@@ -83,6 +91,13 @@
         for handle in ready:
             if handle.cancelled:
                 continue
-            handle.callback()
             ran += 1
+            if self._on_error is None:
+                handle.callback()
+                continue
+            try:
+                handle.callback()
+            except Exception as exc:
+                # The other timers are due as well.
+                self._on_error(exc)
         return ran
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -204,6 +204,11 @@
         if events & WRITABLE and self._unsent and self.state is _BUSY:
             self._write(self._unsent)
 
+    def on_failure(self) -> None:
+        """Closes the connection and reports that to the owner, after an unexpected error."""
+        if self.state is not _CLOSED:
+            self._fail(CloseReason.LOCAL)
+
     def _finish_connect(self, events: int) -> None:
         """Marks the connection as idle, or reports a failed connect."""
         failed = self._sock.getsockopt(SOL_SOCKET, SO_ERROR)
--- a/src/sequoiapulley/wire/http_server.py
+++ b/src/sequoiapulley/wire/http_server.py
@@ -78,22 +78,46 @@
             except OSError:
                 # No connection is queued, or no descriptor is free: the kernel keeps the queue.
                 return
-            self.connections.add(ServerConnection(self, sock))
+            self._add_connection(sock)
+
+    def on_failure(self) -> None:
+        """Keeps listening: only the connection that was being accepted is lost."""
 
     def stop_listening(self) -> None:
-        """Stops accepting connections; open ones stay open."""
+        """Stops accepting connections; those that the kernel has queued are accepted first.
+
+        The kernel would reset the queued ones, although their callers may have sent a request.
+        """
         if self._sock is None:
             return
+        for _ in range(BACKLOG):
+            try:
+                sock, _address = self._sock.accept()
+            except OSError:
+                # No connection is queued.
+                break
+            self._add_connection(sock)
         self.reactor.unregister(self._sock.fileno())
         self._sock.close()
         self._sock = None
 
     def close_idle(self) -> None:
-        """Closes connections that are not busy."""
+        """Serves the requests that have arrived, then closes connections that are not busy."""
         for conn in tuple(self.connections):
+            conn.read_pending()
             if not conn.busy:
                 conn.close()
 
+    def _add_connection(self, sock: socket) -> None:
+        """Serves an accepted connection."""
+        try:
+            conn = ServerConnection(self, sock)
+        except OSError:
+            # The caller has already reset the connection.
+            sock.close()
+            return
+        self.connections.add(conn)
+
     def close(self) -> None:
         """Stops listening and closes every connection; requests in flight are abandoned."""
         self.stop_listening()
--- a/src/sequoiapulley/wire/reactor.py
+++ b/src/sequoiapulley/wire/reactor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from select import EPOLLERR, EPOLLHUP, EPOLLIN, EPOLLOUT, epoll
 from typing import Final, Protocol
 
@@ -23,19 +24,29 @@
             events: A mask of `READABLE`, `WRITABLE` and `BROKEN`; readiness may be spurious.
         """
 
+    def on_failure(self) -> None:
+        """Ends what the socket was used for, after `on_ready` raised an unexpected error."""
+
 
 class Reactor:
     """Waits for sockets with one epoll object and calls the handlers of those that are ready."""
 
-    def __init__(self, clock: Clock, timers: TimerQueue) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        timers: TimerQueue,
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> None:
         """Creates a reactor without sockets.
 
         Args:
             clock: Clock of the event loop.
             timers: Timers of the same event loop; `run_once` and `run_for` run them.
+            on_error: Receives the unexpected errors of handlers; with None, `poll` raises them.
         """
         self.clock = clock
         self.timers = timers
+        self._on_error = on_error
         self._epoll = epoll()
         self._handlers: dict[int, SocketHandler] = {}
         self._registered_in_poll: set[int] = set()
@@ -82,10 +93,29 @@
             if handler is None or fd in self._registered_in_poll:
                 # An earlier handler of this poll closed the socket; its descriptor may be reused.
                 continue
-            handler.on_ready(events)
             called += 1
+            if self._on_error is None:
+                handler.on_ready(events)
+                continue
+            try:
+                handler.on_ready(events)
+            except Exception as exc:
+                # One message must not end the process and the other requests in flight.
+                self._on_error(exc)
+                self._end_failed(fd, handler, self._on_error)
         return called
 
+    def _end_failed(
+        self, fd: int, handler: SocketHandler, on_error: Callable[[Exception], None]
+    ) -> None:
+        """Ends what a socket was used for whose handler has failed."""
+        if self._handlers.get(fd) is not handler:
+            return
+        try:
+            handler.on_failure()
+        except Exception as exc:
+            on_error(exc)
+
     def run_for(self, seconds: float) -> None:
         """Runs sockets and timers on the system clock, for programs without an event loop.
 
--- a/src/sequoiapulley/wire/server_connection.py
+++ b/src/sequoiapulley/wire/server_connection.py
@@ -30,6 +30,7 @@
 LINGER_S: Final = 1.0
 """Time within which a caller should close the connection after the last answer."""
 REQUEST_TIMEOUT_STATUS: Final = 408
+FAILED_STATUS: Final = 502
 INTERIM_ANSWER: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASON_PHRASES: Final = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -131,6 +132,26 @@
         if not self._closed and events & ~WRITABLE:
             self._read()
 
+    def on_failure(self) -> None:
+        """Answers the current request with an error and closes the connection.
+
+        The request may have run: status 502 promises nothing.
+        """
+        current, self._current = self._current, None
+        if current is None or self._closed:
+            self.close()
+            return
+        self._closing = True
+        self._queue.clear()
+        self._write(_encode(FAILED_STATUS, (), b"", False))
+        if current.on_disconnect is not None:
+            current.on_disconnect()
+
+    def read_pending(self) -> None:
+        """Reads and serves what has already been received."""
+        if not self._closed:
+            self._read()
+
     def send_answer(
         self,
         req: ServerRequest,
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -125,7 +125,9 @@
     ) -> bytes:
         raise NotImplementedError("nothing is encoded without a network")
 
-    def is_reply_to(self, req: CallerRequest, reply: ParsedReply) -> bool:
+    def is_reply_to(
+        self, req: CallerRequest, reply: ParsedReply, previous_seal: bytes | None
+    ) -> bool:
         return True
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
--- a/tests/state_fixtures.py
+++ b/tests/state_fixtures.py
@@ -129,6 +129,8 @@
     def __init__(self, name: str = "store") -> None:
         self.name = name
         self.asked: list[str] = []
+        self.waited: list[float] = []
+        """Maximum wait of each read of changes."""
         self._done: list[Callable[[ChangesReply], None]] = []
 
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
@@ -142,6 +144,7 @@
         timeout: float,
         done: Callable[[ChangesReply], None],
     ) -> None:
+        self.waited.append(wait)
         era = f" of era {after.era}" if after.era else ""
         self.asked.append(f"after {after.revision}{era}")
         self._done.append(done)
--- a/tests/test_callers_port.py
+++ b/tests/test_callers_port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from socket import create_connection
 from unittest import TestCase
 
 from loop_driver import LoopDriver, RawClient
@@ -10,7 +11,7 @@
 
 from sequoiapulley.entry.callers_messages import EntriesView
 from sequoiapulley.entry.callers_port import CallersPort
-from sequoiapulley.entry.connection_guard import REQUEST_TIMEOUT_S
+from sequoiapulley.entry.connection_guard import REQUEST_TIMEOUT_S, STOP_GRACE_S
 from sequoiapulley.ids import (
     CallerId,
     ContractName,
@@ -143,6 +144,42 @@
         with self.assertRaises(OSError):
             RawClient(self.driver, self.port.port)
 
+    def test_stop_under_load_serves_what_has_just_arrived(self) -> None:
+        """A request on a connection that is still queued, and one on a kept connection."""
+        kept = self.client()
+        kept.send(search("one"))
+        self.driver.until(lambda: len(self.backend.searches) == 1)
+        self.answer_search(0)
+        kept.until(lambda seen: b"r1" in seen.received)
+        queued = [create_connection(("127.0.0.1", self.port.port)) for _ in range(3)]
+        for sock in queued:
+            self.addCleanup(sock.close)
+            sock.sendall(search("two"))
+        kept.send(search("three"))
+        self.port.stop_accepting()
+        self.driver.until(lambda: len(self.backend.searches) == 5)
+        for number in range(1, 5):
+            self.answer_search(number)
+        kept.until(lambda seen: seen.closed)
+        self.assertEqual(kept.received.count(b"HTTP/1.1 200"), 2)
+        self.driver.until(lambda: self.port.open_connections == 0)
+        for sock in queued:
+            self.assertIn(b"HTTP/1.1 200", sock.recv(9_000))
+        with self.assertRaises(OSError):
+            RawClient(self.driver, self.port.port)
+
+    def test_stop_closes_idle_connections(self) -> None:
+        client = self.client()
+        self.driver.until(lambda: self.port.open_connections == 1)
+        self.port.stop_accepting()
+        self.clock.advance(STOP_GRACE_S + 0.01)
+        self.timers.run_due()
+        client.until(lambda seen: seen.closed)
+
+    def answer_search(self, number: int) -> None:
+        request, done = self.backend.searches[number]
+        done(answer(request))
+
     def test_endless_header_is_refused_at_most_once(self) -> None:
         client = self.client()
         client.send(b"GET / HTTP/1.1\r\nx: " + b"a" * 2_000_000)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -135,6 +135,29 @@
         self.answer(1, b"served")
         self.assertIn(b"served", self.received(late))
 
+    def test_stop_under_load_serves_what_has_just_arrived(self) -> None:
+        """A request on a connection that is still queued, and one on a kept connection."""
+        kept = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.answer(0)
+        self.assertIn(b"200", self.received(kept))
+        queued = [create_connection(("127.0.0.1", self.server.port)) for _ in range(5)]
+        for sock in (kept, *queued):
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.server.shutting_down = True
+        self.server.stop_listening()
+        self.server.close_idle()
+        self.assertEqual((len(self.requests), self.server.busy), (7, 6))
+        for number in range(1, 7):
+            self.answer(number)
+        for sock in (kept, *queued):
+            reply = self.received(sock)
+            self.assertTrue(reply.startswith(b"HTTP/1.1 200"), reply)
+            self.assertIn(b"Connection: close", reply)
+        with self.assertRaises(ConnectionRefusedError):
+            create_connection(("127.0.0.1", self.server.port))
+
     def test_answer_is_delivered_when_more_requests_follow_the_last_one(self) -> None:
         sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/tests/test_kv_source.py
+++ b/tests/test_kv_source.py
@@ -5,6 +5,7 @@
 from unittest import TestCase
 
 from msgspec import json
+from msgspec.structs import replace
 from result import Err
 
 from sequoiapulley.forward.state import (
@@ -27,6 +28,7 @@
 from tests.wire_support import Loop
 
 TIMEOUT_S = 10.0
+RECORD = replace(node("n"), host="127.0.0.1")
 
 
 class KvSourceTest(TestCase):
@@ -102,10 +104,10 @@
 
     def test_node_is_registered_under_a_lease(self) -> None:
         replies: list[AnnounceReply] = []
-        self.source.announce(node("n"), 60.0, replies.append)
+        self.source.announce(RECORD, 60.0, replies.append)
         self.loop.until(lambda: bool(replies))
         lease = replies.pop().unwrap()
-        self.assertIn(NodeChange(node("n")), self.read_all().changes)
+        self.assertIn(NodeChange(RECORD), self.read_all().changes)
         self.source.renew(lease, replies.append)
         self.loop.until(lambda: bool(replies))
         self.assertEqual(replies.pop().unwrap(), lease)
--- a/tests/test_latency_model.py
+++ b/tests/test_latency_model.py
@@ -38,6 +38,12 @@
         self.assertLess(self.model.processing_time("r", GOAL_S), 1.4 * PROCESSING_S)
         self.assertGreater(self.model.processing_time("r", GOAL_S), 0.7 * PROCESSING_S)
 
+    def test_estimate_is_positive_whatever_the_goal_and_the_samples(self) -> None:
+        self.assertGreater(self.model.processing_time("other", 0.0), 0.0)
+        for _ in range(30_000):
+            self.model.record("r", GOAL_S, LOCAL, 0.0005, 0.0)
+        self.assertGreater(self.model.processing_time("r", GOAL_S), 0.0)
+
     def test_processing_time_estimate_follows_a_change(self) -> None:
         for _ in range(500):
             self.record(0.0, 1.0)
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -7,16 +7,23 @@
 from __future__ import annotations
 
 from http.client import HTTPConnection, HTTPException
+from socket import AF_INET, SOCK_DGRAM, socket
 from time import monotonic, sleep
 from typing import Final
 from unittest import TestCase
 
-from msgspec import json
+from msgspec import json, msgpack
+from msgspec.structs import replace
 
+from sequoiapulley.daemon.parts_port import PARTS_PATH
+from sequoiapulley.forward.aggregators import PartsRequest, ShardTask
+from sequoiapulley.ids import RequestId, ServiceName, UpstreamName
 from standins.http_server import Endless, EndlessPart
 from standins.platform_fleet import (
     CALLERS_PORT,
+    HEARTBEAT_PORT,
     METRICS_PORT,
+    PEERS_PORT,
     READY_PORT,
     FleetSettings,
     PlatformFleet,
@@ -197,6 +204,74 @@
         self.assertEqual(self.ask(conn, "/o/1"), 503)
         self.assertLess(monotonic() - start, 0.2)
 
+    def test_malformed_messages(self) -> None:
+        """Entries, datagrams and requests of other programs do not end a node."""
+        conn = self.connect()
+        target = (self.fleet.nodes[0].host, HEARTBEAT_PORT)
+        pids = [node.process.pid for node in self.fleet.nodes if node.process is not None]
+        for number, address in enumerate(("127.0.0.1:70000", "some-name:80", "[::1]:9", ":")):
+            record = {**self.upstreams[0].record(), "address": address}
+            self.store.put(f"servers/forged-{number}", json.encode(record))
+        names = ["forged", 1, "p", "g", self.fleet.nodes[1].host, 8104, 8106, 70_000, 1.0]
+        self.store.put("nodes/forged", json.encode(names))
+        with socket(AF_INET, SOCK_DGRAM) as sock:
+            for heartbeat in (
+                [names, "ready", 1, 1],
+                [[*names[:7], 7380, "x"], "ready", 1, 1],
+                [[*names[:4], "some-name", *names[5:7], 7380, 1.0], "ready", 99, 10**15],
+                [],
+                [names],
+            ):
+                sock.sendto(msgpack.encode(heartbeat), target)
+            sock.sendto(b"\xff" * 1_400, target)
+        request = PartsRequest(
+            id=RequestId("x"),
+            method=b"GET",
+            target=b"/r/1",
+            host="x.example",
+            headers=(),
+            body=b"",
+            time_left=1.0,
+            due_in=0.1,
+            route="r",
+            goal=0.5,
+            max_upstreams=2,
+            top_k=5,
+            tasks=(ShardTask(ServiceName("s"), (UpstreamName("u-0"),)),),
+        )
+        self.assertEqual(self.post(0, PARTS_PATH, msgpack.encode(request)), 200)
+        for fields in (
+            {"time_left": float("nan")},
+            {"due_in": float("nan")},
+            {"time_left": 1e300},
+            {"due_in": -1.0},
+            {"goal": 0.0},
+            {"top_k": -1},
+            {"max_upstreams": -3},
+        ):
+            body = msgpack.encode(replace(request, **fields))
+            self.assertEqual(self.post(0, PARTS_PATH, body), 400, fields)
+        self.assertEqual(self.post(0, PARTS_PATH, b"\xff" * 100), 400)
+        for path in ("/v1/changes?after=x&era=y", "/v1/changes?after=9&era=99999999", "/v1/none"):
+            self.fetch(0, PEERS_PORT, path)
+        statuses = self.load(2.0, conn)
+        self.assertGreater(statuses.count(200), 0.95 * len(statuses))
+        running = [
+            node.process.pid for node in self.fleet.nodes if node.is_running and node.process
+        ]
+        self.assertEqual(running, pids)
+
+    def post(self, node: int, path: str, body: bytes) -> int:
+        """Sends a request to a node's port for other nodes; returns the status of the answer."""
+        conn = HTTPConnection(self.fleet.nodes[node].host, PEERS_PORT, timeout=TIMEOUT_S)
+        try:
+            conn.request("POST", path, body)
+            reply = conn.getresponse()
+            reply.read()
+            return reply.status
+        finally:
+            conn.close()
+
     def test_endless_replies(self) -> None:
         conn = self.connect()
         self.load(0.5, conn)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from msgspec import json
+from msgspec.structs import replace
 from result import Err
 
 from sequoiapulley.forward.messages import ExchangeEnd, LoadReport
@@ -119,6 +120,11 @@
             ("service", ""),
             ("address", "nowhere"),
             ("address", "10.0.0.1:x"),
+            ("address", "10.0.0.1:0"),
+            ("address", "10.0.0.1:70000"),
+            ("address", "10.0.0.1:\u00b2"),
+            ("address", "some-name:80"),
+            ("sequence", "4"),
             ("state", "resting"),
             ("zone", None),
             ("max_concurrency", "2"),
@@ -150,9 +156,22 @@
         self.assertEqual(table.limits.idle_timeout, 9.0)
 
     def test_node_record_round_trip(self) -> None:
-        record = node("n")
+        record = replace(node("n"), host="10.0.0.1")
         self.assertEqual(decode_item(node_key(record), encode_node(record)), NodeChange(record))
 
+    def test_node_record_with_an_address_that_no_socket_takes_is_unreadable(self) -> None:
+        record = replace(node("n"), host="10.0.0.1")
+        for broken in (
+            replace(record, host="some-name"),
+            replace(record, host=""),
+            replace(record, heartbeat_port=70_000),
+            replace(record, peers_port=0),
+            replace(record, callers_port=-1),
+        ):
+            change = decode_item(node_key(record), encode_node(broken))
+            assert isinstance(change, UnreadableEntry)
+            self.assertFalse(change.is_configuration)
+
     def test_removals(self) -> None:
         self.assertEqual(decode_removal("servers/u"), UpstreamRemoval(UpstreamName("u")))
         self.assertIsNone(decode_removal("op/config"))
--- a/tests/test_remote_parts.py
+++ b/tests/test_remote_parts.py
@@ -7,12 +7,15 @@
 
 from collections.abc import Callable
 from enum import Enum
+from types import SimpleNamespace
 from unittest import TestCase
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import msgpack
 from result import Err, Ok
 
+from sequoiapulley.daemon.parts_port import HttpPartsClient
 from sequoiapulley.forward.aggregators import (
     INITIAL_PAUSE_S,
     Aggregators,
@@ -28,9 +31,17 @@
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.part_collector import PartCollector
 from sequoiapulley.forward.state import NodeRecord
-from sequoiapulley.ids import FailureDomainName, Incarnation, NodeId, RegionName, ServiceName
+from sequoiapulley.ids import (
+    FailureDomainName,
+    Incarnation,
+    NodeId,
+    RegionName,
+    RequestId,
+    ServiceName,
+)
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
+from sequoiapulley.wire.http_client import HttpCall, HttpReply, HttpResult
 from tests.simulated_upstreams import (
     GOAL_S,
     LOCAL,
@@ -42,6 +53,7 @@
     gather_route,
     success,
 )
+from tests.state_fixtures import node
 
 SHARDS = tuple(ServiceName(f"shard-{number}") for number in range(10))
 REMOTE_SHARDS = SHARDS[4:]
@@ -286,3 +298,29 @@
         first, second, third = (FailureDomainName(name) for name in ("r1", "r2", "r3"))
         groups = cover_failure_domains({0: [first, second], 1: [second, third], 2: [second]})
         self.assertEqual(groups, {second: [0, 1, 2]})
+
+
+class HttpPartsClientTest(TestCase):
+    """Replies of nodes are matched to their requests by id."""
+
+    def ask(self, reply: PartsReply) -> PartsResult:
+        results: list[PartsResult] = []
+        body = msgpack.encode(reply)
+
+        def request(_call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+            done(Ok(HttpReply(200, [], body)))
+
+        client = HttpPartsClient(SimpleNamespace(request=request))  # type: ignore[arg-type]
+        asked = PartsRequest(
+            RequestId("r1"), b"GET", b"/", "h", (), b"", 1.0, 0.1, "g", 0.1, 2, 5, ()
+        )
+        record = node("n")
+        client.request_parts(record, asked, PartsTimeouts(1.0, None), results.append)
+        return results[0]
+
+    def test_reply_to_another_request_is_a_failure(self) -> None:
+        self.assertTrue(self.ask(PartsReply({}, b"", 0.0, (), RequestId("r1"))).is_ok())
+        self.assertTrue(self.ask(PartsReply({}, b"", 0.0)).is_ok())
+        failure = self.ask(PartsReply({}, b"", 0.0, (), RequestId("r0"))).unwrap_err()
+        self.assertTrue(failure.sent)
+        self.assertIn("r0", failure.detail)
--- a/tests/test_state_feed.py
+++ b/tests/test_state_feed.py
@@ -15,6 +15,7 @@
     changes,
     history_compacted,
     read,
+    removal,
     unavailable,
     upstream_change,
 )
@@ -75,13 +76,41 @@
         self.run_for(0.05)
         self.assertEqual(self.store.asked[-1], "after 30")
 
+    def test_first_state_is_applied_together_with_the_changes_since_then(self) -> None:
+        """It may be stale, and list an upstream that has left before the process started."""
+        first = changes(7, upstream_change("a"), upstream_change("gone"), whole=True)
+        self.store.reply(read(first))
+        self.run_for(0.05)
+        self.assertEqual((self.taken, self.store.waited), ([], [0.0]))
+        since = changes(9, removal("gone"))
+        self.store.reply(read(since))
+        self.assertEqual([found for found, _ in self.taken], [first, since])
+        self.run_for(1.2)
+        self.assertEqual(self.store.asked, ["stale", "after 7", "after 9"])
+        self.assertEqual(self.store.waited, [0.0, 2.0])
+
+    def test_first_state_is_applied_if_the_changes_since_then_cannot_be_read(self) -> None:
+        self.start_with(7)
+        self.assertEqual(self.taken, [])
+        self.store.reply(unavailable())
+        self.assertEqual([found.revision for found, _ in self.taken], [7])
+
+    def test_first_state_is_dropped_if_the_history_since_then_is_compacted(self) -> None:
+        self.start_with(7)
+        self.store.reply(history_compacted())
+        self.run_for(0.05)
+        self.store.reply(read(changes(30, whole=True)))
+        self.assertEqual([found.revision for found, _ in self.taken], [30])
+
     def test_full_state_older_than_known_revision_is_not_applied(self) -> None:
         self.start_with(7)
+        self.store.reply(read(changes(7)))
+        self.run_for(1.3)
         self.store.reply(history_compacted())
         self.run_for(0.05)
         self.store.reply(read(changes(5, whole=True)))
         self.run_for(1.3)
-        self.assertEqual(len(self.taken), 1)
+        self.assertEqual(len(self.taken), 2)
         self.assertEqual(self.store.asked[-1], "exact")
 
     def test_outage_is_logged_once_and_marks_the_changes_after_it(self) -> None:
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -76,6 +76,8 @@
         )
         self.feed.start()
         self.reply(changes(110, whole=True, era=1))
+        self.reply(changes(110, era=1))
+        self.taken.clear()
 
     def reply(self, found: ChangeSet) -> None:
         """Replies to the pending read of the store and starts the next one."""
@@ -93,7 +95,7 @@
     def test_changes_of_a_later_era_lead_to_an_exact_read(self) -> None:
         self.reply(changes(130, upstream_change("other"), era=2))
         self.assertEqual(self.store.asked[-1], "exact")
-        self.assertEqual(len(self.taken), 1, "changes after a revision of another era were applied")
+        self.assertEqual(self.taken, [], "changes after a revision of another era were applied")
         restored = changes(105, upstream_change("a"), whole=True, era=2)
         self.reply(restored)
         self.assertEqual(self.taken[-1], (restored, True))
@@ -135,7 +137,7 @@
         self.reply(changes(105, era=2))
         self.peer.reply(read(changes(112, upstream_change("gone"), whole=True, era=1)))
         self.run_for(0.3)
-        self.assertEqual(len(self.taken), 1)
+        self.assertEqual(self.taken, [])
         self.assertEqual(self.peer.asked[-1], "exact")
         self.peer.reply(read(changes(106, whole=True, era=2)))
         self.assertEqual(self.feed.position, position(106, 2))
@@ -152,7 +154,7 @@
         self.store.reply(unavailable(era=3))
         self.run_for(1.3)
         self.reply(changes(104, whole=True, era=2))
-        self.assertEqual(len(self.taken), 1, "state of the era between was applied")
+        self.assertEqual(self.taken, [], "state of the era between was applied")
         self.reply(changes(103, whole=True, era=3))
         self.assertEqual(self.feed.position, position(103, 3))
         self.assertEqual(self.events(STORE_RESTORED), 2)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -119,6 +119,25 @@
         self.send("r2")
         self.assertEqual(self.pool.opened, 2, "the connection with the stray reply was reused")
 
+    def test_late_copy_of_the_last_reply_without_an_id_is_skipped(self) -> None:
+        """The upstream sends its reply twice, the second time after the next request."""
+
+        def unnamed(seal: bytes, body: bytes) -> bytes:
+            head = b"HTTP/1.1 200 OK\r\nX-Server-Seal: %b\r\nContent-Length: %d\r\n\r\n"
+            return head % (seal, len(body)) + body
+
+        self.send("r0")
+        conn = self.accept()
+        conn.sendall(unnamed(b"seal-r0", b"first"))
+        self.loop.settle()
+        self.assertIs(self.ends["r0"].end, ExchangeEnd.REPLY)
+        self.assertIsNone(self.exchange("r1", conn, unnamed(b"seal-r0", b"first")))
+        conn.sendall(unnamed(b"seal-r1", b"second"))
+        self.loop.settle()
+        found = self.ends["r1"].reply
+        assert found is not None
+        self.assertEqual((found.body, found.keep_alive), (b"second", False))
+
     def test_stray_and_own_reply_in_one_read(self) -> None:
         conn = self.first()
         both = reply(b"stray", b"r0") + reply(b"mine", b"r1")
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -38,10 +38,31 @@
     Break(
         3,
         "platform/platform_contract.py",
-        'return attempt is None or attempt == req.id.encode("latin-1")',
+        'return attempt == req.id.encode("latin-1")',
         "return True",
         ("test_upstream_pool",),
     ),
+    Break(
+        3,
+        "platform/platform_contract.py",
+        "return previous_seal is None or _header(reply.headers, SEAL) != previous_seal",
+        "return True",
+        ("test_upstream_pool",),
+    ),
+    Break(
+        7,
+        "wire/http_server.py",
+        "        for _ in range(BACKLOG):\n",
+        "        for _ in range(0):\n",
+        ("test_http_server",),
+    ),
+    Break(
+        7,
+        "wire/http_server.py",
+        "            conn.read_pending()\n",
+        "",
+        ("test_http_server",),
+    ),
     Break(
         3,
         "platform/platform_contract.py",
