--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,7 +17,7 @@
 
 from msgspec import json
 
-from soak.checker import Answer, ResultChecker
+from soak.checker import Answer, Passage, ResultChecker
 from standins.platform_fleet import CALLERS_PORT, DIRECTORY_PORT
 
 HOST: Final = "soak.example"
@@ -52,6 +52,8 @@
         self._addresses: list[str] = []
         self._addresses_expire_at = 0.0
         self._conn: tuple[StreamReader, StreamWriter] | None = None
+        self._host = ""
+        """Address of the node at the other end of the connection."""
         self._count = 0
 
     async def run(self, seconds: float, pause: float) -> None:
@@ -89,6 +91,8 @@
             return
         self._checker.record_outcome(str(answer.status), started_at, answer.status == 200)
         self._checker.check_answer(request, merged, answer)
+        ended_at = get_running_loop().time()
+        self._checker.passages[request] = Passage(self._host, started_at, ended_at)
         if answer.headers.get("connection") == "close":
             self._close_connection()
 
@@ -101,6 +105,7 @@
                 raise ConnectionError("no node address available from the directory")
             host = self._random.choice(self._addresses).partition(":")[0]
             self._conn = await wait_for(open_connection(host, CALLERS_PORT), CONNECT_TIMEOUT_S)
+            self._host = host
         return self._conn
 
     async def _refresh_addresses(self) -> None:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -16,6 +16,8 @@
 """Minimum number of parts in a successful merged answer: half of the shards."""
 NOT_EXECUTED_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that assert that a non-idempotent request has not run."""
+MAX_RESIDENT_KB: Final = 152_000
+"""Memory of the smallest VMs."""
 LATE_S: Final = 1.0
 """Time after the deadline from which a final answer counts as late, unless its node was paused; no
 check uses it."""
@@ -40,6 +42,15 @@
     body: bytes
 
 
+class Passage(Struct, frozen=True):
+    """Way of one request through the fleet; times are of the event loop."""
+
+    host: str
+    """Address of the node that the caller asked."""
+    sent_at: float
+    answered_at: float
+
+
 class ResultChecker:
     """Checks each answer on arrival, and the executed requests at the end of the run."""
 
@@ -57,6 +68,8 @@
         """Status by id of the non-idempotent requests that were reported as not executed."""
         self.non_idempotent: set[str] = set()
         """Ids of the non-idempotent requests, which may run at most once."""
+        self.passages: dict[str, Passage] = {}
+        """Way of each request that was answered, by its id."""
         self.outcomes: Counter[str] = Counter()
         self.violations: list[Violation] = []
         self.availability_samples: list[tuple[float, bool]] = []
@@ -95,6 +108,34 @@
                 status = self._refused_status[request]
                 self.add_violation("a refusal is true", request, f"status {status}, and it ran")
 
+    def check_leaves(self, disturbed: list[tuple[str, float]], drain: float) -> None:
+        """Checks that nodes kept away from upstreams whose announced shutdown they had passed on.
+
+        Args:
+            disturbed: Hosts of nodes that were restarted or paused, each with the time.
+            drain: Time after the announcement in which requests may still be sent, in seconds.
+        """
+        for upstream in self._upstreams:
+            announced: dict[str, float] = {}
+            for request in upstream.leaving_arrivals:
+                if not request:
+                    announced.clear()
+                way = self.passages.get(request)
+                if way is None:
+                    continue
+                first = announced.setdefault(way.host, way.answered_at)
+                excused = any(
+                    host == way.host and first <= at <= way.answered_at for host, at in disturbed
+                )
+                if way.sent_at > first + drain and not excused:
+                    detail = f"{upstream.name} {way.sent_at - first:.1f} s after it said so"
+                    self.add_violation("a leaving upstream gets nothing new", request, detail)
+
+    def check_memory(self, name: str, resident_kb: int) -> None:
+        """Checks the memory of a node at the end of the run."""
+        if resident_kb > MAX_RESIDENT_KB:
+            self.add_violation("memory is bounded", "", f"{name}: {resident_kb} kB")
+
     def add_violation(self, promise: str, request: str, detail: str) -> None:
         """Records the violation of a guarantee."""
         at = round(get_running_loop().time() - self._started_at, 2)
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -7,7 +7,8 @@
 
 from soak.plan import Fault, FaultKind
 from soak.proxy import FaultProxy, ProxyFault
-from soak.testbed import Testbed
+from soak.testbed import DRAIN_S, Testbed
+from standins.http_server import Endless, EndlessPart
 from standins.platform_fleet import FleetNode
 from standins.platform_upstream import PlatformUpstream, UpstreamFaults
 from standins.store import StoreFaults
@@ -18,6 +19,12 @@
     FaultKind.UPSTREAM_LOSES: UpstreamFaults(lose=0.5),
     FaultKind.UPSTREAM_CUTS_REPLIES: UpstreamFaults(cut=0.5),
 }
+ENDLESS_PARTS = tuple(EndlessPart)
+LEAVE_MARGIN_S = 1.5
+"""Time beyond `DRAIN_S` for which an upstream that leaves still serves."""
+STORE_AWAY_S = 0.6
+REWRITE_S = 1.0
+"""Time within which operators and upstreams write again after the store was restored."""
 PROXY_FAULTS = {
     FaultKind.UPSTREAM_DELAY: ProxyFault.DELAY,
     FaultKind.UPSTREAM_CUT: ProxyFault.CUT,
@@ -71,15 +78,29 @@
         elif kind is FaultKind.STORE_CUT:
             await _apply_proxy_fault(testbed.store_proxy, ProxyFault.CUT_REPLIES, fault.lasts)
         elif kind is FaultKind.NODE_PAUSE:
+            testbed.note_disturbed([node])
             node.pause()
             await sleep(fault.lasts)
             node.resume()
+            testbed.note_disturbed([node])
         elif kind is FaultKind.NODE_STOP:
+            testbed.note_disturbed([node])
             await _stop_and_restart(node)
         elif kind is FaultKind.UPSTREAM_DRAINS:
             testbed.register(testbed.upstreams[index], "draining")
             await sleep(fault.lasts)
             testbed.register(testbed.upstreams[index])
+        elif kind is FaultKind.UPSTREAM_LEAVES:
+            await self._leave_and_start_again(testbed.upstreams[index])
+        elif kind is FaultKind.UPSTREAM_PAUSES:
+            faults = UpstreamFaults(pause=fault.lasts)
+            await _apply_upstream_faults(testbed.upstreams[index], faults, fault.lasts)
+        elif kind is FaultKind.UPSTREAM_ENDLESS:
+            part = ENDLESS_PARTS[fault.pick // len(testbed.upstreams) % len(ENDLESS_PARTS)]
+            faults = UpstreamFaults(endless=Endless(part))
+            await _apply_upstream_faults(testbed.upstreams[index], faults, fault.lasts)
+        elif kind is FaultKind.STORE_RESTORED:
+            await self._restore_store()
         else:
             await self._inject_instant(fault, node, index)
 
@@ -87,8 +108,10 @@
         """Injects a fault that is not reverted, apart from the restart of killed nodes."""
         testbed = self._testbed
         actions: dict[FaultKind, Callable[[], Awaitable[None] | None]] = {
-            FaultKind.NODE_KILL: lambda: _kill_and_restart([node], fault.lasts / 3),
-            FaultKind.HERD_KILL: lambda: _kill_and_restart(testbed.fleet.nodes, fault.lasts / 3),
+            FaultKind.NODE_KILL: lambda: self._kill_and_restart([node], fault.lasts / 3),
+            FaultKind.HERD_KILL: lambda: self._kill_and_restart(
+                testbed.fleet.nodes, fault.lasts / 3
+            ),
             FaultKind.STORE_FORGETS: testbed.store.compact_history,
             FaultKind.STORE_SILENT: testbed.store_proxy.silence_open,
             FaultKind.UPSTREAM_SILENT: testbed.proxies[index].silence_open,
@@ -109,6 +132,30 @@
         if service.faults is faults:
             service.faults = StoreFaults()
 
+    async def _leave_and_start_again(self, upstream: PlatformUpstream) -> None:
+        """Lets an upstream announce its shutdown, then registers it as a new process."""
+        upstream.leaving_arrivals.append("")
+        faults = upstream.faults = UpstreamFaults(leaving=True)
+        await sleep(DRAIN_S + LEAVE_MARGIN_S)
+        if upstream.faults is faults:
+            upstream.faults = UpstreamFaults()
+        self._testbed.register(upstream, restarted=True)
+
+    async def _restore_store(self) -> None:
+        """Restores the store from its latest copy; operators and upstreams then write again."""
+        store = self._testbed.store
+        faults = store.service.faults = StoreFaults(down=True)
+        await sleep(STORE_AWAY_S)
+        store.restore()
+        if store.service.faults is faults:
+            store.service.faults = StoreFaults()
+        await self._testbed.write_again(REWRITE_S)
+
+    async def _kill_and_restart(self, nodes: list[FleetNode], pause: float) -> None:
+        """Kills nodes and restarts them after a pause in seconds."""
+        self._testbed.note_disturbed(nodes)
+        await _kill_and_restart(nodes, pause)
+
     async def _write_config_storm(self) -> None:
         """Writes several configuration versions in quick succession."""
         for _ in range(STORM_VERSIONS):
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from soak.checker import ResultChecker, Violation
 from soak.inject import FaultInjector
 from soak.plan import Fault, draw_faults
-from soak.testbed import SHARDS, Testbed
+from soak.testbed import DRAIN_S, SHARDS, Testbed
 
 SEEDS_FILE: Final = Path(__file__).resolve().parent / "failed_seeds.json"
 """All seeds that have failed so far, each with its cause."""
@@ -85,6 +85,7 @@
         await gather(*(caller.run(seconds, MEAN_PAUSE_S) for caller in callers))
         await injection
         checker.check_runs()
+        checker.check_leaves(testbed.disturbed, DRAIN_S)
         served_samples = [
             served
             for at, served in checker.availability_samples
@@ -96,6 +97,7 @@
         for node in testbed.fleet.nodes:
             if b"Traceback" in node.log.read_bytes():
                 checker.add_violation("a node does not fail", "", node.name)
+            checker.check_memory(node.name, node.resident_kb())
         result = SoakResult(
             seed,
             seconds,
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from asyncio import get_running_loop, open_connection, sleep
+from asyncio import Task, create_task, get_running_loop, open_connection, sleep
+from collections import Counter
 from pathlib import Path
 from shutil import copy
 from typing import Final
@@ -25,6 +26,10 @@
 NODE_DOMAINS: Final = ("p", "p", "p", "q", "q", "q")
 """Failure domain of each node."""
 START_TIMEOUT_S: Final = 30.0
+DRAIN_S: Final = 3.0
+"""Time after an announced shutdown in which a node may still send requests to the upstream."""
+COPY_INTERVAL_S: Final = 3.0
+"""Time between two copies of the store, from which it may be restored."""
 VERSION_BEFORE_FIRST: Final = 3
 """Each configuration raises the version by 2, so that the first one written is 5."""
 
@@ -51,7 +56,12 @@
         ]
         self.proxies: list[FaultProxy] = []
         self.version = VERSION_BEFORE_FIRST
-        self._born = 1
+        self.disturbed: list[tuple[str, float]] = []
+        """Hosts of the nodes that were killed, stopped or paused, each with the time."""
+        self._born: Counter[str] = Counter()
+        self._states: dict[str, str] = {}
+        self._configuration = b""
+        self._copies: Task[None] | None = None
 
     async def open(self) -> None:
         """Starts everything and waits until every node is ready."""
@@ -65,6 +75,7 @@
         self.store_proxy = FaultProxy("127.0.0.1", self.store.host, self.store.port)
         await self.store_proxy.open()
         self.put_configuration()
+        self._copies = create_task(self._copy_store())
         shape = FleetSettings(self._network, f"127.0.0.1:{self.store_proxy.port}", FAILURE_DOMAINS)
         self.fleet = PlatformFleet(shape, list(NODE_DOMAINS))
         self.fleet.start()
@@ -77,6 +88,8 @@
 
     def close(self) -> None:
         """Stops everything that this testbed started."""
+        if self._copies is not None:
+            self._copies.cancel()
         self.fleet.close()
         for proxy in (*self.proxies, self.store_proxy):
             proxy.close()
@@ -84,12 +97,40 @@
             upstream.stop()
         self.store.stop()
 
-    def register(self, upstream: PlatformUpstream, state: str = "ready") -> None:
-        """Writes an upstream's entry to the store, with the port of its proxy."""
+    def register(
+        self, upstream: PlatformUpstream, state: str = "ready", restarted: bool = False
+    ) -> None:
+        """Writes an upstream's entry to the store, with the port of its proxy.
+
+        Args:
+            upstream: The upstream.
+            state: `ready` or `draining`.
+            restarted: Whether it is a new process from now on.
+        """
+        self._born[upstream.name] += restarted
+        self._states[upstream.name] = state
         port = self.proxies[self.upstreams.index(upstream)].port
-        record = upstream.record(port, state, self._born)
+        record = upstream.record(port, state, 1 + self._born[upstream.name])
         self.store.put(f"servers/{upstream.name}", json.encode(record))
 
+    async def write_again(self, seconds: float) -> None:
+        """Writes the configuration and all entries again, spread over some seconds."""
+        self.store.put("op/config", self._configuration)
+        for upstream in self.upstreams:
+            self.register(upstream, self._states[upstream.name])
+            await sleep(seconds / len(self.upstreams))
+
+    def note_disturbed(self, nodes: list[FleetNode]) -> None:
+        """Records that nodes are killed, stopped, paused or resumed now."""
+        now = get_running_loop().time()
+        self.disturbed.extend((node.host, now) for node in nodes)
+
+    async def _copy_store(self) -> None:
+        """Makes copies of the store until it is cancelled."""
+        while True:
+            self.store.save()
+            await sleep(COPY_INTERVAL_S)
+
     def put_configuration(self) -> None:
         """Writes a new configuration version.
 
@@ -116,7 +157,8 @@
             "version": self.version,
             "routes": [{**base, **merged}, {**base, **non_idempotent}],
         }
-        self.store.put("op/config", json.encode(config))
+        self._configuration = json.encode(config)
+        self.store.put("op/config", self._configuration)
 
     def keep_logs(self, folder: Path) -> None:
         """Copies the nodes' logs to a folder."""
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
-from traceback import format_exception
 from typing import TYPE_CHECKING, Final, Protocol
 
 from sequoiapulley.daemon.entry_port import CallerCodec, EntryPort
+from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
 from sequoiapulley.daemon.heartbeat_task import HeartbeatTask
@@ -31,7 +31,6 @@
     NODE_LEAVING,
     NODE_STARTED,
     NODE_STOPPED,
-    UNEXPECTED_ERROR,
 )
 from sequoiapulley.forward.messages import Answer
 from sequoiapulley.forward.metrics import (
@@ -72,8 +71,6 @@
 MAINTENANCE_INTERVAL_S: Final = 0.25
 """Interval between two checks of peers and idle connections."""
 MAX_POLL_S: Final = 1.0
-MAX_TRACE_FRAMES: Final = 8
-"""Maximum number of innermost stack frames of an unexpected error in the log."""
 STANDBY_NODES: Final = 2
 """Nodes of each failure domain, besides the entry nodes, that also get a share of the upstreams'
 connections, so that they can replace an entry node."""
@@ -122,8 +119,9 @@
         self._log = log
         self._codec = codec
         self._clock = SystemClock()
-        self._timers = TimerQueue(self._clock, self._on_error)
-        self._reactor = Reactor(self._clock, self._timers, self._on_error)
+        on_error = ErrorLog(log)
+        self._timers = TimerQueue(self._clock, on_error)
+        self._reactor = Reactor(self._clock, self._timers, on_error)
         self._random = Random()
         self._settings_task = SettingsTask(cfg, watch, self._timers, log, self._on_settings)
         self._lifecycle = NodeLifecycle()
@@ -306,11 +304,6 @@
             self._log.log(DUTIES_CHANGED, entry=entry, reader=reader, live=len(live))
         return entry
 
-    def _on_error(self, exc: Exception) -> None:
-        """Logs an unexpected error; the process goes on."""
-        trace = format_exception(exc, limit=-MAX_TRACE_FRAMES, chain=False)
-        self._log.log(UNEXPECTED_ERROR, error=repr(exc), trace="".join(trace))
-
     def _make_heartbeat(self) -> Heartbeat:
         """Returns a heartbeat with this node's record, state, configuration and revision."""
         return Heartbeat(
--- a/src/sequoiapulley/daemon/log_events.py
+++ b/src/sequoiapulley/daemon/log_events.py
@@ -49,6 +49,14 @@
     "daemon does not start.",
     "Correct the file that the error names; see the page on keys.",
 )
+UNEXPECTED_ERROR: Final = define_event(
+    1008,
+    "unexpected_error",
+    Severity.ERROR,
+    "The processing of a message or a timer failed with an error that the program does not expect. "
+    "The request concerned gets status 502 or ends at its timeout; others are not affected.",
+    "Report the line; `trace` names the place in the program.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     7001,
     "configuration_applied",
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -12,6 +12,7 @@
 
 from sequoiapulley.daemon.callers_backend import NodeCallersBackend
 from sequoiapulley.daemon.config_task import ConfigTask
+from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.fleet_task import FleetTask
 from sequoiapulley.daemon.leave_task import LeaveTask
 from sequoiapulley.daemon.log_events import NODE_STARTED
@@ -91,7 +92,8 @@
         self.clock = SystemClock()
         self.observer = NodeObserver(cfg.node, self.clock, log)
         self._log: LogSink = self.observer
-        self.timers = TimerQueue(self.clock)
+        self._on_error = ErrorLog(self._log)
+        self.timers = TimerQueue(self.clock, self._on_error)
         self.incarnation = Incarnation(int(self.clock.wall() * MS_PER_S))
         self.homes = HomeMap()
         self.resolver: HomeResolver = self.homes
@@ -107,7 +109,7 @@
 
     def _wire_reactor(self) -> None:
         """Creates the reactor, which owns the client sockets, and the clients of the platform."""
-        self._reactor = Reactor(self.clock, self.timers)
+        self._reactor = Reactor(self.clock, self.timers, self._on_error)
         ReactorComponent(self._reactor, self.timers).register(self)
         http = HttpClient(self._reactor, self.clock, self.timers)
         self._health = HealthPoller(http, self.timers, self._on_health, randbits(SEED_BITS))
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -237,14 +237,6 @@
     "The roles of this node changed: entry node of its failure domain (`entry`), store reader "
     "(`reader`). `live` nodes of the failure domain are alive.",
 )
-UNEXPECTED_ERROR: Final = define_event(
-    2546,
-    "unexpected_error",
-    Severity.ERROR,
-    "The processing of a message or a timer failed with an error that the program does not expect. "
-    "The request concerned gets status 502 or ends at its timeout; the others are not affected.",
-    "Report the line; `trace` names the place in the program.",
-)
 SETTINGS_RELOADED: Final = define_event(
     2543, "settings_reloaded", Severity.INFO, "The settings file was reloaded."
 )
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -61,6 +61,13 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    def resident_kb(self) -> int:
+        """Returns the resident memory of the process in kB; 0 if it is not running."""
+        if self.process is None or not self.is_running:
+            return 0
+        text = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        return int(next(line for line in text.splitlines() if line.startswith("VmRSS")).split()[1])
+
     def start(self) -> None:
         """Starts the process."""
         with self.log.open("ab") as log:
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -71,6 +71,9 @@
         """Method, path and body of the last run of each request, by attempt id."""
         self.arrivals: list[float] = []
         """Event-loop time at which each request arrived, including those that were refused."""
+        self.leaving_arrivals: list[str] = []
+        """Attempt ids of the requests that arrived while it announced its shutdown; an empty one
+        marks the beginning of each announcement."""
         self.reports = 0
         """Number of records that were returned, which is the number in the last one."""
         self.last_run_at: dict[str, float] = {}
@@ -147,6 +150,7 @@
             ("x-server-load", "1,0,4"),
         )
         if self.faults.leaving:
+            self.leaving_arrivals.append(attempt)
             echo = (*echo, ("server-leaving", "1"))
         if request.headers.get("x-expected-instance", self.name) != self.name:
             return Response(421, b"", echo)
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -131,13 +131,6 @@
         text = b"config_version %d" % version
         return all(text in self.fetch(node, METRICS_PORT, "/metrics")[1] for node in (0, 1))
 
-    def resident_kb(self, node: int) -> int:
-        process = self.fleet.nodes[node].process
-        assert process is not None
-        with open(f"/proc/{process.pid}/status", encoding="ascii") as status:
-            line = next(line for line in status if line.startswith("VmRSS"))
-        return int(line.split()[1])
-
     def test_restored_store(self) -> None:
         conn = self.connect()
         self.store.save()
@@ -275,7 +268,7 @@
     def test_endless_replies(self) -> None:
         conn = self.connect()
         self.load(0.5, conn)
-        before = self.resident_kb(0)
+        before = self.fleet.nodes[0].resident_kb()
         for part in EndlessPart:
             for chunk, pause in ((16_384, 0.0), (2, 0.001)):
                 with self.subTest(part=part, chunk=chunk):
@@ -291,7 +284,7 @@
                         other.request("GET", "/r/1", None, headers)
                     statuses = {other.getresponse().status for other in conns}
                     self.assertLessEqual(statuses, {502, 504})
-                    self.assertLess(self.resident_kb(0) - before, MAX_GROWTH_KB)
+                    self.assertLess(self.fleet.nodes[0].resident_kb() - before, MAX_GROWTH_KB)
         for upstream in self.upstreams:
             upstream.faults = UpstreamFaults()
         self.until(lambda: self.ask(conn) == 200)
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -6,12 +6,17 @@
 from socket import create_connection, socket, socketpair
 from unittest import TestCase
 
+from circuits import Manager
+
+from sequoiapulley.daemon.error_log import ErrorLog
+from sequoiapulley.daemon.log_events import UNEXPECTED_ERROR
 from sequoiapulley.forward.state import ChangeSet
 from sequoiapulley.forward.state_feed import ReadPlan, StateFeed
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, SystemClock, TimerQueue
 from sequoiapulley.wire.http_server import HttpServer
 from sequoiapulley.wire.reactor import READABLE, Reactor
+from sequoiapulley.wire.reactor_component import ReactorComponent
 from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
 from tests.state_fixtures import ScriptedSource, changes, read
 
@@ -135,3 +140,39 @@
                 timers.run_due()
         self.assertEqual(source.asked, ["stale", "after 7", "stale", "after 9"])
         self.assertEqual(([found.revision for found in taken], len(errors)), ([7, 9], 1))
+
+
+class ReactorComponentTest(TestCase):
+    """Errors under the circuits manager of `sequoiapulleyd`."""
+
+    def test_manager_goes_on_and_errors_are_logged(self) -> None:
+        log = MemoryLog()
+        clock = SystemClock()
+        timers = TimerQueue(clock, ErrorLog(log))
+        reactor = Reactor(clock, timers, ErrorLog(log))
+        manager = Manager()
+        ReactorComponent(reactor, timers).register(manager)
+        ours, theirs = socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        theirs.send(b"x")
+        failing = FailingHandler()
+        reactor.register(ours.fileno(), READABLE, failing)
+        ran: list[str] = []
+        timers.call_later(0.05, lambda: 1 // 0)  # type: ignore[arg-type, return-value]
+        timers.call_later(0.05, lambda: ran.append("second"))
+        timers.call_later(0.2, manager.stop)
+        manager.run()
+        self.assertEqual(ran, ["second"])
+        self.assertGreater(failing.failures, 0)
+        fields = [found for event, found in log.entries if event is UNEXPECTED_ERROR]
+        errors = {str(found["error"]) for found in fields}
+        self.assertEqual(
+            errors,
+            {
+                "ZeroDivisionError('on_ready')",
+                "KeyError('on_failure')",
+                "ZeroDivisionError('integer division or modulo by zero')",
+            },
+        )
+        self.assertIn("test_unexpected_errors.py", str(fields[0]["trace"]))
