Tell followers of entries that returned before their store reader saw them lapse

Followers that reached the store before their reader read the removals themselves; the reader got removal and new entry in one read, which changed nothing for it, so neither went into its change log, and the followers took all upstreams as gone for good.

Ruled out: upstreams that did not reach the store (readers logged their return at 20 s).

Change: entries that were removed and written again within a read are marked and logged for followers, removals and node records always are, and a full read restarts the change log.

Four new tests failed before.

--- a/src/sequoiapulley/forward/change_log.py
+++ b/src/sequoiapulley/forward/change_log.py
@@ -15,7 +15,7 @@
 
 
 class ChangeLog:
-    """Ordered changes of one era, each with the store revision up to which this node had read."""
+    """Ordered changes since a full state, each with the revision up to which this node had read."""
 
     def __init__(self) -> None:
         """Initialise an empty log."""
@@ -25,11 +25,14 @@
         """Position up to which this node has read everything; `NO_POSITION` before the first
         read."""
 
-    def begin_era(self, position: StorePosition) -> None:
-        """Discards the changes of earlier eras, as the store was restored from a copy.
+    def restart(self, position: StorePosition) -> None:
+        """Discards the changes before a full state.
+
+        A full state does not tell which entries were removed and written again before it, and it
+        may be of a later era.
 
         Args:
-            position: Position of the first full state of the new era.
+            position: Position of the full state.
         """
         self._changes.clear()
         self._complete_after = position.revision
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -77,9 +77,10 @@
                 that a removed entry may have expired or be missing in the copy.
         """
         if changes.era > self._change_log.position.era:
-            self._change_log.begin_era(changes.position)
             self._directory.era = changes.era
             self._outdated.clear()
+        if changes.whole:
+            self._change_log.restart(changes.position)
         revision = changes.revision
         for change in changes.changes:
             self._apply(change, after_outage, revision)
@@ -118,8 +119,8 @@
         elif isinstance(change, TableChange):
             self._apply_table(change, revision)
         elif isinstance(change, NodeChange):
-            if self._peers.register(change.record):
-                self._change_log.append(change, revision)
+            self._peers.register(change.record)
+            self._change_log.append(change, revision)
         elif isinstance(change, NodeRemoval):
             self._peers.unregister(change.name)
             self._change_log.append(change, revision)
@@ -132,7 +133,10 @@
         if self._directory.is_outdated(record):
             self._log_outdated(record, revision)
             return
-        returned = self._pending_removals.pop(record.name, None) is not None
+        # A peer that reads from this node may have read the removal itself.
+        returned = change.returned
+        if self._pending_removals.pop(record.name, None) is not None:
+            returned = True
         if not self._directory.put(record) and not returned:
             return
         self._change_log.append(change, revision)
@@ -179,9 +183,12 @@
     def _remove(self, change: UpstreamRemoval, revision: Revision) -> None:
         """Removes an upstream, at once or after the time in which it may register again."""
         name = change.name
-        if name in self._pending_removals or name not in self._directory.names():
+        if name in self._pending_removals:
             return
+        # A peer that reads from this node may have registered the upstream itself.
         self._change_log.append(change, revision)
+        if self._directory.find(name) is None:
+            return
         if not change.may_return:
             self._directory.record_removal(name)
             self._remove_now(name, "entry removed")
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -53,6 +53,8 @@
     """A new or changed record of an upstream."""
 
     record: UpstreamRecord
+    returned: bool = False
+    """Whether the entry was removed and written again since the previous read."""
 
 
 class UpstreamRemoval(Struct, frozen=True, tag="upstream_gone"):
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -18,6 +18,7 @@
     RegisteredReply,
     SourceError,
     SourceErrorKind,
+    UpstreamChange,
 )
 from sequoiapulley.forward.store_position import StorePosition
 from sequoiapulley.ids import Era, LeaseId, Revision
@@ -216,9 +217,12 @@
 def _decode_changes(items: list[KvItem]) -> list[Change]:
     """Decodes the last item of each key."""
     latest = {item.key: item for item in items}
+    removed = {item.key for item in items if item.deleted}
     changes: list[Change] = []
     for item in latest.values():
         change = decode_removal(item.key) if item.deleted else _decode_change(item)
+        if isinstance(change, UpstreamChange) and item.key in removed:
+            change = UpstreamChange(change.record, returned=True)
         if change is not None:
             changes.append(change)
     return changes
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -112,8 +112,8 @@
         self.port = PeerPort(self.log, fleet.timers, self.full_state, lambda: self.feed.age)
 
     def apply_changes(self, changes_read: ChangeSet, after_outage: bool) -> None:
-        if changes_read.era > self.log.position.era:
-            self.log.begin_era(changes_read.position)
+        if changes_read.whole:
+            self.log.restart(changes_read.position)
         for change in changes_read.changes:
             self.log.append(change, changes_read.revision)
             self.version = max(self.version, change.table.version)
--- a/tests/test_kv_source.py
+++ b/tests/test_kv_source.py
@@ -87,6 +87,19 @@
             self.put_upstreams(1)
         self.assertEqual(len(self.read_changes(start).unwrap().changes), 1)
 
+    def test_entry_that_was_removed_and_written_again_is_marked(self) -> None:
+        self.put_upstreams(2)
+        start = self.read_all().revision
+        self.server.remove("servers/u0000")
+        self.put_upstreams(2)
+        found = self.read_changes(start).unwrap().changes
+        marks = {
+            str(change.record.name): change.returned
+            for change in found
+            if isinstance(change, UpstreamChange)
+        }
+        self.assertEqual(marks, {"u0000": True, "u0001": False})
+
     def test_compacted_history_is_reported(self) -> None:
         self.put_upstreams(3)
         self.server.compact_history()
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -11,10 +11,16 @@
 from sequoiapulley.forward.messages import ExchangeReply
 from sequoiapulley.forward.peer_table import PeerTable
 from sequoiapulley.forward.shared_state import REREGISTRATION_S, SharedState
-from sequoiapulley.forward.state import Change, NodeChange, TableChange, UnreadableEntry
+from sequoiapulley.forward.state import (
+    Change,
+    NodeChange,
+    TableChange,
+    UnreadableEntry,
+    UpstreamChange,
+)
 from sequoiapulley.ids import ServiceName, UpstreamName
 from tests.simulated_upstreams import SimulatedNet, success
-from tests.state_fixtures import changes, node, position, removal, table, upstream_change
+from tests.state_fixtures import changes, node, position, removal, table, upstream, upstream_change
 
 
 def reply(*_args: object) -> tuple[float, ExchangeReply]:
@@ -104,6 +110,48 @@
         self.assertEqual((image.revision, image.whole), (7, True))
         self.assertIn(upstream_change("b"), image.changes)
 
+    def test_follower_that_read_a_removal_itself_learns_that_the_entry_returned(self) -> None:
+        """All entries lapse in an outage and are written again.
+
+        The follower reaches the store between the two, its store reader only after both, so that
+        nothing has changed for the reader.
+        """
+        follower = self.make_follower()
+        for member in (self, follower):
+            member.apply(5, upstream_change("a"), upstream_change("b"), whole=True)
+        follower.apply(6, removal("a"), removal("b"), outage=True)
+        returned = UpstreamChange(upstream("a"), returned=True)
+        self.apply(8, returned, upstream_change("b"), outage=True)
+        found = self.log.changes_after(position(6))
+        self.assertEqual(found, (returned,))
+        assert found is not None
+        follower.apply(8, *found)
+        follower.net.run(REREGISTRATION_S + 0.1)
+        self.assertEqual(follower.names(), {"a"})
+
+    def test_follower_that_registered_an_upstream_itself_learns_that_it_was_removed(self) -> None:
+        follower = self.make_follower()
+        for member in (self, follower):
+            member.apply(5, upstream_change("b"), whole=True)
+        follower.apply(6, upstream_change("a"))
+        self.apply(8, removal("a"))
+        found = self.log.changes_after(position(6))
+        assert found is not None
+        follower.apply(8, *found)
+        self.assertEqual(follower.names(), {"b"})
+
+    def test_followers_get_the_full_state_after_a_full_read(self) -> None:
+        """A full read does not tell which entries were removed and written again meanwhile."""
+        self.apply(5, upstream_change("a"), whole=True)
+        self.apply(8, upstream_change("a"), whole=True)
+        self.assertIsNone(self.log.changes_after(position(6)))
+        self.assertEqual(self.log.changes_after(position(8)), ())
+
+    def make_follower(self) -> SharedStateTest:
+        follower = SharedStateTest()
+        follower.setUp()
+        return follower
+
     def test_full_state_marks_entries_that_may_return(self) -> None:
         self.apply(5, upstream_change("a"), whole=True)
         self.apply(6, removal("a"), outage=True)
