Keep a node's record over its restarts instead of writing it for each process

Change: a process that is not the first one of its node reads its record, which may be stale (a tenth of a call), and renews the lease that it finds if the addresses are equal; heartbeats carry the incarnation. A stopping process leaves its record: heartbeats say that it is gone, and the lease of 60 s removes records of nodes that do not return.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -229,7 +229,7 @@
         cfg = self._settings_task.cfg
         self._log.log(NODE_STARTED, callers=cfg.callers.port, place=cfg.failure_domain)
         self._feed.start()
-        self._registration.start()
+        self._registration.start(cfg.first_start)
         self._tick()
         self._settings_task.start()
         self._heartbeats.start()
--- a/src/sequoiapulley/daemon/registration.py
+++ b/src/sequoiapulley/daemon/registration.py
@@ -10,6 +10,7 @@
 
 from sequoiapulley.forward.state import (
     AnnounceReply,
+    FoundLeaseReply,
     NodeRecord,
     NodeRegistry,
     RegisteredReply,
@@ -57,16 +58,46 @@
         self._check_timer: TimerHandle | None = None
         self._stopped = False
 
-    def start(self) -> None:
+    def start(self, first_start: bool) -> None:
+        """Registers the node.
+
+        A record that an earlier process has left is kept by renewing its lease, which costs a
+        fraction of a write.
+
+        Args:
+            first_start: Whether no process of the node has run before.
+        """
+        if self._stopped:
+            return
+        if first_start:
+            self._announce()
+        else:
+            self._registry.find_lease(self._record, self._on_found)
+
+    def stop(self) -> None:
+        """Stops renewing the lease.
+
+        The record stays for the process that may follow, and expires if there is none. Heartbeats
+        tell that this process is gone.
+        """
+        self._stopped = True
+
+    def _announce(self) -> None:
         """Writes the record under a new lease."""
         if not self._stopped:
             self._registry.announce(self._record, LEASE_TTL_S, self._on_announced)
 
-    def stop(self) -> None:
-        """Revokes the lease, which removes the record at once."""
-        self._stopped = True
-        if self._lease is not None:
-            self._registry.withdraw(self._lease)
+    def _on_found(self, reply: FoundLeaseReply) -> None:
+        """Renews the lease of the record that was found, or writes the record."""
+        if isinstance(reply, Err):
+            # The state feed logs that the store is unavailable.
+            self._call_after(RETRY_INTERVAL_S, lambda: self.start(False))
+            return
+        if reply.ok_value is None:
+            self._announce()
+            return
+        self._lease = reply.ok_value
+        self._renew()
 
     def check_after_restore(self) -> None:
         """Checks, after a random delay, whether a restored store still has the record.
@@ -107,7 +138,7 @@
         self._lease = None
         if self._next_call is not None:
             self._next_call.cancel()
-        self.start()
+        self._announce()
 
     def _renew(self) -> None:
         """Renews the lease."""
@@ -119,12 +150,9 @@
     def _on_announced(self, reply: AnnounceReply) -> None:
         """Schedules the renewal, or a retry; the state feed logs that the store is unavailable."""
         if isinstance(reply, Err):
-            self._call_after(RETRY_INTERVAL_S, self.start)
+            self._call_after(RETRY_INTERVAL_S, self._announce)
             return
         self._lease = reply.ok_value
-        if self._stopped:
-            self._registry.withdraw(self._lease)
-            return
         self._call_after(RENEWAL_INTERVAL_S, self._renew)
 
     def _on_renewed(self, lease: LeaseId, reply: AnnounceReply) -> None:
--- a/src/sequoiapulley/forward/node_settings.py
+++ b/src/sequoiapulley/forward/node_settings.py
@@ -36,6 +36,8 @@
     seeds: tuple[Address, ...]
     """Addresses of a few nodes from which state can be read at start; they may be stale or down."""
     quota: QuotaSettings
+    first_start: bool = False
+    """Whether the whole fleet starts for the first time, so that nothing is stored of this node."""
     grace: float = 6.0
     """Time from the stop signal to the forced exit of the process, in seconds."""
     drain: float = 3.0
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -131,6 +131,7 @@
 ChangesReply = Result[ChangeSet, SourceError]
 AnnounceReply = Result[LeaseId, SourceError]
 RegisteredReply = Result[bool, SourceError]
+FoundLeaseReply = Result[LeaseId | None, SourceError]
 
 
 class StateSource(Protocol):
@@ -182,5 +183,9 @@
     ) -> None:
         """Reads whether the store holds a node's record under its lease."""
 
-    def withdraw(self, lease: LeaseId) -> None:
-        """Revokes a node's lease without waiting for a reply."""
+    def find_lease(self, record: NodeRecord, done: Callable[[FoundLeaseReply], None]) -> None:
+        """Reads the lease of a record that an earlier process of the node has left.
+
+        The reply may be some seconds old. It has no lease if the store holds no such record, or
+        one that differs in more than the incarnation.
+        """
--- a/src/sequoiapulley/platform/boot_settings.py
+++ b/src/sequoiapulley/platform/boot_settings.py
@@ -68,6 +68,8 @@
     region: str
     listen_addrs: _Listen
     platform: _Platform
+    initial_start: bool = False
+    """Whether the whole fleet starts for the first time; false when one process starts again."""
     internal_ports: list[int] = []
     """First and last port for traffic between nodes, TCP and UDP."""
     seeds: list[str] = []
@@ -123,6 +125,7 @@
             slack=boot.bounds.retry_slack,
             window=boot.bounds.retry_window_s,
         ),
+        first_start=boot.initial_start,
         grace=boot.bounds.grace_s,
         drain=boot.bounds.drain_ms / MS_PER_S,
         most_entry_ttl=boot.bounds.ttl_max_s,
--- a/src/sequoiapulley/platform/kv_client.py
+++ b/src/sequoiapulley/platform/kv_client.py
@@ -15,7 +15,6 @@
 from sequoiapulley.ids import Era, LeaseId, Revision
 from sequoiapulley.platform.names import (
     STORE_ERA,
-    STORE_LEASE_END_PATH,
     STORE_LEASE_PATH,
     STORE_LEASE_RENEW_PATH,
     STORE_TXN_PATH,
@@ -215,10 +214,6 @@
         """Renews a lease."""
         self._call("POST", f"{STORE_LEASE_RENEW_PATH}{lease}", b"", done)
 
-    def revoke_lease(self, lease: LeaseId, done: Callable[[KvReply], None]) -> None:
-        """Revokes a lease; the store removes its keys."""
-        self._call("DELETE", f"{STORE_LEASE_END_PATH}{lease}", b"", done)
-
     def _call(
         self,
         method: str,
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from sequoiapulley.forward.state import (
@@ -14,6 +15,8 @@
     Change,
     ChangeSet,
     ChangesReply,
+    FoundLeaseReply,
+    NodeChange,
     NodeRecord,
     RegisteredReply,
     SourceError,
@@ -122,7 +125,7 @@
         def on_item(reply: Result[KvSuccess[KvItem], KvError]) -> None:
             if isinstance(reply, Ok):
                 item = reply.ok_value.body
-                done(Ok(str(item.lease) == lease and _holds(item, record)))
+                done(Ok(str(item.lease) == lease and _is_record_of(item, record)))
             elif reply.err_value.kind is KvErrorKind.NOT_FOUND:
                 done(Ok(False))
             else:
@@ -130,9 +133,21 @@
 
         self._kv.read(f"{STORE_KEY_PATH}?key={quote(node_key(record), safe='/')}", KvItem, on_item)
 
-    def withdraw(self, lease: LeaseId) -> None:
-        """Revokes a node's lease; if the call is lost, the lease expires on its own."""
-        self._kv.revoke_lease(lease, lambda _reply: None)
+    def find_lease(self, record: NodeRecord, done: Callable[[FoundLeaseReply], None]) -> None:
+        """Reads the lease of a record that an earlier process of the node has left."""
+
+        def on_item(reply: Result[KvSuccess[KvItem], KvError]) -> None:
+            if isinstance(reply, Ok):
+                item = reply.ok_value.body
+                found = item.lease and _is_record_of(item, record)
+                done(Ok(LeaseId(str(item.lease)) if found else None))
+            elif reply.err_value.kind is KvErrorKind.NOT_FOUND:
+                done(Ok(None))
+            else:
+                done(Err(_source_error(reply.err_value)))
+
+        path = f"{STORE_KEY_PATH}?key={quote(node_key(record), safe='/')}&allow_stale=1"
+        self._kv.read(path, KvItem, on_item)
 
 
 class _RangeRead:
@@ -199,13 +214,15 @@
         self.read_page("", None)
 
 
-def _holds(item: KvItem, record: NodeRecord) -> bool:
-    """Returns whether an item has a node's record as its value."""
-    try:
-        return item.content() == encode_node(record)
-    except ValueError:
-        # Another writer's value; the node writes its record again.
+def _is_record_of(item: KvItem, record: NodeRecord) -> bool:
+    """Returns whether an item has the record of a process of the same node, with equal addresses.
+
+    Heartbeats carry the incarnation, so that the record need not be written for each process.
+    """
+    change = _decode_change(item)
+    if not isinstance(change, NodeChange):
         return False
+    return replace(change.record, incarnation=record.incarnation) == record
 
 
 def _decode_change_set(success: KvSuccess[KvEvents]) -> ChangeSet:
--- a/standins/store.py
+++ b/standins/store.py
@@ -264,6 +264,10 @@
         """Deletes a key directly."""
         self.thread.call(lambda: self.service.state.remove(key))
 
+    def end_lease(self, lease: int) -> None:
+        """Revokes a lease, as if it had expired."""
+        self.thread.call(lambda: self.service.state.end_lease(lease))
+
     def has(self, key: str) -> bool:
         """Returns whether a key exists."""
         return self.thread.call(lambda: key in self.service.state.items)
