Add sequoiapulley timeline: what happened to all requests in each second

Change: a command beside explain that counts answers, refusals, failures, tries and changes of what nodes believe, by interval; reading of logs moves to cli/log_records.py, which both use.

--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -2,18 +2,12 @@
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Iterable
-from pathlib import Path
 from typing import Final
 
-from msgspec import DecodeError
-from msgspec.json import decode
-
 from sequoiapulley.cli.config_commands import format_time
 from sequoiapulley.cli.exit_code import ExitCode
+from sequoiapulley.cli.log_records import Record, read_logs, record_time
 
-STDIN_PATH: Final = "-"
 CONTEXT_BEFORE_S: Final = 10.0
 """Time before the request's first line at which the context starts; it ends at the last line.
 
@@ -37,8 +31,6 @@
     "when the request could be served.",
 }
 
-Record = dict[str, object]
-
 
 def explain(request: str, *logs: str) -> int:
     """Show the outcome of a request and the log lines that explain it.
@@ -52,13 +44,7 @@
     logs
         Log files of any nodes; standard input if none is given, or for `-`.
     """
-    records: list[Record] = []
-    for name in logs or (STDIN_PATH,):
-        if name == STDIN_PATH:
-            records.extend(read_records(sys.stdin))
-            continue
-        with Path(name).open(encoding="utf-8", errors="replace") as lines:
-            records.extend(read_records(lines))
+    records = read_logs(logs)
     timeline = find_timeline(request, records)
     if not timeline:
         print(f"no line names {request}: it did not arrive, was logged elsewhere, or succeeded")
@@ -69,23 +55,6 @@
     return ExitCode.OK
 
 
-def read_records(lines: Iterable[str]) -> list[Record]:
-    """Decodes log lines, ignoring any prefix of the JSON object; other lines are skipped."""
-    records: list[Record] = []
-    for line in lines:
-        start = line.find("{")
-        if start < 0:
-            continue
-        try:
-            record = decode(line[start:].encode("utf-8", "replace"), type=dict[str, object])
-        except DecodeError:
-            # Line of another program, or truncated because the process ended.
-            continue
-        if "event" in record:
-            records.append(record)
-    return records
-
-
 def find_timeline(request: str, records: list[Record]) -> list[Record]:
     """Returns the log records of a request and their context, in order of time.
 
@@ -98,17 +67,17 @@
         return []
     upstreams = {record["upstream"] for record in own if "upstream" in record}
     nodes = {record.get("node") for record in own}
-    first = min(_time(record) for record in own)
-    last = max(_time(record) for record in own)
+    first = min(record_time(record) for record in own)
+    last = max(record_time(record) for record in own)
     context = [
         record
         for record in records
         if "id" not in record
         and record.get("node") in nodes
-        and first - CONTEXT_BEFORE_S <= _time(record) <= last
+        and first - CONTEXT_BEFORE_S <= record_time(record) <= last
         and ("upstream" not in record or record["upstream"] in upstreams)
     ]
-    return sorted([*own, *context], key=_time)
+    return sorted([*own, *context], key=record_time)
 
 
 def summarize(request: str, timeline: list[Record]) -> str:
@@ -151,11 +120,5 @@
 def _format_record(record: Record) -> str:
     """Formats a record as one line of text."""
     fields = " ".join(f"{key}={value}" for key, value in record.items() if key not in HEADER_FIELDS)
-    when = format_time(_time(record))
+    when = format_time(record_time(record))
     return f"{when} {record.get('node')} {record['event']} {record['name']} {fields}".rstrip()
-
-
-def _time(record: Record) -> float:
-    """Returns the time of a record in seconds since the Unix epoch, 0 if it has none."""
-    value = record.get("time")
-    return float(value) if isinstance(value, int | float) else 0.0
--- a/src/sequoiapulley/cli/main.py
+++ b/src/sequoiapulley/cli/main.py
@@ -15,6 +15,7 @@
 from sequoiapulley.cli.report_commands import report_app
 from sequoiapulley.cli.search_commands import entries, search
 from sequoiapulley.cli.status_command import status
+from sequoiapulley.cli.timeline_command import timeline
 
 app = App(
     name="sequoiapulley",
@@ -27,6 +28,7 @@
 app.command(report_app)
 app.command(events)
 app.command(explain)
+app.command(timeline)
 app.register_install_completion_command()
 
 
