--- a/tests/test_forward_node.py
+++ b/tests/test_forward_node.py
@@ -4,8 +4,6 @@
 
 from http.client import HTTPConnection, HTTPResponse
 from signal import SIGHUP
-from time import monotonic, sleep
-from unittest import TestCase
 
 from msgspec import json
 
@@ -13,26 +11,22 @@
     CALLERS_PORT,
     DIRECTORY_PORT,
     METRICS_PORT,
-    READY_PORT,
     FleetNode,
     FleetSettings,
     PlatformFleet,
 )
 from standins.platform_upstream import PlatformUpstream
-from standins.store import StoreStandIn
+from tests.node_process_case import TIMEOUT_S, NodeProcessCase
 
-TIMEOUT_S = 30.0
 FAILURE_DOMAINS = {"p": "g", "q": "h"}
 
 
-class ForwardNodeTest(TestCase):
+class ForwardNodeTest(NodeProcessCase):
     """Three nodes, a route over two shards, one over two remote shards, and one plain service."""
 
     def setUp(self) -> None:
+        super().setUp()
         self.remote_query_count = 0
-        self.store = StoreStandIn()
-        self.store.start()
-        self.addCleanup(self.store.stop)
         self.upstreams = [
             PlatformUpstream(f"u-{service}-{domain}", service, "127.0.0.1", domain)
             for service in ("shard-1", "shard-2", "plain")
@@ -70,27 +64,6 @@
         config = {"version": version, "routes": routes}
         self.store.put("op/config", json.encode(config))
 
-    def until(self, condition: object) -> None:
-        assert callable(condition)
-        end = monotonic() + TIMEOUT_S
-        while not condition():
-            self.assertLess(monotonic(), end, "the condition did not hold in time")
-            sleep(0.05)
-
-    def get(self, node: FleetNode, port: int, path: str) -> tuple[int, bytes]:
-        conn = HTTPConnection(node.host, port, timeout=TIMEOUT_S)
-        try:
-            conn.request("GET", path)
-            reply = conn.getresponse()
-            return reply.status, reply.read()
-        except OSError:
-            return 0, b""
-        finally:
-            conn.close()
-
-    def ready(self, node: FleetNode) -> bool:
-        return self.get(node, READY_PORT, "/readiness")[0] == 200
-
     def addresses(self, node: FleetNode) -> set[str]:
         status, body = self.get(
             node, DIRECTORY_PORT, f"/resolution?zone={node.failure_domain}&region=g"
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -10,7 +10,6 @@
 from socket import AF_INET, SOCK_DGRAM, socket
 from time import monotonic, sleep
 from typing import Final
-from unittest import TestCase
 
 from msgspec import json, msgpack
 from msgspec.structs import replace
@@ -24,14 +23,12 @@
     HEARTBEAT_PORT,
     METRICS_PORT,
     PEERS_PORT,
-    READY_PORT,
     FleetSettings,
     PlatformFleet,
 )
 from standins.platform_upstream import PlatformUpstream, UpstreamFaults
-from standins.store import StoreStandIn
+from tests.node_process_case import TIMEOUT_S, NodeProcessCase
 
-TIMEOUT_S: Final = 30.0
 APPLY_S: Final = 3.0
 """Bound on the time from the store's acknowledgement of a configuration to its activation."""
 DRAIN_S: Final = 3.0
@@ -44,14 +41,12 @@
 smallest VMs, which have 152 MB."""
 
 
-class NodeContractTest(TestCase):
-    """Two nodes in one failure domain, a service with two upstreams, and a remote one."""
+class NodeContractTest(NodeProcessCase):
+    """Two nodes in one failure domain, and a service with two upstreams."""
 
     def setUp(self) -> None:
+        super().setUp()
         self.requests = 0
-        self.store = StoreStandIn()
-        self.store.start()
-        self.addCleanup(self.store.stop)
         self.upstreams = [PlatformUpstream(f"u-{n}", "s", "127.0.0.1", "p") for n in range(2)]
         for upstream in self.upstreams:
             upstream.start()
@@ -62,7 +57,7 @@
         self.fleet = PlatformFleet(shape, ["p", "p"])
         self.addCleanup(self.fleet.close)
         self.fleet.start()
-        self.until(lambda: all(self.get(n, READY_PORT, "/readiness") == 200 for n in (0, 1)))
+        self.until(lambda: all(self.ready(node) for node in self.fleet.nodes))
 
     def register(self, upstream: PlatformUpstream, state: str = "ready") -> None:
         record = upstream.record(state=state)
@@ -75,27 +70,6 @@
         config = {"version": version, "routes": [route, once]}
         self.store.put("op/config", json.encode(config))
 
-    def until(self, condition: object, limit: float = TIMEOUT_S) -> None:
-        assert callable(condition)
-        end = monotonic() + limit
-        while not condition():
-            self.assertLess(monotonic(), end, "the condition did not hold in time")
-            sleep(0.02)
-
-    def get(self, node: int, port: int, path: str) -> int:
-        return self.fetch(node, port, path)[0]
-
-    def fetch(self, node: int, port: int, path: str) -> tuple[int, bytes]:
-        conn = HTTPConnection(self.fleet.nodes[node].host, port, timeout=TIMEOUT_S)
-        try:
-            conn.request("GET", path)
-            reply = conn.getresponse()
-            return reply.status, reply.read()
-        except OSError:
-            return 0, b""
-        finally:
-            conn.close()
-
     def ask(self, conn: HTTPConnection, path: str = "/r/1") -> int:
         """Sends a request; returns the status of the answer, 0 if there is none."""
         self.requests += 1
@@ -129,7 +103,7 @@
 
     def has_version(self, version: int) -> bool:
         text = b"config_version %d" % version
-        return all(text in self.fetch(node, METRICS_PORT, "/metrics")[1] for node in (0, 1))
+        return all(text in self.get(node, METRICS_PORT, "/metrics")[1] for node in self.fleet.nodes)
 
     def test_restored_store(self) -> None:
         conn = self.connect()
@@ -246,7 +220,7 @@
             self.assertEqual(self.post(0, PARTS_PATH, body), 400, fields)
         self.assertEqual(self.post(0, PARTS_PATH, b"\xff" * 100), 400)
         for path in ("/v1/changes?after=x&era=y", "/v1/changes?after=9&era=99999999", "/v1/none"):
-            self.fetch(0, PEERS_PORT, path)
+            self.get(self.fleet.nodes[0], PEERS_PORT, path)
         statuses = self.load(2.0, conn)
         self.assertGreater(statuses.count(200), 0.95 * len(statuses))
         running = [
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -262,14 +262,19 @@
         late = [name for name, member in fleet.nodes.items() if member.version < version]
         self.assertEqual(late, [], f"seed {seed}: version {version} is not active on every node")
 
+    def make_fleet(self, seed: int) -> Fleet:
+        """Returns a fleet on which version 20 is active and was written three seconds ago."""
+        fleet = Fleet(seed)
+        fleet.era = 1
+        fleet.run(START_S + 0.1 * (seed % 9))
+        fleet.write_configuration(20)
+        fleet.run(MAX_APPLY_S)
+        self.check(fleet, 20, seed)
+        return fleet
+
     def test_next_configuration_reaches_every_node(self) -> None:
         for seed in range(20):
-            fleet = Fleet(seed)
-            fleet.era = 1
-            fleet.run(START_S + 0.1 * (seed % 9))
-            fleet.write_configuration(20)
-            fleet.run(MAX_APPLY_S)
-            self.check(fleet, 20, seed)
+            fleet = self.make_fleet(seed)
             fleet.restore(seconds=5.0)
             fleet.run(0.07 * seed)
             fleet.write_configuration(30)
@@ -278,11 +283,7 @@
 
     def test_outage_before_the_restoration_and_a_second_restoration(self) -> None:
         for seed in range(20):
-            fleet = Fleet(seed)
-            fleet.era = 1
-            fleet.run(START_S)
-            fleet.write_configuration(20)
-            fleet.run(MAX_APPLY_S)
+            fleet = self.make_fleet(seed)
             fleet.unresponsive_for = frozenset(fleet.nodes)
             fleet.run(1.0 + 0.05 * seed)
             fleet.restore(seconds=6.0)
@@ -296,11 +297,7 @@
 
     def test_store_reader_that_dies_does_not_delay_the_others(self) -> None:
         for seed in range(20):
-            fleet = Fleet(seed)
-            fleet.era = 1
-            fleet.run(START_S)
-            fleet.write_configuration(20)
-            fleet.run(MAX_APPLY_S)
+            fleet = self.make_fleet(seed)
             fleet.restore(seconds=5.0)
             fleet.unresponsive_for = frozenset({"p3"})
             fleet.run(0.1 * seed)
@@ -310,11 +307,7 @@
 
     def test_node_that_starts_on_the_copy_takes_the_configuration_from_a_peer(self) -> None:
         for seed in range(20):
-            fleet = Fleet(seed)
-            fleet.era = 1
-            fleet.run(START_S)
-            fleet.write_configuration(20)
-            fleet.run(MAX_APPLY_S)
+            fleet = self.make_fleet(seed)
             fleet.restore(seconds=5.0)
             fleet.run(1.0)
             fleet.restart("p1")
