Keep the first state of a node until there is a better one; read state in one series

Cause, found by reading the change: a node whose first state could not be followed by its changes because the history was compacted or the store restored dropped that state at once, and had none if the exact read failed too. An error while older state was applied came after the next read was scheduled and scheduled another, so that the feed read twice as often from then on.

Change: the first state is kept until a full read or applied when a read fails; a read that is scheduled replaces the one before.

--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -26,7 +26,7 @@
 from sequoiapulley.forward.store_position import NO_ERA, NO_POSITION
 from sequoiapulley.ids import Era
 from sequoiapulley.observe.log_event import LogSink
-from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.runtime import TimerHandle, TimerQueue
 
 INITIAL_RETRY_S: Final = 0.05
 MAX_RETRY_S: Final = 0.6
@@ -116,11 +116,13 @@
         self._needs_full_read = True
         self._exact = False
         self._held: ChangeSet | None = None
-        """First full state, which may be stale, until the changes since then have been read. Until
-        then it might bring an upstream back into use that left before this process started."""
+        """First full state, which may be stale, until the changes since then or an exact full state
+        have been read. Until then it might bring an upstream back into use that left before this
+        process started."""
         self._restored_era = NO_ERA
         """Latest era that began by a restoration, 0 if there was none; earlier state is ignored."""
         self._read_started_at = 0.0
+        self._next_read: TimerHandle | None = None
         self._plan: ReadPlan | None = None
         self._stopped = False
 
@@ -244,7 +246,6 @@
     def _read_restored(self, era: Era, now: float) -> None:
         """Reads the full state of a restored store at once, without the stale one before it."""
         self._log_restoration(era)
-        self._held = None
         self._needs_full_read = True
         self._exact = True
         self._schedule_read(now)
@@ -292,7 +293,6 @@
             # A stale full state could have a revision whose history is compacted as well.
             self._needs_full_read = True
             self._exact = True
-            self._held = None
             if compacted:
                 self._schedule_read(now)
                 return
@@ -324,4 +324,6 @@
 
     def _schedule_read(self, due: float) -> None:
         """Schedules the next read at a clock reading, or at once if that has passed."""
-        self._timers.call_at(due, self._read)
+        if self._next_read is not None:
+            self._next_read.cancel()
+        self._next_read = self._timers.call_at(due, self._read)
--- a/tests/test_state_feed.py
+++ b/tests/test_state_feed.py
@@ -95,6 +95,22 @@
         self.store.reply(unavailable())
         self.assertEqual([found.revision for found, _ in self.taken], [7])
 
+    def test_first_state_is_applied_if_no_full_state_can_be_read_either(self) -> None:
+        """The store loses its history and goes away while a process starts."""
+        self.start_with(7)
+        self.store.reply(history_compacted())
+        self.run_for(0.05)
+        self.assertEqual((self.store.asked[-1], self.taken), ("exact", []))
+        self.store.reply(unavailable())
+        self.assertEqual([found.revision for found, _ in self.taken], [7])
+
+    def test_first_state_is_applied_if_the_store_is_being_restored(self) -> None:
+        self.start_with(7)
+        self.store.reply(unavailable(era=1))
+        self.assertEqual([found.revision for found, _ in self.taken], [7])
+        self.run_for(1.0)
+        self.assertEqual(self.store.asked[-1], "exact")
+
     def test_first_state_is_dropped_if_the_history_since_then_is_compacted(self) -> None:
         self.start_with(7)
         self.store.reply(history_compacted())
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -10,7 +10,7 @@
 
 from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.log_events import UNEXPECTED_ERROR
-from sequoiapulley.forward.state import ChangeSet
+from sequoiapulley.forward.state import ChangeSet, TableChange
 from sequoiapulley.forward.state_feed import ReadPlan, StateFeed
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, SystemClock, TimerQueue
@@ -18,7 +18,7 @@
 from sequoiapulley.wire.reactor import READABLE, Reactor
 from sequoiapulley.wire.reactor_component import ReactorComponent
 from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
-from tests.state_fixtures import ScriptedSource, changes, read
+from tests.state_fixtures import ScriptedSource, changes, read, table
 
 
 class FailingHandler:
@@ -142,6 +142,36 @@
         self.assertEqual(([found.revision for found in taken], len(errors)), ([7, 9], 1))
 
 
+class FeedSeriesTest(TestCase):
+    """Reads follow one another in one series, whatever fails."""
+
+    def test_error_after_the_next_read_was_scheduled_starts_no_second_series(self) -> None:
+        clock = PausedClock()
+        timers = TimerQueue(clock, lambda _exc: None)
+        source = ScriptedSource()
+
+        def fail(found: ChangeSet, _after_outage: bool) -> None:
+            if found.changes:
+                raise KeyError("unexpected")
+
+        feed = StateFeed(
+            lambda _failures: ReadPlan(source, True, 2.0, 1.0), timers, MemoryLog(), Random(1), fail
+        )
+        feed.start()
+        source.reply(read(changes(7, whole=True, era=2)))
+        timers.run_due()
+        source.reply(read(changes(7, era=2)))
+        clock.advance(2.0)
+        timers.run_due()
+        old = changes(9, TableChange(table(3)), whole=True, era=1)
+        with self.assertRaises(KeyError):
+            source.reply(read(old))
+        for _ in range(40):
+            clock.advance(0.05)
+            timers.run_due()
+        self.assertEqual(len(source.asked), 4)
+
+
 class ReactorComponentTest(TestCase):
     """Errors under the circuits manager of `sequoiapulleyd`."""
 
