Keep a requested pause when the upstream's entry lapses and returns

Cause, found by reading the change: a removed upstream that registers again gets new state on the node, and the pause of the same process was lost with the old one.

Change: the directory keeps the pauses of removed upstreams until their end. The test failed before.

--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -50,6 +50,8 @@
         self._configs: dict[ServiceName, ServiceConfig] = {}
         self._nodes = 1
         self._departures = Departures()
+        self._removed_in_pause: dict[UpstreamName, Upstream] = {}
+        """Upstreams that were removed while they paused; the same process may register again."""
         self._announced: list[Upstream] = []
         """Upstreams that announced their shutdown in a reply to this node, oldest first."""
         self.era: Era = NO_ERA
@@ -154,6 +156,8 @@
         if upstream is None:
             return False
         upstream.retired = True
+        if upstream.paused_until > self._clock.now():
+            self._removed_in_pause[name] = upstream
         upstream.pool.close_idle()
         peers = self._by_service.get(upstream.record.service, [])
         if upstream in peers:
@@ -236,6 +240,9 @@
 
     def sweep(self, now: float) -> None:
         """Closes connections that were idle, or still connecting, for too long."""
+        for name, removed in tuple(self._removed_in_pause.items()):
+            if removed.paused_until <= now:
+                del self._removed_in_pause[name]
         for upstream in self._upstreams.values():
             upstream.pool.sweep(now)
 
@@ -244,6 +251,9 @@
         pool = self._make_pool(record)
         pool.connection_limit = self._connection_limit(record.service)
         upstream = Upstream(record, pool, self._clock.now())
+        earlier = self._removed_in_pause.pop(record.name, None)
+        if earlier is not None and earlier.record.started_ms == record.started_ms:
+            upstream.paused_until = earlier.paused_until
         self._upstreams[record.name] = upstream
         self._by_service.setdefault(record.service, []).append(upstream)
 
--- a/tests/test_upstream_pauses.py
+++ b/tests/test_upstream_pauses.py
@@ -8,6 +8,8 @@
 
 from unittest import TestCase
 
+from msgspec.structs import replace
+
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.learning import MAX_PAUSE_S
 from sequoiapulley.forward.log_events import PAUSE_BOUNDED, UPSTREAM_PAUSED
@@ -143,6 +145,28 @@
         self.assertGreaterEqual(events.count(UPSTREAM_PAUSED), 1)
 
 
+class PauseOfRemovedUpstreamTest(TestCase):
+    """The entry of an upstream lapses and returns while the upstream pauses."""
+
+    def test_pause_holds_for_the_same_process_only(self) -> None:
+        net = SimulatedNet(lambda *_args: (0.001, turned_away(PAUSE_S)))
+        net.add("a", "s")
+        net.apply(plain_route("s"))
+        net.ask("/p/1")
+        net.run(0.5)
+        record = net.pools[UpstreamName("a")].record
+        net.directory.remove(record.name)
+        net.directory.put(record)
+        self.assertEqual(net.directory.candidates(ServiceName("s")), [])
+        self.assertAlmostEqual(net.directory.pause_left(ServiceName("s")), PAUSE_S - 0.5, delta=0.1)
+        net.directory.put(replace(record, started_ms=record.started_ms + 1))
+        self.assertEqual(len(net.directory.candidates(ServiceName("s"))), 1)
+        net.directory.remove(record.name)
+        net.run(PAUSE_S)
+        net.directory.put(record)
+        self.assertEqual(len(net.directory.candidates(ServiceName("s"))), 1)
+
+
 class PausedShardsTest(TestCase):
     """A gather over eight shards that needs six of them."""
 
