Carry each announced shutdown once in heartbeats

Cause, found by reading the change: each reply of an upstream that announces its shutdown added it to the news of the heartbeats again, so that the last upstreams of a service, which go on serving, filled the 16 places. The test failed before.

--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -53,8 +53,7 @@
         upstream.address_reassigned = True
         name = upstream.record.name
         ctx.log.log(UPSTREAM_LEAVES, upstream=name, cause="address used by another upstream")
-    if reply.leaving:
-        record_leaving(ctx, upstream, "announced in a reply")
+    if reply.leaving and record_leaving(ctx, upstream, "announced in a reply"):
         ctx.directory.announce_leaving(upstream)
     if reply.pause is not None:
         _record_pause(ctx, upstream, reply.pause, now)
@@ -87,8 +86,8 @@
     upstream.record_latency(_processing_ratio(ctx, route, upstream, now - exchange.sent_at), now)
 
 
-def record_leaving(ctx: ForwardContext, upstream: Upstream, cause: str) -> None:
-    """Takes an upstream that announced its shutdown out of use.
+def record_leaving(ctx: ForwardContext, upstream: Upstream, cause: str) -> bool:
+    """Takes an upstream that announced its shutdown out of use; returns whether that was unknown.
 
     Args:
         ctx: Shared components of the node.
@@ -96,10 +95,11 @@
         cause: How this node learned of it, for the log.
     """
     if not ctx.directory.mark_leaving(upstream):
-        return
+        return False
     ctx.tally.leaving_upstreams += 1
     record = upstream.record
     ctx.log.log(UPSTREAM_LEAVES, upstream=record.name, service=record.service, cause=cause)
+    return True
 
 
 def _record_pause(ctx: ForwardContext, upstream: Upstream, pause: PauseRequest, now: float) -> None:
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -144,6 +144,15 @@
         self.assertEqual(self.arrivals("a"), 1, "the new process has a pool of its own")
         self.assertEqual(len(self.net.directory.candidates(ServiceName("s"))), 2)
 
+    def test_news_names_each_upstream_once(self) -> None:
+        """The last upstreams of a service go on serving, each reply with the announcement."""
+        self.leaving.add("b")
+        for _ in range(2 * MAX_NEWS):
+            self.net.ask("/p/1")
+            self.net.run(0.02)
+        news = [str(record.name) for record in self.net.directory.announced_leaving()]
+        self.assertEqual(sorted(news), ["a", "b"])
+
     def test_news_for_heartbeats_is_bounded_in_time_and_number(self) -> None:
         for number in range(MAX_NEWS + 4):
             self.leaving.add(f"u{number}")
