Say why a reply was refused, with its figures

Cause: the parser's reason for a malformed or oversized reply was dropped; logs said only malformed.

Change: connections keep it, SP2504 has it as detail, and errors of calls name it. Sizes are given with the limit that they exceed.

--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -109,6 +109,8 @@
     """Whether the upstream announced that it is about to shut down."""
     pause: PauseRequest | None = None
     """Pause that the upstream requested when it turned the request away."""
+    detail: str = ""
+    """Why a reply was refused as malformed, for the log; empty if it was not."""
 
 
 ExchangeCallback = Callable[[ExchangeReply], None]
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -278,6 +278,7 @@
             upstream=sent_try.upstream.record.name,
             end=reply.end.value,
             status=reply.reply.status if reply.reply is not None else 0,
+            detail=reply.detail,
             sends=self._sends,
         )
         self._try_again(now)
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -175,7 +175,7 @@
         connecting = conn.replies == 0 and conn.sent_at == conn.opened_at
         self._remove_connection(conn)
         if isinstance(exchange, Exchange):
-            exchange.finish(ExchangeReply(_exchange_end(conn, reason)))
+            exchange.finish(ExchangeReply(_exchange_end(conn, reason), detail=conn.failure))
         elif reason is CloseReason.CONNECT_FAILED and connecting:
             self._connecting -= 1
             self._fail_waiting()
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -232,7 +232,7 @@
             exchange = server.waiting.popleft()
         if exchange is not None:
             kind = _FAILURE_KINDS[reason]
-            detail = f"{host}:{port}: {reason.value}"
+            detail = f"{host}:{port}: {conn.failure or reason.value}"
             exchange.finish(Err(HttpFailure(kind, conn.any_bytes_sent, detail)))
         self._dispatch(server, host, port)
 
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -110,6 +110,7 @@
         "_unframed",
         "_unsent",
         "any_bytes_sent",
+        "failure",
         "last_used",
         "opened_at",
         "replies",
@@ -154,6 +155,8 @@
         """Clock reading when the current or last exchange began, in seconds."""
         self.last_used = self.opened_at
         """Clock reading of the last reply or, before the first one, of the connect, in seconds."""
+        self.failure = ""
+        """Why the last reply was refused; empty if none was."""
         self.tag: object = None
         """Reference that belongs to the owner; the connection does not use it."""
         self._sock = _open_socket(host, port)
@@ -270,6 +273,7 @@
         try:
             reply = self._parser.feed(data)
         except ReplyError as exc:
+            self.failure = str(exc)
             self._fail(CloseReason.TOO_LARGE if exc.too_large else CloseReason.MALFORMED)
             return
         if reply is None:
--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -141,7 +141,8 @@
                 self._message_bytes
                 > self._max_header_bytes + MAX_BYTES_PER_BODY_BYTE * self._body_bytes
             ):
-                raise ReplyError("the headers exceed their size limit", too_large=True)
+                detail = f"headers of {self._message_bytes} bytes or more exceed their limit"
+                raise ReplyError(detail, too_large=True)
             return None
         self._done = None
         self._message_bytes = 0
@@ -195,17 +196,20 @@
             elif name == b"content-length":
                 self._unframed = False
                 if value.isdigit() and int(value[:MAX_LENGTH_DIGITS]) > self._max_body_bytes:
-                    self._refuse(f"a body of {value.decode()} of {self._max_body_bytes} bytes")
+                    size = value[:MAX_LENGTH_DIGITS].decode()
+                    self._refuse(f"a body of {size} bytes exceeds {self._max_body_bytes} bytes")
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
-            self._refuse(f"the body exceeds {self._max_body_bytes} bytes")
+            size = self._body_bytes
+            self._refuse(f"{size} bytes of a body exceed {self._max_body_bytes} bytes")
         if self._budget is not None and self._body_bytes > SMALL_BODY_BYTES:
             wanted = self._body_bytes - self._budget_taken
             if not self._budget.take(wanted):
-                self._refuse(f"no memory for a body of {self._body_bytes} bytes or more")
+                used = self._budget.used
+                self._refuse(f"{wanted} bytes of a body exceed the budget, {used} bytes are in use")
             self._budget_taken += wanted
         if not self._body:
             self._body = body
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -262,3 +262,5 @@
         for upstream in self.upstreams:
             upstream.faults = UpstreamFaults()
         self.until(lambda: self.ask(conn) == 200)
+        log = self.fleet.nodes[0].log.read_bytes()
+        self.assertIn(b"a body of 1000000000000 bytes exceeds 1048576 bytes", log)
