--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -204,6 +204,27 @@
         "if position.revision < self._complete_after:",
         ("test_store_restore",),
     ),
+    Break(
+        6,
+        "forward/shared_state.py",
+        "        returned = change.returned\n",
+        "        returned = False\n",
+        ("test_shared_state",),
+    ),
+    Break(
+        8,
+        "forward/shared_state.py",
+        "        if changes.whole:\n            self._change_log.restart(changes.position)\n",
+        "",
+        ("test_shared_state", "test_store_restore"),
+    ),
+    Break(
+        6,
+        "forward/state_feed.py",
+        "        if changes.whole and plan.is_store and self.position == NO_POSITION:\n",
+        "        if False:\n",
+        ("test_state_feed",),
+    ),
     Break(
         6,
         "forward/departures.py",
