--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -138,6 +138,59 @@
         self.assertEqual(self.in_time(answers), 1.0)
         self.assertLess(max(a[0][0] for a in answers), 0.08)
 
+    def test_upstreams_flap(self) -> None:
+        """The first upstream of every third shard goes down and up by turns, half a second each."""
+
+        def pattern(pool: SimulatedUpstream, now: float) -> Outcome:
+            number = list(pool.net.pools).index(pool.record.name)
+            if number % 6 == 0 and int(now * 2) % 2:
+                return 0.0, ended(ExchangeEnd.NOT_SENT)
+            return self.processing_time(pool.net), success(b"", _seal(pool))
+
+        _, answers = self.run_load(pattern)
+        self.assertGreater(self.in_time(answers), 0.99)
+        self.assertGreater(self.coverage(answers), 0.99)
+
+    def test_upstreams_drop_idle_connections(self) -> None:
+        """A tenth of all requests meet a connection that the upstream has just closed."""
+
+        def pattern(pool: SimulatedUpstream, _now: float) -> Outcome:
+            if pool.net.random.random() < 0.1:
+                return 0.0, ended(ExchangeEnd.LOST)
+            return self.processing_time(pool.net), success(b"", _seal(pool))
+
+        net, answers = self.run_load(pattern)
+        self.assertGreater(self.in_time(answers), 0.99)
+        self.assertGreater(self.coverage(answers), 0.99)
+        self.assertLess(max(net.retries(f"shard-{n}") for n in range(SHARDS)), 0.2 * 200 + 30)
+
+    def test_whole_services_hang_for_a_while(self) -> None:
+        """Both upstreams of four of twenty shards take two seconds for a reply, from 3 s to 5 s."""
+        hanging = {"shard-2", "shard-7", "shard-11", "shard-16"}
+
+        def pattern(pool: SimulatedUpstream, now: float) -> Outcome:
+            if pool.record.service in hanging and 1_003.0 <= now < 1_005.0:
+                return 2.0, success(b"", _seal(pool))
+            return self.processing_time(pool.net), success(b"", _seal(pool))
+
+        _, answers = self.run_load(pattern)
+        self.assertGreater(self.in_time(answers), 0.99)
+        self.assertTrue(all(a[0][1].status == 200 for a in answers))
+        self.assertGreater(self.coverage(answers[-60:]), 0.99, "the shards were not used again")
+
+    def test_upstreams_fail_while_their_entries_say_that_they_are_ready(self) -> None:
+        """Two in five replies of every fourth upstream are errors; no other sign tells of it."""
+
+        def pattern(pool: SimulatedUpstream, _now: float) -> Outcome:
+            number = list(pool.net.pools).index(pool.record.name)
+            if number % 4 == 0 and pool.net.random.random() < 0.4:
+                return self.processing_time(pool.net), success(b"", status=500)
+            return self.processing_time(pool.net), success(b"", _seal(pool))
+
+        _, answers = self.run_load(pattern)
+        self.assertGreater(self.in_time(answers), 0.99)
+        self.assertGreater(self.coverage(answers), 0.99)
+
     def test_refused_requests_are_repeated_within_the_quota(self) -> None:
         """Every upstream refuses half of its requests; the quota allows a fifth as retries."""
 
