Keep a later departure when a restored store lists an older drain

Cause, found by reading the change: a draining entry in a restored copy, written by an earlier process or after an earlier report, replaced what the process knew of a later departure. The upstream that had left could then be used again.

Change: Departures.record keeps the departure it knows when the new record precedes it. The test lists both forms of an older entry; before the change it failed in both with ['a', 'b'] != ['b'].

--- a/src/sequoiapulley/forward/departures.py
+++ b/src/sequoiapulley/forward/departures.py
@@ -38,7 +38,7 @@
         return len(self._departures)
 
     def record(self, upstream: UpstreamRecord, era: Era, announced: bool, now: float) -> None:
-        """Records that an upstream has left.
+        """Records that an upstream has left, unless a later departure of it is known.
 
         Args:
             upstream: Its last known record.
@@ -46,7 +46,10 @@
             announced: Whether the upstream itself announced it in a reply.
             now: Clock reading in seconds.
         """
-        known = self._departures.pop(upstream.name, None)
+        known = self._departures.get(upstream.name)
+        if known is not None and _precedes(upstream, era, known):
+            return
+        self._departures.pop(upstream.name, None)
         if known is not None and known.started_ms == upstream.started_ms:
             announced = announced or known.announced
         self._departures[upstream.name] = _Departure(
@@ -85,3 +88,13 @@
             if now - left.at < MEMORY_S:
                 return
             del self._departures[name]
+
+
+def _precedes(upstream: UpstreamRecord, era: Era, left: _Departure) -> bool:
+    """Returns whether a record of an upstream that leaves is older than a known departure.
+
+    A restored store may list an earlier process of the upstream, or an earlier report.
+    """
+    if upstream.started_ms != left.started_ms:
+        return upstream.started_ms < left.started_ms
+    return era > left.era and upstream.report_number < left.report_number
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -210,6 +210,20 @@
         self.apply(106, upstream_change("a", report=10))
         self.assertEqual(self.usable(), ["a", "b"], "a later report of the same process is ignored")
 
+    def test_older_drain_in_the_copy_does_not_hide_a_later_departure(self) -> None:
+        """The copy has the drain of an earlier process, or an earlier one of the same process."""
+        for start, report in ((1, 20), (2, 5)):
+            with self.subTest(start=start, report=report):
+                self.setUp()
+                self.apply(111, upstream_change("a", start=2, report=10), era=1)
+                self.apply(112, removal("a"), era=1)
+                drained = upstream_change("a", start=start, draining=True, report=report)
+                self.apply(105, drained, upstream_change("b"), whole=True)
+                self.apply(106, upstream_change("a", start=2, report=9))
+                self.assertEqual(self.usable(), ["b"])
+                self.apply(107, upstream_change("a", start=3, report=1))
+                self.assertEqual(self.usable(), ["a", "b"])
+
     def test_drain_within_an_era_may_be_withdrawn(self) -> None:
         self.apply(111, upstream_change("a", draining=True, report=10), era=1)
         self.apply(112, upstream_change("a", report=10), era=1)
