Log how large state replies are and how much of a late one arrived

The logs could not tell a link that is full of state replies from reads that are cut off while the reply arrives: neither the sizes of replies to peers nor the part of a reply that had arrived were recorded, and SP2533 was defined but never logged.

Change, none of logic: SP2534 and two counters give replies and bytes to peers, SP2533 is logged for a failed read of a peer, and a timeout says "got 812 of 4096 bytes within 1.0 s".

--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -13,6 +13,8 @@
     PEERS_READY,
     REPEATS,
     STATE_AGE,
+    STATE_REPLIES,
+    STATE_REPLY_BYTES,
     STORE_ERA,
     UPSTREAM_CONNECTIONS,
     UPSTREAM_PAUSES,
@@ -70,10 +72,12 @@
             (UPSTREAM_TRIES, self._tally.ends),
             (REPEATS, self._tally.repeats),
             (PARTS_REQUESTS, self._tally.delegated),
+            (STATE_REPLIES, self._tally.state_replies),
         ):
             for label, count in counts.items():
                 self._metrics.set_total(metric, count, label)
         self._metrics.set_total(PARTS_LACKING, self._tally.parts_lacking)
+        self._metrics.set_total(STATE_REPLY_BYTES, self._tally.state_reply_bytes)
         self._metrics.set_total(UPSTREAM_PAUSES, self._tally.pauses)
         self._metrics.set_total(UPSTREAMS_LEAVING, self._tally.leaving_upstreams)
         for route, seconds in self._tally.drain_latencies():
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -194,7 +194,12 @@
         self._feed = StateFeed(self._sources, self._timers, log, self._random, self._apply_changes)
         self._registration = Registration(store, self._timers, self._random, self._local_node)
         self._peer_port = PeerPort(
-            changes, self._timers, self._shared_state.full_state, lambda: self._feed.age
+            changes,
+            self._timers,
+            self._shared_state.full_state,
+            lambda: self._feed.age,
+            self._tally,
+            log,
         )
         self._parts_port = PartsPort(ctx)
         self._heartbeat_port = HeartbeatPort(
--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -12,6 +12,7 @@
 from result import Err, Ok
 
 from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.log_events import STATE_SENT
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.state import (
     ChangeSet,
@@ -20,7 +21,9 @@
     SourceErrorKind,
 )
 from sequoiapulley.forward.store_position import NO_ERA, NO_POSITION, StorePosition
+from sequoiapulley.forward.tally import Tally
 from sequoiapulley.ids import Era, Revision
+from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.runtime import TimerQueue
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
 from sequoiapulley.wire.server_connection import ServerRequest
@@ -33,6 +36,9 @@
 or another peer; a request for the full state is still answered. The age is almost twice the read
 interval of the store reader, and leaves time for a read of the store within the bound on applying a
 configuration."""
+LARGE_REPLY_BYTES: Final = 65_536
+"""Size of replies sent at a time from which they are logged; upstreams that come and go make less
+than a tenth of it."""
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_UNAVAILABLE: Final = 503
@@ -117,6 +123,8 @@
         timers: TimerQueue,
         full_state: Callable[[float], ChangeSet],
         age: Callable[[], float],
+        tally: Tally,
+        log: LogSink,
     ) -> None:
         """Initialise without waiting requests.
 
@@ -125,11 +133,15 @@
             timers: Timers of the event loop.
             full_state: Returns the full state, marked with the given age in seconds.
             age: Returns the age of this node's state in seconds.
+            tally: Counts the replies and their bytes.
+            log: Receives an event when large replies are sent.
         """
         self._changes = changes
         self._timers = timers
         self._full_state = full_state
         self._age = age
+        self._tally = tally
+        self._log = log
         self._waiters: list[_Waiter] = []
 
     def serve(self, req: ServerRequest) -> None:
@@ -148,7 +160,7 @@
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return
         if after < position or position == NO_POSITION:
-            self._answer(req, after)
+            self._log_sent([self._answer(req, after)])
             return
         wait = min(MAX_WAIT_S, _parse_number(fields.get("wait_ms")) / 1000)
         waiter = _Waiter(req, after)
@@ -158,36 +170,51 @@
     def wake(self) -> None:
         """Answers the waiting requests for which there are changes now."""
         waiting, self._waiters = self._waiters, []
+        sizes: list[int] = []
         for waiter in waiting:
             if waiter.after < self._changes.position:
-                self._answer(waiter.req, waiter.after)
+                sizes.append(self._answer(waiter.req, waiter.after))
             else:
                 self._waiters.append(waiter)
+        self._log_sent(sizes)
 
     def _end_wait(self, waiter: _Waiter) -> None:
         """Answers a request whose wait has ended, without changes."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
-            self._answer(waiter.req, waiter.after)
+            self._log_sent([self._answer(waiter.req, waiter.after)])
 
-    def _answer(self, req: ServerRequest, after: StorePosition) -> None:
+    def _log_sent(self, sizes: list[int]) -> None:
+        """Logs the sizes of replies that were sent together, if they are large."""
+        if sum(sizes) >= LARGE_REPLY_BYTES:
+            self._log.log(STATE_SENT, replies=len(sizes), bytes=sum(sizes))
+
+    def _answer(self, req: ServerRequest, after: StorePosition) -> int:
         """Sends the changes after a position, or the full state if some are no longer logged.
 
         Refuses if this node has no state, or if its state is stale and the peer asks for changes
         only.
+
+        Returns:
+            The size of the reply's body.
         """
         age = self._age()
         position = self._changes.position
         wants_full_state = after.revision == NO_POSITION.revision
         if position == NO_POSITION or (age > MAX_STATE_AGE_S and not wants_full_state):
+            self._tally.state_replies["refused"] += 1
             req.answer(STATUS_UNAVAILABLE, (), b"")
-            return
+            return 0
         recent = self._changes.changes_after(after)
         if recent is None:
             changes = self._full_state(age)
         else:
             changes = ChangeSet(position.revision, recent, age=age, era=position.era)
-        req.answer(STATUS_OK, MSGPACK_HEADERS, encode(changes))
+        body = encode(changes)
+        self._tally.state_replies["full" if changes.whole else "changes"] += 1
+        self._tally.state_reply_bytes += len(body)
+        req.answer(STATUS_OK, MSGPACK_HEADERS, body)
+        return len(body)
 
 
 def _parse_number(values: list[str] | None) -> int:
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -215,9 +215,18 @@
     2533,
     "peer_state_failed",
     Severity.INFO,
-    "A peer with newer state did not return it; another one is read next.",
+    "A peer did not return its state; `error` says how much of it arrived. Another source is read "
+    "next.",
     "Check the network path between the two nodes if this event recurs.",
 )
+STATE_SENT: Final = define_event(
+    2534,
+    "state_sent",
+    Severity.INFO,
+    "This node sent its state to `replies` peers at a time, `bytes` in all; small replies are not "
+    "logged.",
+    "Divide `bytes` by the bandwidth of the VM's link for the time until all peers have it.",
+)
 NODE_STARTED: Final = define_event(
     2540, "forward_node_started", Severity.INFO, "The node accepts callers."
 )
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -50,6 +50,19 @@
     "`failed` counts failed nodes: see SP2507. `partial` indicates slow shards: see SP2506.",
     ("outcome",),
 )
+STATE_REPLIES: Final = define_metric(
+    "sequoiapulley_state_replies_total",
+    MetricKind.COUNTER,
+    "Replies to nodes that read this node's state: changes, the full state, or refused.",
+    "A rise of `full` or `refused` indicates nodes that lost their source of state: see SP2533.",
+    ("content",),
+)
+STATE_REPLY_BYTES: Final = define_metric(
+    "sequoiapulley_state_reply_bytes_total",
+    MetricKind.COUNTER,
+    "Bytes of the replies to nodes that read this node's state.",
+    "Compare its rate with the VM's link after a change of the configuration.",
+)
 UPSTREAM_PAUSES: Final = define_metric(
     "sequoiapulley_upstream_pauses_total",
     MetricKind.COUNTER,
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from sequoiapulley.forward.log_events import (
+    PEER_STATE_FAILED,
     STATE_OUTDATED,
     STORE_LOST,
     STORE_READ_WHOLE,
@@ -296,6 +297,8 @@
             if compacted:
                 self._schedule_read(now)
                 return
+        if not plan.is_store:
+            self._log.log(PEER_STATE_FAILED, error=error.detail, failures=self._failures + 1)
         if plan.is_store and self._store_lost_at is None:
             self._store_lost_at = now
             self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
--- a/src/sequoiapulley/forward/tally.py
+++ b/src/sequoiapulley/forward/tally.py
@@ -29,6 +29,10 @@
         """Total number of upstreams that announced their shutdown."""
         self.pauses = 0
         """Total number of pauses that upstreams requested."""
+        self.state_replies: Counter[str] = Counter()
+        """Replies to peers that read this node's state, by content."""
+        self.state_reply_bytes = 0
+        """Total size of the bodies of these replies."""
         self._latencies: deque[tuple[str, float]] = deque(maxlen=MAX_SAMPLES)
 
     def record_latency(self, route: str, seconds: float) -> None:
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -303,7 +303,8 @@
 
     def _expire(self, exchange: _Exchange) -> None:
         """Fails a call that has reached its timeout."""
-        detail = f"no reply within {exchange.call.timeout} s"
+        progress = exchange.conn.progress if exchange.conn is not None else "no reply"
+        detail = f"{progress} within {exchange.call.timeout} s"
         self._abort(exchange, HttpFailureKind.TIMEOUT, detail)
 
     def _abort(self, exchange: _Exchange, kind: HttpFailureKind, detail: str) -> None:
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -168,6 +168,11 @@
         """Whether a part of the expected reply has been received."""
         return self._parser.in_message
 
+    @property
+    def progress(self) -> str:
+        """Which part of the expected reply has been received, for error messages."""
+        return self._parser.progress if self._parser.in_message else "no reply"
+
     def send(self, data: bytes, accepts: Callable[[ParsedReply], bool] | None = None) -> None:
         """Sends a complete request on an idle connection.
 
--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -58,6 +58,7 @@
         "_budget",
         "_budget_taken",
         "_done",
+        "_expected_body_bytes",
         "_has_extra_data",
         "_has_unaccepted_reply",
         "_headers",
@@ -90,6 +91,7 @@
         self._too_large = ""
         """Which size limit the reply exceeds; empty if it exceeds none."""
         self._message_bytes = 0
+        self._expected_body_bytes: int | None = None
         self._has_extra_data = False
         self._done: ParsedReply | None = None
         self._accepts: Callable[[ParsedReply], bool] | None = None
@@ -111,6 +113,13 @@
         """Whether a reply has begun and is not complete."""
         return self._message_bytes > 0
 
+    @property
+    def progress(self) -> str:
+        """How much of the body has been received, for error messages."""
+        if self._expected_body_bytes is None:
+            return f"got {self._body_bytes} bytes of a reply without a length"
+        return f"got {self._body_bytes} of {self._expected_body_bytes} bytes"
+
     def feed(self, data: bytes) -> ParsedReply | None:
         """Parses received bytes.
 
@@ -195,8 +204,11 @@
                 self._unframed = False
             elif name == b"content-length":
                 self._unframed = False
-                if value.isdigit() and int(value[:MAX_LENGTH_DIGITS]) > self._max_body_bytes:
-                    size = value[:MAX_LENGTH_DIGITS].decode()
+                if not value.isdigit():
+                    continue
+                size = int(value[:MAX_LENGTH_DIGITS])
+                self._expected_body_bytes = size
+                if size > self._max_body_bytes:
                     self._refuse(f"a body of {size} bytes exceeds {self._max_body_bytes} bytes")
 
     def on_body(self, body: bytes) -> None:
@@ -239,6 +251,7 @@
             return
         body, self._body = bytes(self._body), b""
         self._body_bytes = 0
+        self._expected_body_bytes = None
         reply = ParsedReply(status, headers, body, self._parser.should_keep_alive())
         self._unframed = False
         if self._accepts is None or self._accepts(reply):
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -20,6 +20,7 @@
 from sequoiapulley.forward.state import ChangeSet, ChangesReply, NodeRecord, TableChange
 from sequoiapulley.forward.state_feed import StateFeed
 from sequoiapulley.forward.store_position import StorePosition
+from sequoiapulley.forward.tally import Tally
 from sequoiapulley.ids import ConfigVersion, Incarnation, Revision
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
@@ -109,7 +110,14 @@
         clock = fleet.timers.clock
         self.sources = FeedSourceSelector(store, fleet, self.peers, self, (), random, clock)
         self.feed = StateFeed(self.sources, fleet.timers, MemoryLog(), random, self.apply_changes)
-        self.port = PeerPort(self.log, fleet.timers, self.full_state, lambda: self.feed.age)
+        self.port = PeerPort(
+            self.log,
+            fleet.timers,
+            self.full_state,
+            lambda: self.feed.age,
+            Tally(),
+            MemoryLog(),
+        )
 
     def apply_changes(self, changes_read: ChangeSet, after_outage: bool) -> None:
         if changes_read.whole:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -61,6 +61,15 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    def test_timeout_states_how_much_of_the_reply_arrived(self) -> None:
+        self.call(timeout=1.0)
+        conn = self.server.accept()
+        self.loop.settle()
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n" + bytes(812))
+        self.loop.settle()
+        self.loop.advance(1.0)
+        self.assertIn("got 812 of 4096 bytes within 1.0 s", self.failure().detail)
+
     def test_preopened_connection_is_used(self) -> None:
         host, port = "127.0.0.1", self.server.port
         self.assertFalse(self.client.prepare(host, port))
--- a/tests/test_peer_source.py
+++ b/tests/test_peer_source.py
@@ -4,11 +4,19 @@
 
 from unittest import TestCase
 
-from sequoiapulley.daemon.peer_source import MAX_STATE_AGE_S, PeerPort, PeerSource
+from sequoiapulley.daemon.peer_source import (
+    LARGE_REPLY_BYTES,
+    MAX_STATE_AGE_S,
+    PeerPort,
+    PeerSource,
+)
 from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.log_events import STATE_SENT
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.state import ChangesReply, TableChange
+from sequoiapulley.forward.tally import Tally
 from sequoiapulley.ids import Revision
+from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.http_server import HttpServer
@@ -27,8 +35,15 @@
         self.full_state = changes(
             7, TableChange(table(3)), upstream_change("a"), removal("a", True), whole=True
         )
+        self.tally = Tally()
+        self.events = MemoryLog()
         self.port = PeerPort(
-            self.log, self.loop.timers, lambda _age: self.full_state, lambda: self.age
+            self.log,
+            self.loop.timers,
+            lambda _age: self.full_state,
+            lambda: self.age,
+            self.tally,
+            self.events,
         )
         server = HttpServer(
             self.loop.reactor, self.loop.timers, "127.0.0.1", 0, self.port.serve, ServerLimits()
@@ -82,6 +97,19 @@
         self.loop.settle()
         self.assertTrue(self.replies[0].is_ok())
 
+    def test_replies_are_counted_and_large_ones_logged(self) -> None:
+        self.read(5)
+        self.assertEqual(self.events.entries, [])
+        for number in range(LARGE_REPLY_BYTES // 100):
+            self.log.append(upstream_change(f"u-{number}"), Revision(8))
+        self.log.advance(position(8))
+        self.read(7)
+        self.assertEqual(self.tally.state_replies, {"full": 1, "changes": 1})
+        [(event, fields)] = self.events.entries
+        self.assertIs(event, STATE_SENT)
+        self.assertEqual(fields["replies"], 1)
+        self.assertGreaterEqual(fields["bytes"], LARGE_REPLY_BYTES)
+
     def test_node_without_state_refuses(self) -> None:
         self.log.position = position(0)
         self.source.read_all(False, 1.0, self.replies.append)
