--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from random import Random
 from types import SimpleNamespace
+from typing import Generic, TypeVar
 
 from msgspec.structs import replace
 from result import Err, Ok
@@ -15,8 +16,10 @@
 from sequoiapulley.forward.peer_table import (
     LOCAL_HEARTBEAT_INTERVAL_S,
     REMOTE_HEARTBEAT_INTERVAL_S,
+    Heartbeat,
     PeerTable,
 )
+from sequoiapulley.forward.route_table import RouteTable
 from sequoiapulley.forward.state import ChangeSet, ChangesReply, NodeRecord, TableChange
 from sequoiapulley.forward.state_feed import StateFeed
 from sequoiapulley.forward.store_position import StorePosition
@@ -31,12 +34,16 @@
     HttpReply,
     HttpResult,
 )
+from tests.narrow_link import NarrowLink
 from tests.state_fixtures import changes, heartbeat, history_compacted, node, table, unavailable
 
+HEARTBEAT_BYTES = 150
 REPLY_S = 0.004
 WRITES_PER_S = 20
 """Writes of upstreams to the store; because of them, a waiting read returns at once."""
 
+Reply = TypeVar("Reply")
+
 
 class FakeStore:
     """Implements `StateSource` for one node; all nodes read the same data."""
@@ -71,25 +78,52 @@
         if self.name in self.fleet.unresponsive_for:
             timers.call_later(timeout, lambda: done(unavailable()))
             return
-        timers.call_later(REPLY_S, lambda: done(read()))
+        transfer = FakeTransfer(timers, timeout, done, unavailable)
+        link = self.fleet.nodes[self.name].link_in
+
+        def send() -> None:
+            reply = read()
+            size = self.fleet.stored_size(reply.ok_value) if isinstance(reply, Ok) else 0
+            link.transfer(size, transfer.progress, lambda: transfer.finish(reply))
+
+        timers.call_later(REPLY_S, send)
+
+
+class FakeTransfer(Generic[Reply]):
+    """One reply on its way, which the reader gives up when its timeout ends."""
+
+    def __init__(
+        self,
+        timers: TimerQueue,
+        timeout: float,
+        done: Callable[[Reply], None],
+        timed_out: Callable[[], Reply],
+    ) -> None:
+        self._done: Callable[[Reply], None] | None = done
+        timers.call_later(timeout, lambda: self.finish(timed_out()))
+
+    def progress(self) -> None:
+        """A part of the reply has arrived; the timeout is that of the whole reply."""
+
+    def finish(self, reply: Reply) -> None:
+        done, self._done = self._done, None
+        if done is not None:
+            done(reply)
 
 
 class FakeRequest:
     """One request to a node's port."""
 
-    def __init__(self, path: str, done: Callable[[HttpResult], None]) -> None:
+    def __init__(self, path: str, server: FleetNode, transfer: FakeTransfer[HttpResult]) -> None:
         self.parsed = SimpleNamespace(target=path.encode())
-        self._done: Callable[[HttpResult], None] | None = done
+        self._server = server
+        self._transfer = transfer
 
     def answer(self, status: int, headers: object, body: bytes) -> None:
-        done, self._done = self._done, None
-        if done is not None:
-            done(Ok(HttpReply(status, [], body)))
-
-    def expire(self) -> None:
-        done, self._done = self._done, None
-        if done is not None:
-            done(Err(HttpFailure(HttpFailureKind.TIMEOUT, True, "no reply")))
+        reply = Ok(HttpReply(status, [], body))
+        self._server.link_out.transfer(
+            len(body), self._transfer.progress, lambda: self._transfer.finish(reply)
+        )
 
 
 class FleetNode:
@@ -100,8 +134,10 @@
 
     def __init__(self, fleet: Fleet, record: NodeRecord, random: Random) -> None:
         self.record = record
+        self.link_in = NarrowLink(fleet.timers, fleet.bytes_per_s)
+        self.link_out = NarrowLink(fleet.timers, fleet.bytes_per_s)
         self.version = ConfigVersion(0)
-        self.table = None
+        self.table: RouteTable | None = None
         self.applied: list[ConfigVersion] = []
         """Versions in the order in which they were read."""
         self.peers = PeerTable(record, MemoryLog())
@@ -124,23 +160,38 @@
             self.log.restart(changes_read.position)
         for change in changes_read.changes:
             self.log.append(change, changes_read.revision)
-            self.version = max(self.version, change.table.version)
+            if change.table.version > self.version:
+                self.version = change.table.version
+                self.table = change.table
             self.applied.append(change.table.version)
         self.log.advance(changes_read.position)
         self.sources.position = changes_read.position
         self.port.wake()
 
     def full_state(self, age: float) -> ChangeSet:
-        return changes(
-            self.log.position.revision, TableChange(table(self.version)), whole=True, age=age
-        )
+        assert self.table is not None
+        return changes(self.log.position.revision, TableChange(self.table), whole=True, age=age)
 
 
 class Fleet:
     """Nodes of two failure domains; also replaces the nodes' HTTP client."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, nodes_per_domain: int = 3, bytes_per_s: float = float("inf")
+    ) -> None:
+        """Starts the nodes.
+
+        Args:
+            seed: Seed of the nodes' jitter and start times.
+            nodes_per_domain: Number of nodes of each failure domain.
+            bytes_per_s: Bandwidth of each node's link, in each direction.
+        """
         self.timers = TimerQueue(PausedClock())
+        self.bytes_per_s = bytes_per_s
+        self.tables = {1: table(1)}
+        """Configurations by version."""
+        self.stored_bytes = {1: 0}
+        """Size of each configuration in the store's replies."""
         self.unresponsive_for: frozenset[str] = frozenset()
         self.versions = [(Revision(1), 1)]
         """Configuration versions in the store, each with the revision of its write."""
@@ -152,7 +203,7 @@
         self.nodes = {
             name: FleetNode(self, node(name, domain), random)
             for domain in ("p", "q")
-            for name in (f"{domain}1", f"{domain}2", f"{domain}3")
+            for name in (f"{domain}{number}" for number in range(1, nodes_per_domain + 1))
         }
         for fleet_node in self.nodes.values():
             self.timers.call_later(random.random(), fleet_node.feed.start)
@@ -175,8 +226,18 @@
         self.send_heartbeats(started, LOCAL_HEARTBEAT_INTERVAL_S, local=True)
         self.send_heartbeats(started, REMOTE_HEARTBEAT_INTERVAL_S, local=False)
 
-    def write_configuration(self, version: int) -> None:
-        """Writes a configuration version under the next revision."""
+    def write_configuration(
+        self, version: int, written: RouteTable | None = None, stored_bytes: int = 0
+    ) -> None:
+        """Writes a configuration version under the next revision.
+
+        Args:
+            version: Number of the version.
+            written: The configuration; None for one with a single route.
+            stored_bytes: Its size in the store's replies.
+        """
+        self.tables[version] = written or table(version)
+        self.stored_bytes[version] = stored_bytes
         self.versions.append((Revision(self.revision + 1), version))
 
     def restore(self, seconds: float) -> None:
@@ -187,31 +248,52 @@
 
     def full_state(self) -> ChangeSet:
         """Returns the store's full state."""
-        items = [TableChange(table(version)) for _, version in self.versions[-1:]]
+        items = [TableChange(self.tables[version]) for _, version in self.versions[-1:]]
         return changes(self.revision, *items, whole=True, era=self.era)
 
     def changes_after(self, after: Revision) -> ChangeSet:
         """Returns the store's changes after a revision."""
-        items = [TableChange(table(version)) for at, version in self.versions if at > after]
+        items = [
+            TableChange(self.tables[version]) for at, version in self.versions[-1:] if at > after
+        ]
         return changes(self.revision, *items, era=self.era)
 
+    def stored_size(self, found: ChangeSet) -> int:
+        """Returns the size of a reply of the store, which is that of its configurations."""
+        return sum(
+            self.stored_bytes[change.table.version]
+            for change in found.changes
+            if isinstance(change, TableChange)
+        )
+
     def send_heartbeats(self, sender: FleetNode, period: float, local: bool) -> None:
         """Sends heartbeats to the nodes of the same failure domain, or to those of others."""
         if self.nodes[sender.record.name] is not sender:
             return
-        now = self.timers.clock.now()
         position = sender.log.position
         message = heartbeat(sender.record, sender.version, position.revision, era=position.era)
         for other in self.nodes.values():
             if (other.record.failure_domain == sender.record.failure_domain) is local:
-                other.peers.record_heartbeat(message, now)
+                self._send_heartbeat(sender, other, message)
         self.timers.call_later(period, lambda: self.send_heartbeats(sender, period, local))
 
     def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
         """Sends a request to a node's port."""
-        req = FakeRequest(call.path, done)
-        self.timers.call_later(call.timeout, req.expire)
-        self.timers.call_later(REPLY_S, lambda: self.nodes[call.host].port.serve(req))
+        failure = HttpFailure(HttpFailureKind.TIMEOUT, True, "no reply")
+        transfer = FakeTransfer(self.timers, call.timeout, done, lambda: Err(failure))
+        server = self.nodes[call.host]
+        req = FakeRequest(call.path, server, transfer)
+        self.timers.call_later(REPLY_S, lambda: server.port.serve(req))
+
+    def _send_heartbeat(self, sender: FleetNode, other: FleetNode, message: Heartbeat) -> None:
+        """Sends a heartbeat behind what the sender's link has to carry already."""
+        if self.bytes_per_s == float("inf"):
+            other.peers.record_heartbeat(message, self.timers.clock.now())
+            return
+        sender.link_out.send(
+            HEARTBEAT_BYTES,
+            lambda: other.peers.record_heartbeat(message, self.timers.clock.now()),
+        )
 
     def run(self, seconds: float) -> None:
         """Advances the clock and runs the timers that become due."""
