Let a reply with state arrive although its timeout has passed

What callers saw: requests served by a configuration that had been replaced more than 5 s before.

Cause, the first of two: a read of the state had to be complete within 0.4 s, 0.9 s with its wait. A configuration of 2,850 routes takes 1.3 s on a link of 7 Mbit/s. The read was given up, the bytes were lost, and the node asked the next source for all of them again. While a reader received a configuration, it also refused its followers, as its state was older than 1.9 s; so all of them asked the store at the same moment.

Change: a call may have a second, longer timeout for a reply that keeps arriving. It still ends after 0.6 s without a byte, and after 3.2 s more in any case, so that bytes without end or a frozen server are given up. A node that is receiving newer state answers its followers until its own is 3.5 s old.

Why it works: a source that is sending is quicker than one that starts anew, and a server that sends nothing is noticed as early as before.

Measured: three new tests of HttpClient and one of PeerPort; their subject, the second timeout, did not exist before.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -198,6 +198,7 @@
             self._timers,
             self._shared_state.full_state,
             lambda: self._feed.age,
+            lambda: self._feed.receiving,
             self._tally,
             log,
         )
--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -15,6 +15,7 @@
 from sequoiapulley.forward.log_events import STATE_SENT
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.state import (
+    MAX_TRANSFER_S,
     ChangeSet,
     ChangesReply,
     SourceError,
@@ -39,6 +40,9 @@
 LARGE_REPLY_BYTES: Final = 65_536
 """Size of replies sent at a time from which they are logged; upstreams that come and go make less
 than a tenth of it."""
+MAX_RECEIVING_AGE_S: Final = 3.5
+"""The same limit while a reply with newer state is arriving: other sources would need as long for
+it, 1.6 s for the store's largest reply on a link of 7 Mbit/s."""
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_UNAVAILABLE: Final = 503
@@ -58,6 +62,11 @@
         self._client = client
         self.address = address
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of a reply has arrived."""
+        return self._client.is_receiving(self.address.host, self.address.port)
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads the full state that the peer has; `exact` has no effect."""
         self._ask(NO_POSITION, 0.0, timeout, done)
@@ -83,7 +92,8 @@
         query = f"after={after.revision}&era={after.era}&wait_ms={int(wait * 1000)}"
         path = f"{CHANGES_PATH}?{query}"
         host, port = self.address.host, self.address.port
-        call = HttpCall(host, port, "GET", path, timeout=wait + timeout)
+        limit = wait + timeout + MAX_TRANSFER_S
+        call = HttpCall(host, port, "GET", path, timeout=wait + timeout, transfer_timeout=limit)
         self._client.request(call, lambda result: done(self._decode(result, after.era)))
 
     def _decode(self, result: HttpResult, era: Era) -> ChangesReply:
@@ -123,6 +133,7 @@
         timers: TimerQueue,
         full_state: Callable[[float], ChangeSet],
         age: Callable[[], float],
+        receiving: Callable[[], bool],
         tally: Tally,
         log: LogSink,
     ) -> None:
@@ -133,6 +144,7 @@
             timers: Timers of the event loop.
             full_state: Returns the full state, marked with the given age in seconds.
             age: Returns the age of this node's state in seconds.
+            receiving: Returns whether a reply with newer state is arriving at this node.
             tally: Counts the replies and their bytes.
             log: Receives an event when large replies are sent.
         """
@@ -140,6 +152,7 @@
         self._timers = timers
         self._full_state = full_state
         self._age = age
+        self._receiving = receiving
         self._tally = tally
         self._log = log
         self._waiters: list[_Waiter] = []
@@ -189,6 +202,10 @@
         if sum(sizes) >= LARGE_REPLY_BYTES:
             self._log.log(STATE_SENT, replies=len(sizes), bytes=sum(sizes))
 
+    def _is_stale(self, age: float) -> bool:
+        """Returns whether peers should read from the store or another peer."""
+        return age > (MAX_RECEIVING_AGE_S if self._receiving() else MAX_STATE_AGE_S)
+
     def _answer(self, req: ServerRequest, after: StorePosition) -> int:
         """Sends the changes after a position, or the full state if some are no longer logged.
 
@@ -201,7 +218,7 @@
         age = self._age()
         position = self._changes.position
         wants_full_state = after.revision == NO_POSITION.revision
-        if position == NO_POSITION or (age > MAX_STATE_AGE_S and not wants_full_state):
+        if position == NO_POSITION or (self._is_stale(age) and not wants_full_state):
             self._tally.state_replies["refused"] += 1
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return 0
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
-from typing import Protocol
+from typing import Final, Protocol
 
 from msgspec import Struct
 from result import Result
@@ -23,6 +23,10 @@
     UpstreamName,
 )
 
+MAX_TRANSFER_S: Final = 3.2
+"""Maximum time for a reply with state that keeps arriving: twice the time that the store's largest
+reply, 1.4 MB, takes on a link of 7 Mbit/s."""
+
 
 class NodeRecord(Struct, frozen=True, array_like=True):
     """Record that a node publishes about itself."""
@@ -137,13 +141,18 @@
 class StateSource(Protocol):
     """Reads shared state; every callback runs once, asynchronously, on the event loop."""
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of a reply has arrived."""
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads the full state.
 
         Args:
             exact: Whether the reply must include every change made so far. Otherwise it may be
                 some seconds old, which is cheaper.
-            timeout: Timeout of each reply, in seconds.
+            timeout: Timeout of each reply, in seconds. A reply that keeps arriving has
+                `MAX_TRANSFER_S`.
             done: Called with the result.
         """
 
@@ -162,7 +171,8 @@
         Args:
             after: Position up to which everything has been read.
             wait: Maximum time that the source waits for the first change, in seconds.
-            timeout: Timeout of the reply, in addition to `wait`, in seconds.
+            timeout: Timeout of the reply, in addition to `wait`, in seconds. A reply that keeps
+                arriving has `MAX_TRANSFER_S`.
             done: Called with the result.
         """
 
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -132,6 +132,11 @@
         """Age of this node's state: seconds since the store was in that state."""
         return self._timers.clock.now() - self.read_at
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of the reply to the current read has arrived."""
+        return self._plan is not None and self._plan.source.receiving
+
     def start(self) -> None:
         """Starts to read."""
         self._read()
--- a/src/sequoiapulley/platform/kv_client.py
+++ b/src/sequoiapulley/platform/kv_client.py
@@ -11,6 +11,7 @@
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
+from sequoiapulley.forward.state import MAX_TRANSFER_S
 from sequoiapulley.forward.store_position import NO_ERA
 from sequoiapulley.ids import Era, LeaseId, Revision
 from sequoiapulley.platform.names import (
@@ -154,6 +155,11 @@
         self._timeout = timeout
         self._latest_era = NO_ERA
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of a reply of the store has arrived."""
+        return self._client.is_receiving(self._host, self._port)
+
     def read(
         self,
         path: str,
@@ -167,7 +173,8 @@
             path: Path and query.
             body_type: Type as which the body is decoded.
             done: Receives the body or the error, once.
-            timeout: Timeout in seconds; None for the default.
+            timeout: Timeout in seconds; None for the default. A reply that keeps arriving has
+                `MAX_TRANSFER_S` in addition.
         """
         self._call("GET", path, b"", lambda reply: done(_decode_body(reply, body_type)), timeout)
 
@@ -225,7 +232,8 @@
         """Sends one call and classifies its result."""
         headers = JSON_HEADERS if body else ()
         wait = self._timeout if timeout is None else timeout
-        call = HttpCall(self._host, self._port, method, path, headers, body, wait)
+        limit = wait + MAX_TRANSFER_S
+        call = HttpCall(self._host, self._port, method, path, headers, body, wait, limit)
         self._client.request(call, lambda result: done(self._classify_result(result)))
 
     def _classify_result(self, result: HttpResult) -> KvReply:
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -78,6 +78,11 @@
         """
         self._kv = KvClient(client, host, port)
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a part of a reply has arrived."""
+        return self._kv.receiving
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads all items, page by page."""
         _RangeRead(self._kv, exact, timeout, done).read_page("", None)
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -24,6 +24,9 @@
 MAX_CONNECTIONS_PER_SERVER: Final = 8
 MAX_IDLE_S: Final = 20.0
 """Time without use after which an idle connection is closed."""
+STALL_TIMEOUT_S: Final = 0.6
+"""Time without a byte after which a transfer beyond the call's timeout is given up: eight windows
+of 64 KB on a link of 7 Mbit/s."""
 SWEEP_INTERVAL_S: Final = 5.0
 """Interval between the removals of stale connections."""
 
@@ -40,6 +43,9 @@
     body: bytes = b""
     timeout: float = 2.0
     """Timeout for the complete reply, in seconds; includes the wait for a connection."""
+    transfer_timeout: float | None = None
+    """Timeout for the complete reply while its bytes keep arriving, in seconds; None for the same
+    as `timeout`. A large reply on a narrow link is then not cut off and requested again."""
     ack_timeout: float | None = None
     """Timeout for the TCP acknowledgement of the request, in seconds; None for no such timeout. It
     detects an unreachable VM long before a reply is overdue. The server must acknowledge without
@@ -95,10 +101,13 @@
 class _Exchange:
     """One call that waits for a connection or a reply."""
 
-    __slots__ = ("ack_timer", "call", "conn", "done", "timer")
+    __slots__ = ("ack_timer", "call", "conn", "done", "started_at", "timer")
 
-    def __init__(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+    def __init__(
+        self, call: HttpCall, done: Callable[[HttpResult], None], started_at: float
+    ) -> None:
         self.call = call
+        self.started_at = started_at
         self.done: Callable[[HttpResult], None] | None = done
         self.conn: HttpConnection | None = None
         self.timer: TimerHandle | None = None
@@ -155,7 +164,7 @@
             call: The request; its path and headers must not contain line breaks.
             done: Receives the reply or the failure, once.
         """
-        exchange = _Exchange(call, done)
+        exchange = _Exchange(call, done, self._clock.now())
         exchange.timer = self._timers.call_later(call.timeout, lambda: self._expire(exchange))
         if call.ack_timeout is not None:
             exchange.ack_timer = self._timers.call_later(
@@ -187,6 +196,11 @@
         """Returns the number of connections that are not closed."""
         return sum(len(server.open) for server in self._servers.values())
 
+    def is_receiving(self, host: str, port: int) -> bool:
+        """Returns whether a part of a reply of a server has arrived."""
+        server = self._servers.get((host, port))
+        return server is not None and any(conn.reply_begun for conn in server.open)
+
     def has_unacknowledged(self) -> bool:
         """Returns whether a server has not yet acknowledged all bytes sent to it."""
         conns = [conn for server in self._servers.values() for conn in server.open]
@@ -302,9 +316,15 @@
             self._abort(exchange, HttpFailureKind.NOT_ACKNOWLEDGED, "request not acknowledged")
 
     def _expire(self, exchange: _Exchange) -> None:
-        """Fails a call that has reached its timeout."""
+        """Fails a call that has reached its timeout, unless its reply keeps arriving."""
+        now = self._clock.now()
+        limit = _transfer_limit(exchange)
+        if now < limit:
+            exchange.timer = self._timers.call_at(limit, lambda: self._expire(exchange))
+            return
         progress = exchange.conn.progress if exchange.conn is not None else "no reply"
-        detail = f"{progress} within {exchange.call.timeout} s"
+        waited = max(exchange.call.timeout, round(now - exchange.started_at, 3))
+        detail = f"{progress} within {waited} s"
         self._abort(exchange, HttpFailureKind.TIMEOUT, detail)
 
     def _abort(self, exchange: _Exchange, kind: HttpFailureKind, detail: str) -> None:
@@ -331,6 +351,14 @@
         return self._servers.setdefault((host, port), _Server()), host, port
 
 
+def _transfer_limit(exchange: _Exchange) -> float:
+    """Returns the clock reading until which a call may go on because its reply is arriving."""
+    conn, limit = exchange.conn, exchange.call.transfer_timeout
+    if conn is None or limit is None or not conn.reply_begun:
+        return float("-inf")
+    return min(exchange.started_at + limit, conn.received_at + STALL_TIMEOUT_S)
+
+
 def _close_idle(server: _Server) -> None:
     """Closes idle connections; they may be broken like the one that timed out."""
     for conn in server.idle:
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -113,6 +113,7 @@
         "failure",
         "last_used",
         "opened_at",
+        "received_at",
         "replies",
         "sent_at",
         "state",
@@ -155,6 +156,8 @@
         """Clock reading when the current or last exchange began, in seconds."""
         self.last_used = self.opened_at
         """Clock reading of the last reply or, before the first one, of the connect, in seconds."""
+        self.received_at = self.opened_at
+        """Clock reading when bytes were last received, in seconds."""
         self.failure = ""
         """Why the last reply was refused; empty if none was."""
         self.tag: object = None
@@ -275,6 +278,7 @@
         if self.state is _IDLE:
             self._fail(CloseReason.MALFORMED)
             return
+        self.received_at = self._reactor.clock.now()
         try:
             reply = self._parser.feed(data)
         except ReplyError as exc:
@@ -284,7 +288,7 @@
         if reply is None:
             return
         self.replies += 1
-        self.last_used = self._reactor.clock.now()
+        self.last_used = self.received_at
         if self._unsent or not reply.keep_alive:
             self.close()
         else:
--- a/tests/state_fixtures.py
+++ b/tests/state_fixtures.py
@@ -126,6 +126,8 @@
 class ScriptedSource:
     """Implements `StateSource`; the test replies to each read explicitly."""
 
+    receiving = False
+
     def __init__(self, name: str = "store") -> None:
         self.name = name
         self.asked: list[str] = []
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -37,6 +37,12 @@
         self.client.request(call, self.results.append)
         self.assertEqual(len(self.results), before, "the callback ran inside the call")
 
+    def transfer(self) -> None:
+        call = HttpCall(
+            "127.0.0.1", self.server.port, "GET", "/", timeout=1.0, transfer_timeout=2.7
+        )
+        self.client.request(call, self.results.append)
+
     def failure(self) -> HttpFailure:
         result = self.results[-1]
         assert isinstance(result, Err)
@@ -61,6 +67,42 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    # Guards against CONFIG of issue 25: reads of a large configuration were cut off and repeated
+    # while their replies were arriving.
+    def test_reply_that_keeps_arriving_may_take_longer_than_the_timeout(self) -> None:
+        self.transfer()
+        conn = self.server.accept()
+        self.loop.settle()
+        conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n")
+        for _ in range(4):
+            self.loop.advance(0.5)
+            self.assertTrue(self.client.is_receiving("127.0.0.1", self.server.port))
+            conn.sendall(bytes(100))
+            self.loop.settle()
+        self.assertIsInstance(self.results[-1], Ok)
+        self.assertFalse(self.client.is_receiving("127.0.0.1", self.server.port))
+
+    def test_reply_that_stalls_or_never_ends_is_given_up(self) -> None:
+        for pauses, expected in (([0.5, 0.6, 0.6], "got 10 of"), ([0.5] * 6, "got 50 of")):
+            with self.subTest(expected=expected):
+                self.transfer()
+                conn = self.server.accept()
+                self.loop.settle()
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n")
+                for number, pause in enumerate(pauses):
+                    self.loop.advance(pause)
+                    if pauses == [0.5] * 6 or number == 0:
+                        conn.sendall(bytes(10))
+                    self.loop.settle()
+                self.assertIn(expected, self.failure().detail)
+
+    def test_server_without_a_reply_is_given_up_at_the_timeout(self) -> None:
+        self.transfer()
+        self.server.accept()
+        self.loop.settle()
+        self.loop.advance(1.0)
+        self.assertIn("no reply within 1.0 s", self.failure().detail)
+
     def test_timeout_states_how_much_of_the_reply_arrived(self) -> None:
         self.call(timeout=1.0)
         conn = self.server.accept()
--- a/tests/test_peer_source.py
+++ b/tests/test_peer_source.py
@@ -6,6 +6,7 @@
 
 from sequoiapulley.daemon.peer_source import (
     LARGE_REPLY_BYTES,
+    MAX_RECEIVING_AGE_S,
     MAX_STATE_AGE_S,
     PeerPort,
     PeerSource,
@@ -32,6 +33,7 @@
         self.loop = Loop(PausedClock())
         self.log = ChangeLog()
         self.age = 0.0
+        self.receiving = False
         self.full_state = changes(
             7, TableChange(table(3)), upstream_change("a"), removal("a", True), whole=True
         )
@@ -42,6 +44,7 @@
             self.loop.timers,
             lambda _age: self.full_state,
             lambda: self.age,
+            lambda: self.receiving,
             self.tally,
             self.events,
         )
@@ -97,6 +100,14 @@
         self.loop.settle()
         self.assertTrue(self.replies[0].is_ok())
 
+    def test_state_is_served_longer_while_newer_state_is_arriving(self) -> None:
+        self.age = MAX_RECEIVING_AGE_S - 0.1
+        self.assertTrue(self.read(5)[0].is_err())
+        self.receiving = True
+        self.assertTrue(self.read(5)[0].is_ok())
+        self.age = MAX_RECEIVING_AGE_S + 0.1
+        self.assertTrue(self.read(5)[0].is_err())
+
     def test_replies_are_counted_and_large_ones_logged(self) -> None:
         self.read(5)
         self.assertEqual(self.events.entries, [])
