--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -123,7 +123,9 @@
         """
         self._last_read_was_store = False
         if self._last_peer_source is None or self._last_peer_source.address != address:
-            self._last_peer_source = PeerSource(self._client, address)
+            self._last_peer_source = PeerSource(
+                self._client, address, lambda: self._forwarder.table
+            )
         source = self._last_peer_source
         return ReadPlan(source, False, MAX_PEER_WAIT_S, PEER_READ_INTERVAL_S, whole)
 
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -49,6 +49,7 @@
 from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
 from sequoiapulley.forward.state_feed import StateFeed
 from sequoiapulley.forward.store_position import NO_POSITION
+from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.tally import Tally
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.forward.upstream_pool import UpstreamPool
@@ -177,8 +178,9 @@
         )
         self._forwarder = Forwarder(ctx)
         changes = ChangeLog()
+        history = TableHistory()
         self._shared_state = SharedState(
-            self._forwarder, self._directory, self._peers, changes, self._timers, log
+            self._forwarder, self._directory, self._peers, changes, history, self._timers, log
         )
         self._client = HttpClient(self._reactor, self._clock, self._timers, STATE_REPLY_BOUNDS)
         store = make_store(self._client, cfg.store)
@@ -197,6 +199,7 @@
             changes,
             self._timers,
             self._shared_state.full_state,
+            history.delta_after,
             lambda: self._feed.age,
             lambda: self._feed.receiving,
             self._tally,
--- a/src/sequoiapulley/forward/change_log.py
+++ b/src/sequoiapulley/forward/change_log.py
@@ -5,7 +5,7 @@
 from collections import deque
 from typing import Final
 
-from sequoiapulley.forward.state import Change
+from sequoiapulley.forward.state import Change, TableChange
 from sequoiapulley.forward.store_position import NO_POSITION, StorePosition
 from sequoiapulley.ids import Revision
 
@@ -39,7 +39,14 @@
         self.position = position
 
     def append(self, change: Change, revision: Revision) -> None:
-        """Adds a change from a read up to a revision of the current era."""
+        """Adds a change from a read up to a revision of the current era.
+
+        Of the configurations, the log keeps the latest one: it supersedes the others, which may be
+        as large as all other changes together.
+        """
+        if isinstance(change, TableChange):
+            others = (item for item in self._changes if not isinstance(item[1], TableChange))
+            self._changes = deque(others)
         self._changes.append((revision, change))
         while len(self._changes) > MAX_CHANGES:
             self._complete_after = self._changes.popleft()[0]
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -26,6 +26,7 @@
     UpstreamChange,
     UpstreamRemoval,
 )
+from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.ids import Revision, UpstreamName
 from sequoiapulley.observe.log_event import LogSink
@@ -45,6 +46,7 @@
         directory: UpstreamDirectory,
         peers: PeerTable,
         change_log: ChangeLog,
+        history: TableHistory,
         timers: TimerQueue,
         log: LogSink,
     ) -> None:
@@ -55,6 +57,7 @@
             directory: Receives the upstreams.
             peers: Receives the registered nodes.
             change_log: Receives the changes that were applied.
+            history: Receives the configuration versions that were applied.
             timers: Timers of the event loop.
             log: Receives an event for each change.
         """
@@ -62,6 +65,7 @@
         self._directory = directory
         self._peers = peers
         self._change_log = change_log
+        self._history = history
         self._timers = timers
         self._log = log
         self._pending_removals: dict[UpstreamName, float] = {}
@@ -162,6 +166,7 @@
         table = change.table
         if not self._forwarder.apply(table):
             return
+        self._history.record(table)
         self._change_log.append(change, revision)
         self._log.log(
             CONFIGURATION_APPLIED,
--- a/tests/state_fixtures.py
+++ b/tests/state_fixtures.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from random import Random
+from string import ascii_lowercase, digits
 
 from result import Err, Ok
 
@@ -68,6 +70,16 @@
     return RouteTable(ConfigVersion(version), (route,), {})
 
 
+def large_table(version: int, count: int) -> RouteTable:
+    """Returns a configuration with `count` routes; equal numbers give equal routes."""
+    routes = []
+    for number in range(count):
+        suffix = "".join(Random(number).choices(ascii_lowercase + digits, k=8))
+        split = (WeightedService(ServiceName("s"), 1.0),)
+        routes.append(Route(f"r-{suffix}", "a.example", f"/{suffix}/", True, 3.0, 0.4, 2, 2, split))
+    return RouteTable(ConfigVersion(version), tuple(routes), {})
+
+
 def changes(
     revision: int, *items: Change, whole: bool = False, age: float = 0.0, era: int = 0
 ) -> ChangeSet:
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -13,6 +13,7 @@
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
 from sequoiapulley.daemon.peer_source import PeerPort
 from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.messages import Headers
 from sequoiapulley.forward.peer_table import (
     LOCAL_HEARTBEAT_INTERVAL_S,
     REMOTE_HEARTBEAT_INTERVAL_S,
@@ -29,6 +30,7 @@
 )
 from sequoiapulley.forward.state_feed import StateFeed
 from sequoiapulley.forward.store_position import StorePosition
+from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.tally import Tally
 from sequoiapulley.ids import ConfigVersion, Incarnation, Revision
 from sequoiapulley.observe.log_event import MemoryLog
@@ -145,13 +147,17 @@
 class FakeRequest:
     """One request to a node's port."""
 
-    def __init__(self, path: str, server: FleetNode, transfer: FakeTransfer[HttpResult]) -> None:
-        self.parsed = SimpleNamespace(target=path.encode())
+    def __init__(
+        self, call: HttpCall, server: FleetNode, transfer: FakeTransfer[HttpResult]
+    ) -> None:
+        headers = tuple((name.encode(), value.encode()) for name, value in call.headers)
+        self.parsed = SimpleNamespace(target=call.path.encode(), headers=headers)
         self._server = server
         self._transfer = transfer
 
-    def answer(self, status: int, headers: object, body: bytes) -> None:
-        reply = Ok(HttpReply(status, [], body))
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        fields = [(name.lower(), value) for name, value in headers]
+        reply = Ok(HttpReply(status, fields, body))
         self._server.link_out.transfer(
             len(body), self._transfer.progress, lambda: self._transfer.finish(reply)
         )
@@ -172,7 +178,7 @@
         transfer = FakeTransfer(timers, call.timeout, done, lambda: Err(failure))
         self._transfers[call.host] = transfer
         server = self._fleet.nodes[call.host]
-        req = FakeRequest(call.path, server, transfer)
+        req = FakeRequest(call, server, transfer)
         timers.call_later(REPLY_S, lambda: server.port.serve(req))
 
     def is_receiving(self, host: str, _port: int) -> bool:
@@ -197,6 +203,7 @@
         """Versions in the order in which they were read."""
         self.peers = PeerTable(record, MemoryLog())
         self.log = ChangeLog()
+        self.history = TableHistory()
         store = FakeStore(fleet, record.name)
         client = FakeClient(fleet)
         clock = fleet.timers.clock
@@ -206,6 +213,7 @@
             self.log,
             fleet.timers,
             self.full_state,
+            self.history.delta_after,
             lambda: self.feed.age,
             lambda: self.feed.receiving,
             Tally(),
@@ -220,6 +228,7 @@
             if change.table.version > self.version:
                 self.version = change.table.version
                 self.table = change.table
+                self.history.record(change.table)
             self.applied.append(change.table.version)
         self.log.advance(changes_read.position)
         self.sources.position = changes_read.position
--- a/tests/test_large_configuration.py
+++ b/tests/test_large_configuration.py
@@ -7,11 +7,9 @@
 
 from __future__ import annotations
 
-from random import Random
 from unittest import TestCase
 
-from sequoiapulley.forward.route_table import Route, RouteTable, WeightedService
-from sequoiapulley.ids import ConfigVersion, ServiceName
+from tests.state_fixtures import large_table
 from tests.state_fleet import Fleet
 
 MAX_APPLY_S = 5.0
@@ -22,17 +20,6 @@
 START_S = 4.0
 STORED_BYTES_PER_ROUTE = 330
 """Size of a route in the store: JSON in base64."""
-SUFFIX_CHARS = "abcdefghijklmnopqrstuvwxyz0123456789"
-
-
-def large_table(version: int, count: int) -> RouteTable:
-    """Returns a configuration with `count` routes; equal numbers give equal routes."""
-    routes = []
-    for number in range(count):
-        suffix = "".join(Random(number).choices(SUFFIX_CHARS, k=8))
-        split = (WeightedService(ServiceName("s"), 1.0),)
-        routes.append(Route(f"r-{suffix}", "a.example", f"/{suffix}/", True, 3.0, 0.4, 2, 2, split))
-    return RouteTable(ConfigVersion(version), tuple(routes), {})
 
 
 class LargeConfigurationTest(TestCase):
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -18,6 +18,7 @@
     UnreadableEntry,
     UpstreamChange,
 )
+from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.ids import ServiceName, UpstreamName
 from tests.simulated_upstreams import SimulatedNet, success
 from tests.state_fixtures import changes, node, position, removal, table, upstream, upstream_change
@@ -39,6 +40,7 @@
             self.net.directory,
             self.peers,
             self.log,
+            TableHistory(),
             self.net.timers,
             self.net.log,
         )
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -20,6 +20,7 @@
     TableChange,
 )
 from sequoiapulley.forward.state_feed import ReadPlan, StateFeed
+from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.ids import ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
@@ -163,6 +164,7 @@
             self.net.directory,
             PeerTable(node("me"), self.net.log),
             self.changes,
+            TableHistory(),
             self.net.timers,
             self.net.log,
         )
