Log removals of upstreams that are held back after an outage

The log showed it only when the time was over, and only by its `cause`.

Change, none of logic: SP2528 is logged when a removal is held back.

--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -115,6 +115,13 @@
     "keeps a pause of `pause_s` instead.",
     "Correct the upstream's Retry-After header.",
 )
+REMOVAL_HELD: Final = define_event(
+    2528,
+    "removal_held",
+    Severity.INFO,
+    "The entry of an upstream is missing after an outage or a restoration of the store; the "
+    "upstream stays in use for `hold_s`, as it may register again.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     2510,
     "configuration_applied",
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -11,6 +11,7 @@
     CONFIGURATION_UNREADABLE,
     ENTRY_OUTDATED,
     ENTRY_UNREADABLE,
+    REMOVAL_HELD,
     UPSTREAM_LEAVES,
     UPSTREAM_REGISTERED,
 )
@@ -198,6 +199,7 @@
             self._directory.record_removal(name)
             self._remove_now(name, "entry removed")
             return
+        self._log.log(REMOVAL_HELD, upstream=name, revision=revision, hold_s=REREGISTRATION_S)
         due = self._timers.clock.now() + REREGISTRATION_S
         self._pending_removals[name] = due
         self._timers.call_at(due, lambda: self._expire_pending_removal(name, due))
