Hold removals back only after an outage of the store itself

What callers saw: nothing; an upstream got two requests 3,047 and 3,051 ms after it had left, bound 3,000 ms.

Cause, suspected: a node that had once failed to read the store and whose own state was 2.5 s old took that for an outage and kept a removed upstream in use for 2.2 s more. The failure was never forgotten while the node read from peers, and a store that served others counted as away, too.

Evidence: 26.406 s plus 2.2 s leaves 0.85 s for the rest of the way in the record.

Change: a read of the store must have failed after the node's state was current, and no node may be known to have read the store for 2.5 s. Heartbeats carry the age of each node's state; nodes of earlier versions state none.

Why it works: a store that has served a node within 2.5 s has had no outage in which leases of upstreams lapse. That a peer notices the store's return first does not end the holding: the gap counts, not its end.

Measured: two new tests fail on the code before (removal taken as after an outage: True, expected False) and pass now, a third holds the case of a real outage; 74 related tests pass.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -48,6 +48,7 @@
 from sequoiapulley.forward.shared_state import SharedState
 from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
 from sequoiapulley.forward.state_feed import StateFeed
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.forward.store_position import NO_POSITION
 from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.tally import Tally
@@ -72,6 +73,8 @@
 MAINTENANCE_INTERVAL_S: Final = 0.25
 """Interval between two checks of peers and idle connections."""
 MAX_POLL_S: Final = 1.0
+STATE_AGE_DIGITS: Final = 2
+"""Decimal digits of a state's age in heartbeats."""
 STANDBY_NODES: Final = 2
 """Nodes of each failure domain, besides the entry nodes, that also get a share of the upstreams'
 connections, so that they can replace an entry node."""
@@ -193,7 +196,15 @@
             self._random,
             self._clock,
         )
-        self._feed = StateFeed(self._sources, self._timers, log, self._random, self._apply_changes)
+        self._availability = StoreAvailability()
+        self._feed = StateFeed(
+            self._sources,
+            self._timers,
+            log,
+            self._random,
+            self._apply_changes,
+            self._availability,
+        )
         self._registration = Registration(store, self._timers, self._random, self._local_node)
         self._peer_port = PeerPort(
             changes,
@@ -325,11 +336,15 @@
                 LeavingUpstream(record.name, record.started_ms)
                 for record in self._directory.announced_leaving()
             ),
+            state_age=round(self._feed.age, STATE_AGE_DIGITS),
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Records a peer's heartbeat and the shutdowns of upstreams that it carries."""
-        self._peers.record_heartbeat(heartbeat, self._clock.now())
+        now = self._clock.now()
+        self._peers.record_heartbeat(heartbeat, now)
+        if heartbeat.state_age >= 0.0:
+            self._availability.record(now - heartbeat.state_age)
         for news in heartbeat.leaving:
             upstream = self._directory.find(news.name)
             if upstream is not None and upstream.record.started_ms == news.started_ms:
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -60,6 +60,8 @@
     """Era of the store to which the revision belongs."""
     leaving: tuple[LeavingUpstream, ...] = ()
     """Upstreams that recently announced their shutdown in a reply to the node."""
+    state_age: float = float("inf")
+    """Seconds since the store served the node's state; infinite if the node states none."""
 
     @property
     def position(self) -> StorePosition:
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -24,6 +24,7 @@
     StateSource,
     TableChange,
 )
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.forward.store_position import NO_ERA, NO_POSITION
 from sequoiapulley.ids import Era
 from sequoiapulley.observe.log_event import LogSink
@@ -38,10 +39,6 @@
 because of an outage must not delay recovery long after the outage."""
 MAX_TIMEOUT_S: Final = 1.5
 """Timeout after several failures, for a store that is up to a hundred times slower than usual."""
-OUTAGE_S: Final = 2.5
-"""Time without a reply from any source after which the store itself may have been unavailable, so
-that entries may have expired: leases of upstreams last three of their heartbeats. If the store is
-unreachable from one node alone, that node still receives changes from its peers."""
 JITTER: Final = 0.3
 """Relative range over which each delay varies, so that nodes do not call at the same time."""
 
@@ -93,6 +90,7 @@
         log: LogSink,
         random: Random,
         on_changes: ChangeHandler,
+        availability: StoreAvailability,
     ) -> None:
         """Initialise a feed that has read nothing.
 
@@ -102,17 +100,21 @@
             log: Receives an event when the store becomes unavailable or available.
             random: Source of jitter.
             on_changes: Called with the changes of each read.
+            availability: Receives the times at which the store served.
         """
         self._choose = choose
         self._timers = timers
         self._log = log
         self._random = random
         self._on_changes = on_changes
+        self._availability = availability
         self.position = NO_POSITION
         """Position up to which everything has been read."""
         self.read_at = float("-inf")
         """Clock reading at which the store was in the state that this node has read."""
         self._store_lost_at: float | None = None
+        self._store_failed_at = float("-inf")
+        """Clock reading of the last failed read of the store."""
         self._failures = 0
         self._needs_full_read = True
         self._exact = False
@@ -198,7 +200,8 @@
             self._read_restored(changes.era, now)
             return
         self._failures = 0
-        after_outage = plan.is_store and self._on_store_available() and self.age >= OUTAGE_S
+        self._availability.record(now - changes.age)
+        after_outage = plan.is_store and self._on_store_available() and self._had_outage()
         self.read_at = now - changes.age
         if changes.whole and changes.position < self.position:
             # A stale full state would restore entries that were removed since.
@@ -222,6 +225,7 @@
     def _hold(self, changes: ChangeSet, now: float) -> None:
         """Keeps the first full state back and reads the changes since then at once."""
         self._held = changes
+        self._availability.record(now)
         self._needs_full_read = False
         self._failures = 0
         self._on_store_available()
@@ -304,6 +308,8 @@
                 return
         if not plan.is_store:
             self._log.log(PEER_STATE_FAILED, error=error.detail, failures=self._failures + 1)
+        if plan.is_store:
+            self._store_failed_at = now
         if plan.is_store and self._store_lost_at is None:
             self._store_lost_at = now
             self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
@@ -326,6 +332,15 @@
         self._store_lost_at = None
         return True
 
+    def _had_outage(self) -> bool:
+        """Returns whether the store was unavailable after this node's state was read.
+
+        That the store once failed, or did not answer this node, is not enough: the node may have
+        read from peers since then, and held removals keep upstreams in use that have left.
+        """
+        failed_since = self._store_failed_at > self.read_at
+        return failed_since and self._availability.had_outage_since(self.read_at)
+
     def _jittered(self, delay: float) -> float:
         """Returns a delay with jitter."""
         return delay * (1 + JITTER * (self._random.random() - 0.5))
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -29,6 +29,7 @@
     TableChange,
 )
 from sequoiapulley.forward.state_feed import StateFeed
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.forward.store_position import StorePosition
 from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.tally import Tally
@@ -208,7 +209,9 @@
         client = FakeClient(fleet)
         clock = fleet.timers.clock
         self.sources = FeedSourceSelector(store, client, self.peers, self, (), random, clock)
-        self.feed = StateFeed(self.sources, fleet.timers, MemoryLog(), random, self.apply_changes)
+        self.feed = StateFeed(
+            self.sources, fleet.timers, MemoryLog(), random, self.apply_changes, StoreAvailability()
+        )
         self.port = PeerPort(
             self.log,
             fleet.timers,
--- a/tests/test_state_feed.py
+++ b/tests/test_state_feed.py
@@ -8,6 +8,7 @@
 from sequoiapulley.forward.log_events import STORE_LOST, STORE_REGAINED
 from sequoiapulley.forward.state import ChangeSet
 from sequoiapulley.forward.state_feed import MAX_RETRY_S, ReadPlan, StateFeed
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.state_fixtures import (
@@ -32,6 +33,7 @@
         self.peer = ScriptedSource("peer")
         self.use_peer = False
         self.peer_always = False
+        self.availability = StoreAvailability()
         self.taken: list[tuple[ChangeSet, bool]] = []
         self.feed = StateFeed(
             self.choose,
@@ -39,6 +41,7 @@
             self.log,
             Random(1),
             lambda found, gap: self.taken.append((found, gap)),
+            self.availability,
         )
         self.feed.start()
 
@@ -158,6 +161,50 @@
         self.assertGreater(self.store.asked.count("after 30"), 0)
         self.assertEqual({gap for _, gap in self.taken}, {False})
 
+    def follow_peer(self, seconds: float) -> None:
+        """Reads from the peer, whose state is current, for some time."""
+        for _ in range(round(seconds / 0.4)):
+            self.run_for(0.4)
+            if self.peer.waits:
+                self.peer.reply(read(changes(30)))
+
+    # Guards against DRAIN of issue 25: an upstream that had left got requests for 2.2 s more, as an
+    # outage of the store long before was taken for the cause of its removal.
+    def test_removal_long_after_an_outage_is_not_held_back(self) -> None:
+        self.start_with(7)
+        self.peer_always = self.use_peer = True
+        self.store.reply(unavailable())
+        self.follow_peer(8.0)
+        self.use_peer = False
+        self.run_for(3.0)
+        self.store.reply(read(changes(31, removal("a"))))
+        self.assertEqual(self.taken[-1], (changes(31, removal("a")), False))
+
+    # Guards against DRAIN of issue 25: a store that did not answer one node was taken for a store
+    # that had served none, although peers had read it meanwhile.
+    def test_removal_is_not_held_back_if_peers_read_the_store_meanwhile(self) -> None:
+        for peers_read, held in ((False, True), (True, False)):
+            with self.subTest(peers_read=peers_read):
+                self.setUp()
+                self.start_with(7)
+                for _ in range(4):
+                    self.store.reply(unavailable())
+                    self.run_for(MAX_RETRY_S * 1.2)
+                    if peers_read:
+                        self.availability.record(self.clock.now() - 1.0)
+                self.store.reply(read(changes(8, removal("a"))))
+                self.assertEqual(self.taken[-1], (changes(8, removal("a")), held))
+
+    def test_return_of_the_store_that_a_peer_noticed_first_ends_an_outage(self) -> None:
+        self.start_with(7)
+        for _ in range(4):
+            self.store.reply(unavailable())
+            self.run_for(MAX_RETRY_S * 1.2)
+        self.availability.record(self.clock.now())
+        self.run_for(0.5)
+        self.store.reply(read(changes(8, removal("a"))))
+        self.assertEqual(self.taken[-1], (changes(8, removal("a")), True))
+
     def test_retries_slow_down_but_go_on(self) -> None:
         self.start_with(7)
         self.store.reply(unavailable())
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -20,6 +20,7 @@
     TableChange,
 )
 from sequoiapulley.forward.state_feed import ReadPlan, StateFeed
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.ids import ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
@@ -62,6 +63,7 @@
             self.log,
             Random(1),
             lambda found, gap: self.taken.append((found, gap)),
+            StoreAvailability(),
         )
         self.feed.start()
         self.reply(changes(110, whole=True, era=1))
--- a/tests/test_unexpected_errors.py
+++ b/tests/test_unexpected_errors.py
@@ -12,6 +12,7 @@
 from sequoiapulley.daemon.log_events import UNEXPECTED_ERROR
 from sequoiapulley.forward.state import ChangeSet, TableChange
 from sequoiapulley.forward.state_feed import ReadPlan, StateFeed
+from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, SystemClock, TimerQueue
 from sequoiapulley.wire.http_server import HttpServer
@@ -128,6 +129,7 @@
             MemoryLog(),
             Random(1),
             apply,
+            StoreAvailability(),
         )
         feed.start()
         for found in (changes(7, whole=True), changes(8), changes(9, whole=True)):
@@ -155,7 +157,12 @@
                 raise KeyError("unexpected")
 
         feed = StateFeed(
-            lambda _failures: ReadPlan(source, True, 2.0, 1.0), timers, MemoryLog(), Random(1), fail
+            lambda _failures: ReadPlan(source, True, 2.0, 1.0),
+            timers,
+            MemoryLog(),
+            Random(1),
+            fail,
+            StoreAvailability(),
         )
         feed.start()
         source.reply(read(changes(7, whole=True, era=2)))
