--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -7,18 +7,28 @@
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.log_events import (
+    LIMIT_UNREADABLE,
     PAUSE_BOUNDED,
     UPSTREAM_ANSWERS,
     UPSTREAM_LEAVES,
+    UPSTREAM_LIMITED,
     UPSTREAM_PAUSED,
     UPSTREAM_SILENT,
 )
-from sequoiapulley.forward.messages import ExchangeEnd, ExchangeReply, PauseRequest
+from sequoiapulley.forward.messages import (
+    ExchangeEnd,
+    ExchangeReply,
+    PauseRequest,
+    StatedLimit,
+)
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.upstream import Upstream
 
 WITHOUT_REPLY: Final = frozenset({ExchangeEnd.NOT_SENT, ExchangeEnd.LOST})
 """Exchange ends without any bytes from the upstream."""
+STATES_LIMIT: Final = frozenset({ExchangeEnd.REPLY, ExchangeEnd.NOT_RUN})
+"""Exchange ends with a complete reply of the upstream, which states a limit as long as it has
+one."""
 MAX_PAUSE_S: Final = 300.0
 """Maximum pause that an upstream may request, so that a wrong value does not take it out of use for
 good; it is then asked once in this time."""
@@ -57,6 +67,8 @@
         ctx.directory.announce_leaving(upstream)
     if reply.pause is not None:
         _record_pause(ctx, upstream, reply.pause, now)
+    if reply.end in STATES_LIMIT:
+        _record_limit(ctx, upstream, reply.limit)
     if reply.load is not None:
         upstream.record_load(reply.load, now)
     if failed or exchange is None or exchange.conn is None:
@@ -123,6 +135,25 @@
     return min(MAX_PAUSE_S, pause.seconds)
 
 
+def _record_limit(ctx: ForwardContext, upstream: Upstream, stated: StatedLimit | None) -> None:
+    """Records the limit on requests that an upstream states, or that it states none."""
+    record = upstream.record
+    per_second = None if stated is None else stated.per_second
+    if per_second is not None and not 0.0 <= per_second < float("inf"):
+        per_second = None
+    if stated is not None and per_second is None:
+        ctx.log.log(LIMIT_UNREADABLE, upstream=record.name, stated=stated.text)
+    if per_second == upstream.limit_per_s:
+        return
+    upstream.limit_per_s = per_second
+    ctx.log.log(
+        UPSTREAM_LIMITED,
+        upstream=record.name,
+        service=record.service,
+        per_s="none" if per_second is None else per_second,
+    )
+
+
 def _log_silence(ctx: ForwardContext, upstream: Upstream, now: float) -> None:
     """Logs an upstream that became silent (stopped replying) or replies again."""
     silent = upstream.poll_silence_change(now)
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -122,6 +122,21 @@
     "The entry of an upstream is missing after an outage or a restoration of the store; the "
     "upstream stays in use for `hold_s`, as it may register again.",
 )
+UPSTREAM_LIMITED: Final = define_event(
+    2529,
+    "upstream_limited",
+    Severity.INFO,
+    "An upstream stated in a reply the requests per second that it accepts from all nodes together "
+    "(`per_s`), or no longer states a limit (`per_s` is none).",
+    "Check the load of the upstream if this event recurs.",
+)
+LIMIT_UNREADABLE: Final = define_event(
+    2519,
+    "limit_unreadable",
+    Severity.WARNING,
+    "The limit that an upstream `stated` is not a number of requests per second and is ignored.",
+    "Correct the upstream's header.",
+)
 CONFIGURATION_APPLIED: Final = define_event(
     2510,
     "configuration_applied",
--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -97,6 +97,15 @@
     """The value as the upstream sent it."""
 
 
+class StatedLimit(Struct, frozen=True):
+    """Rate of requests that an upstream accepts from all nodes together."""
+
+    per_second: float | None
+    """Requests per second; None if the upstream's value is not a number."""
+    text: str
+    """The value as the upstream sent it."""
+
+
 class ExchangeReply(Struct, frozen=True):
     """Outcome of one exchange."""
 
@@ -109,6 +118,8 @@
     """Whether the upstream announced that it is about to shut down."""
     pause: PauseRequest | None = None
     """Pause that the upstream requested when it turned the request away."""
+    limit: StatedLimit | None = None
+    """Limit on requests that the upstream stated; None if it stated none."""
     detail: str = ""
     """Why a reply was refused as malformed, for the log; empty if it was not."""
 
--- a/src/sequoiapulley/forward/upstream.py
+++ b/src/sequoiapulley/forward/upstream.py
@@ -58,6 +58,7 @@
         "_was_silent",
         "address_reassigned",
         "leaving_since",
+        "limit_per_s",
         "overdue_requests",
         "paused_until",
         "pool",
@@ -84,6 +85,8 @@
         """Clock reading at which this node learned that it announced its shutdown, or None."""
         self.paused_until = float("-inf")
         """Clock reading until which it requested a pause of this node."""
+        self.limit_per_s: float | None = None
+        """Requests per second that it accepts from all nodes together; None for no limit."""
         self.overdue_requests = 0
         """Number of overdue requests of this node in flight."""
         self._slowness = 1.0
--- a/src/sequoiapulley/platform/names.py
+++ b/src/sequoiapulley/platform/names.py
@@ -25,6 +25,8 @@
 """Number of parts missing from a merged answer."""
 LEAVING: Final = b"server-leaving"
 """`1` on a reply of an upstream that is about to shut down."""
+REQUEST_LIMIT: Final = b"server-limit"
+"""Requests per second that an upstream in need accepts from all nodes together."""
 
 READINESS_PATH: Final = b"/readiness"
 RESOLUTION_PATH: Final = b"/resolution"
--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -12,6 +12,7 @@
     Headers,
     LoadReport,
     PauseRequest,
+    StatedLimit,
     UpstreamRecord,
 )
 from sequoiapulley.forward.route_table import MS_PER_S
@@ -24,6 +25,7 @@
     MISSING_PARTS,
     NOT_EXECUTED,
     PART_SEALS,
+    REQUEST_LIMIT,
     SEAL,
     TIME_LEFT_MS,
 )
@@ -55,8 +57,8 @@
 LEAVING_VALUE: Final = b"1"
 RETRY_AFTER: Final = b"retry-after"
 """With a refusal: seconds for which the upstream wants no requests from this node."""
-MAX_PAUSE_TEXT: Final = 40
-"""Maximum number of bytes of a pause's value; more are not a number and would fill the log."""
+MAX_NUMBER_TEXT: Final = 40
+"""Maximum number of bytes of a number in a header; more are not a number and would fill the log."""
 LOAD_FIELD_COUNT: Final = 3
 BODYLESS_METHODS: Final = frozenset({b"GET", b"HEAD", b"DELETE", b"OPTIONS"})
 
@@ -107,13 +109,14 @@
         load = _decode_load(_header(reply.headers, LOAD))
         leaving = _header(reply.headers, LEAVING) == LEAVING_VALUE
         pause = _decode_pause(reply)
+        limit = _decode_limit(_header(reply.headers, REQUEST_LIMIT))
         seal = _header(reply.headers, SEAL)
         if _header(reply.headers, NOT_EXECUTED) is not None:
-            return ExchangeReply(ExchangeEnd.NOT_RUN, reply, None, load, leaving, pause)
+            return ExchangeReply(ExchangeEnd.NOT_RUN, reply, None, load, leaving, pause, limit)
         if seal is None or _header(reply.headers, b"content-encoding") is not None:
             # Callers ask for unencoded bodies, so the upstream did not produce an encoded one.
-            return ExchangeReply(ExchangeEnd.MALFORMED, None, None, load, leaving, pause)
-        return ExchangeReply(ExchangeEnd.REPLY, reply, seal, load, leaving, pause)
+            return ExchangeReply(ExchangeEnd.MALFORMED, None, None, load, leaving, pause, limit)
+        return ExchangeReply(ExchangeEnd.REPLY, reply, seal, load, leaving, pause, limit)
 
     def forwarded_answer(self, reply: ExchangeReply) -> Answer:
         """Returns the answer that forwards an upstream's reply without its hop-by-hop headers."""
@@ -204,11 +207,21 @@
     value = _header(reply.headers, RETRY_AFTER)
     if value is None:
         return None
-    text = value[:MAX_PAUSE_TEXT].decode("latin-1").strip()
+    return PauseRequest(*_decode_number(value))
+
+
+def _decode_limit(value: bytes | None) -> StatedLimit | None:
+    """Decodes the limit that an upstream states; None without one."""
+    return None if value is None else StatedLimit(*_decode_number(value))
+
+
+def _decode_number(value: bytes) -> tuple[float | None, str]:
+    """Returns the number in a header, None if it is not one, and the header's text."""
+    text = value[:MAX_NUMBER_TEXT].decode("latin-1").strip()
     try:
-        return PauseRequest(float(text), text)
+        return float(text), text
     except ValueError:
-        return PauseRequest(None, text)
+        return None, text
 
 
 def _decode_load(value: bytes | None) -> LoadReport | None:
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -236,6 +236,21 @@
         assert long is not None
         self.assertLess(len(long.text), 100)
 
+    def test_stated_limit_is_decoded(self) -> None:
+        contract = PlatformContract()
+        seal = (b"x-server-seal", b"s")
+        for value, per_second in ((b"9.8", 9.8), (b" 12 ", 12.0), (b"0", 0.0), (b"few", None)):
+            for headers in ([seal], [(b"x-not-executed", b"1")]):
+                reply = ParsedReply(200, [*headers, (b"server-limit", value)], b"", True)
+                limit = contract.classify(reply).limit
+                assert limit is not None
+                self.assertEqual(
+                    (limit.per_second, limit.text), (per_second, value.decode().strip())
+                )
+        self.assertIsNone(contract.classify(ParsedReply(200, [seal], b"", True)).limit)
+        other = ParsedReply(421, [(b"server-limit", b"9.8")], b"", True)
+        self.assertIsNone(contract.classify(other).limit)
+
     @given(st.binary(max_size=60))
     def test_any_retry_after_value_is_a_number_or_unreadable(self, value: bytes) -> None:
         headers = [(b"x-not-executed", b"1"), (b"retry-after", value)]
