Keep the request limits that upstreams state, by shares of all nodes

What was seen: an upstream in need that had stated a limit of 11.2 requests a second got 105 in 4 s, allowed 72. Callers saw nothing.

Cause: no node read the statement, and an upstream that still answers in time keeps its place in the choice. That four to six nodes send to it, none of which knows what the others send, makes a limit that each node keeps alone too much.

Change: each node has a token bucket for an upstream that states a limit, empty at the first statement, filled with the node's share of the rate: the entry nodes of the upstream's failure domain 0.8, those of all others 0.1, all other nodes 0.1. An upstream without tokens is not chosen; hedged requests spare limited upstreams; if no upstream of a service may be used, callers are refused at once and told when the next token is due. A complete reply without the header ends the limit. An upstream that accepts next to nothing is asked once a second by all nodes together.

Why it works: the shares add up to the stated rate or less, the rule permits half as much again, and roles change seldom. Most work for an upstream comes from the entry nodes beside it, for their own callers and for other nodes.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -43,7 +43,12 @@
 from sequoiapulley.forward.node_settings import Address, NodeSettings
 from sequoiapulley.forward.peer_table import Heartbeat, LeavingUpstream, NodeState, PeerTable
 from sequoiapulley.forward.retry_quota import RetryQuota
-from sequoiapulley.forward.roles import ENTRIES_PER_FAILURE_DOMAIN, choose_store_reader, slack_share
+from sequoiapulley.forward.roles import (
+    ENTRIES_PER_FAILURE_DOMAIN,
+    choose_store_reader,
+    limit_share,
+    slack_share,
+)
 from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.shared_state import SharedState
 from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
@@ -157,6 +162,7 @@
             ),
         )
         self._directory.drain = cfg.drain
+        self._directory.limit_share = self._limit_share
         self._quota = RetryQuota(cfg.quota)
         self._tally = Tally()
         self._peers = PeerTable(self._local_node, log)
@@ -314,6 +320,15 @@
             sharing_nodes = min(nodes, (ENTRIES_PER_FAILURE_DOMAIN + STANDBY_NODES) * domains)
             self._directory.configure(table.services, sharing_nodes)
 
+    def _limit_share(self, failure_domain: FailureDomainName) -> float:
+        """Returns this node's share of the limits of the upstreams of a failure domain."""
+        ready = self._peers.ready()
+        if self._lifecycle.state is NodeState.READY:
+            ready.append(self._local_node)
+        domains = len(self._settings_task.cfg.regions)
+        nodes = 1 + len(self._peers.registered())
+        return limit_share(self._local_node, ready, failure_domain, domains, nodes)
+
     def _update_roles(self) -> bool:
         """Logs a change of this node's roles; returns whether it is an entry node."""
         live = self._peers.live_local_nodes()
--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -143,9 +143,10 @@
         per_second = None
     if stated is not None and per_second is None:
         ctx.log.log(LIMIT_UNREADABLE, upstream=record.name, stated=stated.text)
-    if per_second == upstream.limit_per_s:
+    before = None if upstream.limit is None else upstream.limit.per_second
+    if per_second == before:
         return
-    upstream.limit_per_s = per_second
+    ctx.directory.set_limit(upstream, per_second)
     ctx.log.log(
         UPSTREAM_LIMITED,
         upstream=record.name,
--- a/src/sequoiapulley/forward/refusal.py
+++ b/src/sequoiapulley/forward/refusal.py
@@ -25,7 +25,8 @@
     NO_UPSTREAM = "no_upstream"
     """Too few services of the route have an upstream that accepts requests."""
     PAUSED = "upstreams_paused"
-    """Too few services of the route have an upstream that has not asked this node for a pause."""
+    """Too few services of the route have an upstream that has not asked this node for a pause and
+    whose limit on requests allows one."""
     REFUSED = "refused_by_upstreams"
     """The upstreams refused the request before it ran."""
     FAILED = "failed_at_upstreams"
--- a/src/sequoiapulley/forward/roles.py
+++ b/src/sequoiapulley/forward/roles.py
@@ -22,6 +22,14 @@
 OTHER_NODES_SLACK_SHARE: Final = 0.25
 """Share of the retry quota's slack for all other nodes."""
 
+LOCAL_LIMIT_SHARE: Final = 0.8
+"""Share of an upstream's request limit for the entry nodes of its failure domain: they send their
+own callers' requests and those that other failure domains delegate to them."""
+REMOTE_LIMIT_SHARE: Final = 0.1
+"""Share of an upstream's request limit for the entry nodes of all other failure domains."""
+OTHER_LIMIT_SHARE: Final = 0.1
+"""Share of an upstream's request limit for all nodes that callers are not sent to."""
+
 
 def ranked(nodes: list[NodeRecord]) -> list[NodeRecord]:
     """Returns nodes in the order in which they take roles: by descending capacity, then name."""
@@ -76,3 +84,35 @@
     if is_entry:
         return ENTRY_NODES_SLACK_SHARE / entries
     return OTHER_NODES_SLACK_SHARE / max(1, nodes - entries)
+
+
+def limit_share(
+    local_node: NodeRecord,
+    ready: list[NodeRecord],
+    failure_domain: FailureDomainName,
+    failure_domains: int,
+    nodes: int,
+) -> float:
+    """Returns a node's share of the request limits of the upstreams of a failure domain, 0 to 1.
+
+    Args:
+        local_node: The node.
+        ready: Nodes that are ready to serve callers.
+        failure_domain: Failure domain of the upstreams.
+        failure_domains: Number of failure domains with nodes.
+        nodes: Number of registered nodes.
+    """
+    nearest = _entry_nodes_of(ready, failure_domain)
+    if local_node in nearest:
+        return LOCAL_LIMIT_SHARE / len(nearest)
+    if local_node in _entry_nodes_of(ready, local_node.failure_domain):
+        share = REMOTE_LIMIT_SHARE if nearest else LOCAL_LIMIT_SHARE + REMOTE_LIMIT_SHARE
+        return share / (ENTRIES_PER_FAILURE_DOMAIN * max(1, failure_domains - 1))
+    others = nodes - ENTRIES_PER_FAILURE_DOMAIN * max(1, failure_domains)
+    return OTHER_LIMIT_SHARE / max(1, others)
+
+
+def _entry_nodes_of(ready: list[NodeRecord], failure_domain: FailureDomainName) -> list[NodeRecord]:
+    """Returns the entry nodes of a failure domain, without replacements from other ones."""
+    local = [node for node in ready if node.failure_domain == failure_domain]
+    return ranked(local)[:ENTRIES_PER_FAILURE_DOMAIN]
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -332,7 +332,7 @@
         if self._sends >= MAX_SENDS:
             return None
         upstream = self._tried.next_untried(
-            [sent_try.upstream for sent_try in self._open_tries()], now
+            [sent_try.upstream for sent_try in self._open_tries()], now, spare_limited=hedge
         )
         if (
             hedge
--- a/src/sequoiapulley/forward/upstream.py
+++ b/src/sequoiapulley/forward/upstream.py
@@ -6,6 +6,7 @@
 
 from sequoiapulley.forward.exchange import Pool
 from sequoiapulley.forward.messages import LoadReport, UpstreamRecord
+from sequoiapulley.forward.request_limit import RequestLimit
 
 SLOWNESS_WEIGHT: Final = 0.3
 """Weight of a new sample; a slow upstream is detected after two or three requests."""
@@ -58,7 +59,7 @@
         "_was_silent",
         "address_reassigned",
         "leaving_since",
-        "limit_per_s",
+        "limit",
         "overdue_requests",
         "paused_until",
         "pool",
@@ -85,8 +86,8 @@
         """Clock reading at which this node learned that it announced its shutdown, or None."""
         self.paused_until = float("-inf")
         """Clock reading until which it requested a pause of this node."""
-        self.limit_per_s: float | None = None
-        """Requests per second that it accepts from all nodes together; None for no limit."""
+        self.limit: RequestLimit | None = None
+        """Limit on this node's requests, while it states one."""
         self.overdue_requests = 0
         """Number of overdue requests of this node in flight."""
         self._slowness = 1.0
@@ -130,6 +131,8 @@
 
         After a time without requests it continues from the decayed last observation.
         """
+        if self.limit is not None:
+            self.limit.record_send(now)
         if self._unanswered_since is None or self.pool.busy == 0:
             self._unanswered_since = now - self.silence(now)
 
@@ -172,6 +175,7 @@
             and not self.address_reassigned
             and self.leaving_since is None
             and now >= self.paused_until
+            and (self.limit is None or self.limit.allows(now))
         )
 
     def is_last_resort(self, drain: float, now: float) -> bool:
@@ -183,13 +187,16 @@
         """
         if self.leaving_since is None or self.retired or self.address_reassigned:
             return False
+        if self.limit is not None and not self.limit.allows(now):
+            return False
         return now >= self.paused_until and now < self.leaving_since + drain - DRAIN_MARGIN_S
 
     def pause_left(self, now: float) -> float:
         """Returns the time until it accepts requests again; infinite if it will not."""
         if self.retired or self.address_reassigned or self.leaving_since is not None:
             return float("inf")
-        return max(0.0, self.paused_until - now)
+        limited_for = 0.0 if self.limit is None else self.limit.wait(now)
+        return max(0.0, self.paused_until - now, limited_for)
 
     def record_end(self, failed: bool, unreachable: bool, now: float) -> None:
         """Records the outcome of a request.
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -9,10 +9,11 @@
 from sequoiapulley.forward.exchange import Pool
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.messages import UpstreamRecord
+from sequoiapulley.forward.request_limit import RequestLimit
 from sequoiapulley.forward.route_table import Route, ServiceConfig
 from sequoiapulley.forward.store_position import NO_ERA
 from sequoiapulley.forward.upstream import Upstream
-from sequoiapulley.ids import Era, ServiceName, UpstreamName
+from sequoiapulley.ids import Era, FailureDomainName, ServiceName, UpstreamName
 from sequoiapulley.runtime import Clock
 
 CONNECTION_SHARE: Final = 0.9
@@ -29,6 +30,8 @@
 """Maximum number of announced shutdowns in a heartbeat, which is one datagram."""
 
 PoolFactory = Callable[[UpstreamRecord], Pool]
+LimitShare = Callable[[FailureDomainName], float]
+"""Returns a node's share of the limits of the upstreams of a failure domain, 0 to 1."""
 
 
 class UpstreamDirectory:
@@ -56,6 +59,8 @@
         """Upstreams that announced their shutdown in a reply to this node, oldest first."""
         self.era: Era = NO_ERA
         """Era of the store whose entries are being applied."""
+        self.limit_share: LimitShare = _whole_limit
+        """Returns this node's share of the limits of the upstreams of a failure domain."""
         self.drain = 0.0
         """Time for which an upstream serves after it announced its shutdown, in seconds."""
 
@@ -146,6 +151,23 @@
         ]
         return [upstream.record for upstream in self._announced[-MAX_NEWS:]]
 
+    def set_limit(self, upstream: Upstream, per_second: float | None) -> None:
+        """Sets the request rate that an upstream accepts from all nodes together.
+
+        Args:
+            upstream: The upstream.
+            per_second: Requests per second; None for no limit.
+        """
+        if per_second is None:
+            upstream.limit = None
+            return
+        now = self._clock.now()
+        share = self.limit_share(upstream.record.failure_domain)
+        if upstream.limit is None:
+            upstream.limit = RequestLimit(per_second, share, now)
+            return
+        upstream.limit.configure(per_second, share, now)
+
     def find(self, name: UpstreamName) -> Upstream | None:
         """Returns the registered upstream with a name, or None."""
         return self._upstreams.get(name)
@@ -239,12 +261,27 @@
         )
 
     def sweep(self, now: float) -> None:
-        """Closes connections that were idle, or still connecting, for too long."""
+        """Closes connections that were idle, or still connecting, for too long.
+
+        Also updates this node's shares of the limits that upstreams state.
+        """
         for name, removed in tuple(self._removed_in_pause.items()):
             if removed.paused_until <= now:
                 del self._removed_in_pause[name]
         for upstream in self._upstreams.values():
             upstream.pool.sweep(now)
+        self._update_limit_shares(now)
+
+    def _update_limit_shares(self, now: float) -> None:
+        """Updates this node's shares of the limits that upstreams state, as roles may change."""
+        shares: dict[FailureDomainName, float] = {}
+        for upstream in self._upstreams.values():
+            if upstream.limit is None:
+                continue
+            domain = upstream.record.failure_domain
+            if domain not in shares:
+                shares[domain] = self.limit_share(domain)
+            upstream.limit.configure(upstream.limit.per_second, shares[domain], now)
 
     def _add(self, record: UpstreamRecord) -> None:
         """Registers a new upstream."""
@@ -264,3 +301,8 @@
             return MIN_CONNECTIONS
         share = int(CONNECTION_SHARE * config.max_connections / self._nodes)
         return min(MAX_CONNECTIONS, max(MIN_CONNECTIONS, share))
+
+
+def _whole_limit(_failure_domain: FailureDomainName) -> float:
+    """Returns the share of a node that knows no other."""
+    return 1.0
