Break the new mechanisms; hold stated limits by real processes and in the soak

test_node_contract.test_stated_limit plays an upstream that states ten requests a second to two nodes, and its end. The soak's upstreams may state a limit of five; what nodes send meanwhile is not counted there, as the soak cannot tell which node a request at an upstream came from.

--- a/soak/inject.py
+++ b/soak/inject.py
@@ -22,6 +22,7 @@
 ENDLESS_PARTS = tuple(EndlessPart)
 LEAVE_MARGIN_S = 1.5
 """Time beyond `DRAIN_S` for which an upstream that leaves still serves."""
+LIMIT_PER_S = 5.0
 STORE_AWAY_S = 0.6
 REWRITE_S = 1.0
 """Time within which operators and upstreams write again after the store was restored."""
@@ -95,6 +96,9 @@
         elif kind is FaultKind.UPSTREAM_PAUSES:
             faults = UpstreamFaults(pause=fault.lasts)
             await _apply_upstream_faults(testbed.upstreams[index], faults, fault.lasts)
+        elif kind is FaultKind.UPSTREAM_LIMITS:
+            faults = UpstreamFaults(limit=LIMIT_PER_S)
+            await _apply_upstream_faults(testbed.upstreams[index], faults, fault.lasts)
         elif kind is FaultKind.UPSTREAM_ENDLESS:
             part = ENDLESS_PARTS[fault.pick // len(testbed.upstreams) % len(ENDLESS_PARTS)]
             faults = UpstreamFaults(endless=Endless(part))
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -61,6 +61,8 @@
     """An upstream announces its shutdown in its replies, and then starts again."""
     UPSTREAM_PAUSES = "upstream_pauses"
     """An upstream refuses requests and asks for a pause."""
+    UPSTREAM_LIMITS = "upstream_limits"
+    """An upstream states how many requests per second it accepts from all nodes together."""
     UPSTREAM_ENDLESS = "upstream_endless"
     """An upstream answers with bytes that never end."""
     CONFIG_CHANGE = "config_change"
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -40,6 +40,8 @@
     """Refuse every request before it runs and ask for a pause of this many seconds."""
     endless: Endless | None = None
     """Answer with bytes that never end."""
+    limit: float | None = None
+    """State in each reply that so many requests per second are accepted from all nodes together."""
 
 
 class PlatformUpstream:
@@ -152,6 +154,8 @@
         if self.faults.leaving:
             self.leaving_arrivals.append(attempt)
             echo = (*echo, ("server-leaving", "1"))
+        if self.faults.limit is not None:
+            echo = (*echo, ("server-limit", f"{self.faults.limit:g}"))
         if request.headers.get("x-expected-instance", self.name) != self.name:
             return Response(421, b"", echo)
         if self.faults.pause is not None:
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -36,6 +36,10 @@
 PAUSE_GRACE_S: Final = 0.5
 """Time after a requested pause began from which requests count."""
 MAX_REQUESTS_IN_PAUSE: Final = 2
+LIMIT_PER_S: Final = 10.0
+LIMIT_GRACE_S: Final = 0.5
+"""Time after a node passed on the statement of a limit from which its requests count."""
+LIMIT_WINDOW_S: Final = 4.0
 MAX_GROWTH_KB: Final = 32_000
 """Memory that endless replies may cost a node: a quarter of what a node of 20 MB has left on the
 smallest VMs, which have 152 MB."""
@@ -171,6 +175,28 @@
         self.assertEqual(self.ask(conn, "/o/1"), 503)
         self.assertLess(monotonic() - start, 0.2)
 
+    def all_log(self, text: bytes, conns: list[HTTPConnection]) -> bool:
+        """Returns whether the logs of all nodes have a text after one more request to each."""
+        return all(text in self.read_log(node, conn) for node, conn in enumerate(conns))
+
+    # Guards against LIMIT of issue 25: an upstream that had stated a limit got far more requests.
+    def test_stated_limit(self) -> None:
+        conns = [self.connect(node) for node in range(2)]
+        self.load(0.3, conns[0])
+        first = self.upstreams[0]
+        first.faults = UpstreamFaults(limit=LIMIT_PER_S)
+        self.until(lambda: self.all_log(b"upstream_limited", conns))
+        began = first.thread_time() + LIMIT_GRACE_S
+        end = monotonic() + LIMIT_GRACE_S + LIMIT_WINDOW_S
+        statuses = set()
+        while monotonic() < end:
+            statuses.update(self.ask(conn) for conn in conns)
+        self.assertEqual(statuses, {200})
+        arrivals = [at for at in first.arrivals if began <= at < began + LIMIT_WINDOW_S]
+        self.assertLessEqual(len(arrivals), 1.5 * LIMIT_PER_S * LIMIT_WINDOW_S + 5)
+        first.faults = UpstreamFaults()
+        self.until(lambda: self.all_log(b'"per_s":"none"', conns))
+
     def test_malformed_messages(self) -> None:
         """Entries, datagrams and requests of other programs do not end a node."""
         conn = self.connect()
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -105,7 +105,7 @@
         "if True:",
         ("test_shared_state",),
     ),
-    Break(6, "forward/state_feed.py", " and self.age >= OUTAGE_S", "", ("test_state_feed",)),
+    Break(6, "forward/state_feed.py", " and self._had_outage()", "", ("test_state_feed",)),
     Break(
         7,
         "wire/server_connection.py",
@@ -256,8 +256,8 @@
     Break(
         6,
         "forward/upstream.py",
-        "            and now >= self.paused_until\n        )",
-        "        )",
+        "            and now >= self.paused_until\n            and (self.limit",
+        "            and (self.limit",
         ("test_upstream_pauses",),
     ),
     Break(
@@ -281,4 +281,46 @@
         "if False:",
         ("test_endless_replies",),
     ),
+    Break(
+        8,
+        "daemon/state_reply.py",
+        "delta = delta_after(base) if base else None",
+        "delta = None",
+        ("test_peer_source",),
+    ),
+    Break(
+        8,
+        "forward/table_history.py",
+        "        routes.pop(key, None)\n",
+        "        pass\n",
+        ("test_table_history",),
+    ),
+    Break(
+        8,
+        "wire/http_client.py",
+        "        if now < limit:\n",
+        "        if False:\n",
+        ("test_http_client",),
+    ),
+    Break(
+        6,
+        "forward/state_feed.py",
+        "failed_since = self._store_failed_at > self.read_at",
+        "failed_since = True",
+        ("test_state_feed",),
+    ),
+    Break(
+        6,
+        "forward/upstream.py",
+        "            and (self.limit is None or self.limit.allows(now))\n",
+        "",
+        ("test_request_limits",),
+    ),
+    Break(
+        6,
+        "forward/roles.py",
+        "        return LOCAL_LIMIT_SHARE / len(nearest)\n",
+        "        return 1.0\n",
+        ("test_request_limits",),
+    ),
 )
