Wait for a large configuration text before it is requested again

Cause: a node that had asked a peer for the whole text asked another one after one second, also while the first copy was arriving. On a link of 7 Mbit/s a text of 1 MB takes 1.2 s; copies that share the link take longer each.

Change: the wait grows with the size of the active text, which the requested one is about as large as, at half of that link's rate. A small text is requested again after a second as before, and so is one by a node without any text.

Measured: the new test fails on the code before (a second request after 1.5 s for a text of 1 MB) and passes now; 18 tests of the replicator and of five processes pass.

--- a/src/sequoiapulley/fleet/config_replicator.py
+++ b/src/sequoiapulley/fleet/config_replicator.py
@@ -40,6 +40,9 @@
 """Time for peers to send the configuration before a new node reads the store itself."""
 MAX_COLD_START_JITTER_S: Final = 1.0
 REQUEST_TIMEOUT_S: Final = 1.0
+"""Time after which a record is requested from another peer, in addition to its transfer."""
+TRANSFER_BYTES_PER_S: Final = 437_500
+"""Assumed rate of a transfer between nodes: half of a link of 7 Mbit/s, the narrowest one."""
 FANOUT: Final = 4
 MAX_RECORDS: Final = 8
 """Latest records kept as bases of deltas."""
@@ -297,8 +300,11 @@
         """Requests a peer's record, unless an earlier request has not timed out yet."""
         if now < self._request_pending_until:
             return []
-        self._request_pending_until = now + REQUEST_TIMEOUT_S
         current = self.current_record()
+        # The requested text is about as large as the active one. Requested again while it is
+        # arriving, it would arrive later.
+        transfer = 0.0 if current is None else len(current.text) / TRANSFER_BYTES_PER_S
+        self._request_pending_until = now + REQUEST_TIMEOUT_S + transfer
         edit_id = current.edit_id if current is not None else NO_EDIT
         return [SendToPeer(node, ConfigRequest(self.version(), edit_id))]
 
--- a/tests/test_config_replicator.py
+++ b/tests/test_config_replicator.py
@@ -199,6 +199,19 @@
             replicator.on_local_edit(make_record(version))
         self.assertEqual(replicator.version(), 5)
 
+    # Guards against the cause of CONFIG of issue 25 in the daemon: a large text was requested from
+    # another peer each second while it was arriving.
+    def test_text_that_may_still_be_arriving_is_not_requested_again(self) -> None:
+        for size, repeated in ((1_000, 1), (1_000_000, 0)):
+            with self.subTest(size=size):
+                replicator = ConfigReplicator(make_member(0), MemoryLog(), 1)
+                replicator.on_local_edit(make_record(1, "x" * size))
+                version = ConfigVersion(2)
+                first = replicator.on_peer_version(NodeId("n1"), version, 10.0)
+                second = replicator.on_peer_version(NodeId("n2"), version, 11.5)
+                last = replicator.on_peer_version(NodeId("n3"), version, 15.0)
+                self.assertEqual([len(first), len(second), len(last)], [1, repeated, 1])
+
     @given(st.data())
     def test_delta_rebuilds_any_text(self, data: st.DataObject) -> None:
         line = st.sampled_from(["a\n", "b\n", "{\n", "\r\n", "é", "x\u2028y\n"])
