Bound the wait that callers are told when upstreams are limited

Found by reading the change: a node that callers are not sent to has a share of less than a thousandth of a limit. If all upstreams of a service were limited, it would have told its callers to return after many minutes, although an entry node has room within a second.

Change: the stated wait is a second at most. The test's own bound on it goes from 4 s to 1 s; a new test holds the waits of three shares.

--- a/src/sequoiapulley/forward/request_limit.py
+++ b/src/sequoiapulley/forward/request_limit.py
@@ -9,6 +9,9 @@
 next to nothing; the users' contract permits five requests in four seconds beyond any limit."""
 BURST_S: Final = 0.5
 """Time for which unused requests are saved up, so that requests need not arrive evenly."""
+MAX_WAIT_S: Final = 1.0
+"""Longest wait that callers are told: meanwhile other nodes may have room, and limits and roles
+change. By its share, a node that is no entry node would have to wait for many minutes."""
 ROUNDING_TOLERANCE: Final = 1e-9
 """Subtracted from one request, as shares of a rate are inexact."""
 
@@ -48,9 +51,9 @@
         self._tokens = max(0.0, self._tokens - 1.0)
 
     def wait(self, now: float) -> float:
-        """Returns the time until a request may be sent, in seconds."""
+        """Returns the time after which a caller may try again, in seconds; 0 if it may now."""
         self._refill(now)
-        return max(0.0, 1.0 - self._tokens) / self._rate
+        return min(MAX_WAIT_S, max(0.0, 1.0 - self._tokens) / self._rate)
 
     @property
     def _rate(self) -> float:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -14,6 +14,7 @@
 from sequoiapulley.forward.log_events import LIMIT_UNREADABLE, UPSTREAM_LIMITED
 from sequoiapulley.forward.messages import ExchangeReply, StatedLimit
 from sequoiapulley.forward.refusal import BUSY_RETRY_AFTER_S
+from sequoiapulley.forward.request_limit import RequestLimit
 from sequoiapulley.forward.roles import limit_share
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.ids import FailureDomainName, UpstreamName
@@ -25,8 +26,8 @@
 REFUSED = 503
 LIMIT_PER_S = 10.0
 WINDOW_S = 4.0
-MAX_WAIT_S = 4.0
-"""Time until the next request of a node with a fortieth of the limit."""
+MAX_WAIT_S = 1.0
+"""Longest wait that a caller should be told: other nodes may have room before."""
 LEARNING_S = 4.0
 """Time after the first statement of a limit from which the bound holds."""
 MAX_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
@@ -177,6 +178,16 @@
                 self.assertNotIn(UPSTREAM_LIMITED, events)
 
 
+class RequestLimitWaitTest(TestCase):
+    """The wait that callers are told."""
+
+    def test_wait_follows_the_share_and_is_bounded(self) -> None:
+        for share, expected in ((0.4, 0.25), (0.1, 1.0), (0.0008, 1.0)):
+            limit = RequestLimit(10.0, share, 0.0)
+            self.assertAlmostEqual(limit.wait(0.0), expected)
+        self.assertEqual(RequestLimit(10.0, 0.4, 0.0).wait(0.3), 0.0)
+
+
 class LimitShareTest(TestCase):
     """The shares of all entry nodes together are the whole limit."""
 
