--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -301,6 +301,7 @@
         self._peers.mark_lost_peers(now)
         self._refresh_shares()
         self._directory.sweep(now)
+        self._directory.update_limit_shares(now)
         if self._lifecycle.may_stop_accepting(
             now, self._settings_task.cfg.grace, len(self._callers_server.connections)
         ):
--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -47,12 +47,12 @@
 or another peer; a request for the full state is still answered. The age is almost twice the read
 interval of the store reader, and leaves time for a read of the store within the bound on applying a
 configuration."""
+MAX_RECEIVING_AGE_S: Final = 3.5
+"""Such an age while a reply with newer state is arriving at the node: other sources would need as
+long for it, 1.6 s for the store's largest reply on a link of 7 Mbit/s."""
 LARGE_REPLY_BYTES: Final = 65_536
 """Size of replies sent at a time from which they are logged; upstreams that come and go make less
 than a tenth of it."""
-MAX_RECEIVING_AGE_S: Final = 3.5
-"""The same limit while a reply with newer state is arriving: other sources would need as long for
-it, 1.6 s for the store's largest reply on a link of 7 Mbit/s."""
 STATUS_OK: Final = 200
 STATUS_NOT_FOUND: Final = 404
 STATUS_UNAVAILABLE: Final = 503
@@ -149,7 +149,7 @@
         return Err(SourceError(SourceErrorKind.UNAVAILABLE, text))
 
 
-class _Reader:
+class _StateRequest:
     """A peer's request for the changes after a position."""
 
     __slots__ = ("accepts_deflate", "after", "base", "req")
@@ -199,7 +199,7 @@
         self._receiving = receiving
         self._tally = tally
         self._log = log
-        self._waiters: list[_Reader] = []
+        self._waiters: list[_StateRequest] = []
 
     def serve(self, req: ServerRequest) -> None:
         """Answers a request at once, or when the next change arrives or the wait ends."""
@@ -216,13 +216,13 @@
             # The store was restored, and this node has not read it since.
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return
-        reader = _Reader(req, after, ConfigVersion(_parse_number(fields.get("config"))))
+        request = _StateRequest(req, after, ConfigVersion(_parse_number(fields.get("config"))))
         if after < position or position == NO_POSITION:
-            self._log_sent([self._answer(reader, {})])
+            self._log_sent([self._answer(request, {})])
             return
         wait = min(MAX_WAIT_S, _parse_number(fields.get("wait_ms")) / 1000)
-        self._waiters.append(reader)
-        self._timers.call_later(wait, lambda: self._end_wait(reader))
+        self._waiters.append(request)
+        self._timers.call_later(wait, lambda: self._end_wait(request))
 
     def wake(self) -> None:
         """Answers the waiting requests for which there are changes now."""
@@ -236,7 +236,7 @@
                 self._waiters.append(waiter)
         self._log_sent(sizes)
 
-    def _end_wait(self, waiter: _Reader) -> None:
+    def _end_wait(self, waiter: _StateRequest) -> None:
         """Answers a request whose wait has ended, without changes."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
@@ -251,21 +251,21 @@
         """Returns whether peers should read from the store or another peer."""
         return age > (MAX_RECEIVING_AGE_S if self._receiving() else MAX_STATE_AGE_S)
 
-    def _encode(self, reader: _Reader, changes: ChangeSet) -> _EncodedReply:
+    def _encode(self, request: _StateRequest, changes: ChangeSet) -> _EncodedReply:
         """Returns the headers and the body of a reply, compressed if the peer accepts that."""
-        body = encode_state(changes, reader.base, self._delta_after)
-        if reader.accepts_deflate and len(body) >= MIN_COMPRESSED_BYTES:
+        body = encode_state(changes, request.base, self._delta_after)
+        if request.accepts_deflate and len(body) >= MIN_COMPRESSED_BYTES:
             return DEFLATED_HEADERS, compress_state(body)
         return MSGPACK_HEADERS, body
 
-    def _answer(self, reader: _Reader, encoded: dict[_ReplyKey, _EncodedReply]) -> int:
+    def _answer(self, request: _StateRequest, encoded: dict[_ReplyKey, _EncodedReply]) -> int:
         """Sends the changes after a position, or the full state if some are no longer logged.
 
         Refuses if this node has no state, or if its state is stale and the peer asks for changes
         only.
 
         Args:
-            reader: The peer's request.
+            request: The peer's request.
             encoded: Replies to other peers at this moment, which are used again.
 
         Returns:
@@ -273,23 +273,23 @@
         """
         age = self._age()
         position = self._changes.position
-        wants_full_state = reader.after.revision == NO_POSITION.revision
+        wants_full_state = request.after.revision == NO_POSITION.revision
         if position == NO_POSITION or (self._is_stale(age) and not wants_full_state):
             self._tally.state_replies["refused"] += 1
-            reader.req.answer(STATUS_UNAVAILABLE, (), b"")
+            request.req.answer(STATUS_UNAVAILABLE, (), b"")
             return 0
-        recent = self._changes.changes_after(reader.after)
+        recent = self._changes.changes_after(request.after)
         if recent is None:
             changes = self._full_state(age)
         else:
             changes = ChangeSet(position.revision, recent, age=age, era=position.era)
-        key = (reader.after, reader.base, reader.accepts_deflate)
+        key = (request.after, request.base, request.accepts_deflate)
         if key not in encoded:
-            encoded[key] = self._encode(reader, changes)
+            encoded[key] = self._encode(request, changes)
         headers, body = encoded[key]
         self._tally.state_replies["full" if changes.whole else "changes"] += 1
         self._tally.state_reply_bytes += len(body)
-        reader.req.answer(STATUS_OK, headers, body)
+        request.req.answer(STATUS_OK, headers, body)
         return len(body)
 
 
--- a/src/sequoiapulley/daemon/state_reply.py
+++ b/src/sequoiapulley/daemon/state_reply.py
@@ -50,7 +50,8 @@
         base: Configuration version that the peer has; 0 to send the whole configuration.
         delta_after: Source of the difference to that version.
     """
-    delta = delta_after(base) if base else None
+    has_table = any(isinstance(change, TableChange) for change in changes.changes)
+    delta = delta_after(base) if base and has_table else None
     if delta is None:
         return encode(changes)
     sent = tuple(
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -306,17 +306,21 @@
             if compacted:
                 self._schedule_read(now)
                 return
-        if not plan.is_store:
-            self._log.log(PEER_STATE_FAILED, error=error.detail, failures=self._failures + 1)
         if plan.is_store:
-            self._store_failed_at = now
-        if plan.is_store and self._store_lost_at is None:
-            self._store_lost_at = now
-            self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
+            self._on_store_failure(error, now)
+        else:
+            self._log.log(PEER_STATE_FAILED, error=error.detail, failures=self._failures + 1)
         self._retry()
         # Without the changes since then, the state that was read is the best that there is.
         self._apply_held()
 
+    def _on_store_failure(self, error: SourceError, now: float) -> None:
+        """Records a failed read of the store, and logs the first one since the last reply."""
+        self._store_failed_at = now
+        if self._store_lost_at is None:
+            self._store_lost_at = now
+            self._log.log(STORE_LOST, error=error.detail, revision=self.position.revision)
+
     def _retry(self) -> None:
         """Schedules the next read after a failed one."""
         delay = min(MAX_RETRY_S, INITIAL_RETRY_S * 2**self._failures)
--- a/src/sequoiapulley/forward/store_availability.py
+++ b/src/sequoiapulley/forward/store_availability.py
@@ -28,6 +28,6 @@
     def had_outage_since(self, start: float) -> bool:
         """Returns whether an outage has ended after a clock reading.
 
-        The outages in the records of peers count, too: they may hear of the store's return first.
+        A peer may have noticed the end before this node did.
         """
         return self._outage_ended_at > start
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -168,6 +168,17 @@
             return
         upstream.limit.configure(per_second, share, now)
 
+    def update_limit_shares(self, now: float) -> None:
+        """Updates this node's shares of the limits that upstreams state, as roles may change."""
+        shares: dict[FailureDomainName, float] = {}
+        for upstream in self._upstreams.values():
+            if upstream.limit is None:
+                continue
+            domain = upstream.record.failure_domain
+            if domain not in shares:
+                shares[domain] = self.limit_share(domain)
+            upstream.limit.configure(upstream.limit.per_second, shares[domain], now)
+
     def find(self, name: UpstreamName) -> Upstream | None:
         """Returns the registered upstream with a name, or None."""
         return self._upstreams.get(name)
@@ -261,27 +272,12 @@
         )
 
     def sweep(self, now: float) -> None:
-        """Closes connections that were idle, or still connecting, for too long.
-
-        Also updates this node's shares of the limits that upstreams state.
-        """
+        """Closes connections that were idle, or still connecting, for too long."""
         for name, removed in tuple(self._removed_in_pause.items()):
             if removed.paused_until <= now:
                 del self._removed_in_pause[name]
         for upstream in self._upstreams.values():
             upstream.pool.sweep(now)
-        self._update_limit_shares(now)
-
-    def _update_limit_shares(self, now: float) -> None:
-        """Updates this node's shares of the limits that upstreams state, as roles may change."""
-        shares: dict[FailureDomainName, float] = {}
-        for upstream in self._upstreams.values():
-            if upstream.limit is None:
-                continue
-            domain = upstream.record.failure_domain
-            if domain not in shares:
-                shares[domain] = self.limit_share(domain)
-            upstream.limit.configure(upstream.limit.per_second, shares[domain], now)
 
     def _add(self, record: UpstreamRecord) -> None:
         """Registers a new upstream."""
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -284,7 +284,7 @@
     Break(
         8,
         "daemon/state_reply.py",
-        "delta = delta_after(base) if base else None",
+        "delta = delta_after(base) if base and has_table else None",
         "delta = None",
         ("test_peer_source",),
     ),
