Pass on a removal that this node holds back already

Cause: a node that reads the store for others keeps an upstream whose entry lapsed in an outage for 2.2 s. If the entry returns and is removed for good between two of its reads, it sees a second removal, takes it for the first and did not add it to its change log. A follower that had read the entry in between never heard that the upstream left.

The way mended here was found by reading.

Change: each removal is added to the change log before anything else is decided.

Why it works: followers get every removal that their reader has read, whatever it meant for the reader itself; one that lacks the upstream ignores it.

--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -189,11 +189,9 @@
     def _remove(self, change: UpstreamRemoval, revision: Revision) -> None:
         """Removes an upstream, at once or after the time in which it may register again."""
         name = change.name
-        if name in self._pending_removals:
-            return
         # A peer that reads from this node may have registered the upstream itself.
         self._change_log.append(change, revision)
-        if self._directory.find(name) is None:
+        if name in self._pending_removals or self._directory.find(name) is None:
             return
         if not change.may_return:
             self._directory.record_removal(name)
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -142,6 +142,21 @@
         follower.apply(8, *found)
         self.assertEqual(follower.names(), {"b"})
 
+    # Guards against DRAIN of issue 25: a follower went on using an upstream that had left, as its
+    # reader had lost the upstream in an outage and did not pass the removal on.
+    def test_follower_learns_of_a_removal_that_its_reader_holds_back(self) -> None:
+        follower = self.make_follower()
+        for member in (self, follower):
+            member.apply(5, upstream_change("a"), upstream_change("b"), whole=True)
+            member.apply(6, removal("a"), outage=True)
+        follower.apply(7, upstream_change("a"))
+        self.apply(8, removal("a"))
+        found = self.log.changes_after(position(7))
+        self.assertEqual(found, (removal("a"),))
+        assert found is not None
+        follower.apply(8, *found)
+        self.assertEqual(follower.names(), {"b"})
+
     def test_followers_get_the_full_state_after_a_full_read(self) -> None:
         """A full read does not tell which entries were removed and written again meanwhile."""
         self.apply(5, upstream_change("a"), whole=True)
