--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,8 @@
 from random import Random
 from unittest import TestCase
 
+from msgspec import to_builtins
+from msgspec.msgpack import decode, encode
 from msgspec.structs import replace
 
 from sequoiapulley.daemon.feed_sources import MAX_CONFIG_LAG_S, FeedSourceSelector
@@ -16,6 +18,7 @@
     REMOTE_HEARTBEAT_INTERVAL_S,
     REMOTE_HEARTBEAT_NODES,
     ROLE_CANDIDATES,
+    Heartbeat,
     NodeState,
     PeerTable,
 )
@@ -90,6 +93,12 @@
         )
         self.assertEqual(len(self.table.ready()), 1)
 
+    def test_heartbeat_of_an_earlier_version_states_no_age(self) -> None:
+        sent = replace(heartbeat(node("b")), state_age=0.4)
+        self.assertEqual(decode(encode(sent), type=Heartbeat), sent)
+        earlier = decode(encode(to_builtins(sent)[:-1]), type=Heartbeat)
+        self.assertEqual(earlier, replace(sent, state_age=float("inf")))
+
     def test_heartbeat_of_an_earlier_incarnation_is_ignored(self) -> None:
         record = node("b")
         later = replace(record, incarnation=Incarnation(9))
