Log the fingerprint of requests that are lost with their upstream

Callers send each attempt under another id, so the log could not tell whether the same request comes again and takes one upstream after the other, or whether upstreams end for another reason.

Change, none of logic: SP2504 with `end=lost` names a hash of method, host, target and body. xxhash, which sequoiapulleyd uses already, takes 0.2 MB here.

--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -33,7 +33,9 @@
     2504,
     "try_failed",
     Severity.INFO,
-    "A try (one send of a request to an upstream) ended without a reply that can be forwarded.",
+    "A try (one send of a request to an upstream) ended without a reply that can be forwarded. If "
+    "the upstream closed the connection (`end` is `lost`), `fingerprint` tells whether the same "
+    "request was lost before.",
     "Check the upstream if this event recurs.",
 )
 CALLER_LEFT: Final = define_event(
--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -6,8 +6,15 @@
 from enum import Enum
 
 from msgspec import Struct, field
-
-from sequoiapulley.ids import FailureDomainName, RequestId, ServiceName, UpstreamName
+from xxhash import xxh3_128_hexdigest
+
+from sequoiapulley.ids import (
+    FailureDomainName,
+    Fingerprint,
+    RequestId,
+    ServiceName,
+    UpstreamName,
+)
 from sequoiapulley.wire.reply_parser import ParsedReply
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -50,6 +57,13 @@
     arrived: float
     """Clock reading at which the request was completely received."""
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Hash of the content, the same for every attempt that sends the same request."""
+        host = self.host.encode("latin-1")
+        content = b"%b %b %b\n%b" % (self.method, host, self.target, self.body)
+        return Fingerprint(xxh3_128_hexdigest(content))
+
 
 class Answer(Struct, frozen=True):
     """The answer to a caller."""
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -271,9 +271,11 @@
             return
         if reply.end is ExchangeEnd.REPLY:
             self.last_failure = reply
+        lost = reply.end is ExchangeEnd.LOST
         self._ctx.log.log(
             TRY_FAILED,
             id=self._req.id,
+            fingerprint=self._req.fingerprint if lost else "",
             service=self.service,
             upstream=sent_try.upstream.record.name,
             end=reply.end.value,
