Reproduce requests that crash upstreams without end

Six nodes share upstreams that crash 30 ms after such a request has reached them and are back a second later; callers repeat the request four times a second.

--- /dev/null
+++ b/tests/crashing_fleet.py
@@ -0,0 +1,100 @@
+"""Nodes and upstreams without a network; some requests crash every upstream that runs them."""
+
+from __future__ import annotations
+
+from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
+from sequoiapulley.forward.route_table import Route
+from sequoiapulley.ids import FailureDomainName, UpstreamName
+from sequoiapulley.runtime import PausedClock, TimerQueue
+from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, ended, success
+
+CRASH_AFTER_S = 0.03
+"""Time from the arrival of such a request until the upstream crashes."""
+DOWN_S = 1.0
+"""Time until a crashed upstream serves again."""
+PROCESSING_S = 0.01
+CONNECT_REFUSED_S = 0.001
+
+
+class CrashingFleet:
+    """Nodes that share upstreams; an upstream that crashes loses the requests of all of them."""
+
+    def __init__(self, domains: tuple[str, ...], crashing: frozenset[bytes]) -> None:
+        """Initialise with one node for each entry of `domains`.
+
+        Args:
+            domains: Failure domain of each node.
+            crashing: Targets of the requests that crash upstreams.
+        """
+        self.timers = TimerQueue(PausedClock())
+        self.clock = self.timers.clock
+        self.crashing = crashing
+        self.crashes: list[tuple[float, UpstreamName]] = []
+        self.sends: list[float] = []
+        """Clock readings at which such a request reached an upstream."""
+        self._down: set[UpstreamName] = set()
+        self.nets = [
+            SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
+            for domain in domains
+        ]
+        for net in self.nets:
+            self._connect(net)
+
+    def _connect(self, net: SimulatedNet) -> None:
+        """Connects a node to the others."""
+
+    def add(self, name: str, service: str, domain: str) -> None:
+        """Registers an upstream at every node."""
+        for net in self.nets:
+            net.add(name, service, FailureDomainName(domain))
+
+    def apply(self, *routes: Route) -> None:
+        """Activates a configuration at every node."""
+        for net in self.nets:
+            net.apply(*routes)
+
+    def ask(self, node: int, path: str) -> list[tuple[float, Answer]]:
+        """Sends a request to a node; its latency and answer are appended to the returned list."""
+        return self.nets[node].ask(path)
+
+    def run(self, seconds: float) -> None:
+        """Advances the clock of all nodes."""
+        self.nets[0].run(seconds)
+
+    def sends_after(self, crashes: int, delay: float) -> int:
+        """Returns the sends of crashing requests that came too late to be expected.
+
+        Args:
+            crashes: Number of crashes after which the request should be known.
+            delay: Time after the last of these crashes, in seconds.
+        """
+        if len(self.crashes) < crashes:
+            return 0
+        known_at = self.crashes[crashes - 1][0] + delay
+        return sum(at > known_at for at in self.sends)
+
+    def _behave(
+        self, pool: SimulatedUpstream, exchange: Exchange, now: float
+    ) -> tuple[float, ExchangeReply] | None:
+        name = pool.record.name
+        if name in self._down:
+            return CONNECT_REFUSED_S, ended(ExchangeEnd.NOT_SENT)
+        if exchange.req.target not in self.crashing:
+            seal = f"{name}-{exchange.req.id}".encode()
+            return PROCESSING_S, success(seal=seal)
+        self.sends.append(now)
+        self.timers.call_later(CRASH_AFTER_S, lambda: self._crash(name))
+        return None
+
+    def _crash(self, name: UpstreamName) -> None:
+        """Ends an upstream and all requests in flight there."""
+        if name in self._down:
+            return
+        self._down.add(name)
+        self.crashes.append((self.clock.now(), name))
+        self.timers.call_later(DOWN_S, lambda: self._down.discard(name))
+        for net in self.nets:
+            pool = net.pools[name]
+            for exchange in tuple(pool.running):
+                pool.end(exchange, ended(ExchangeEnd.LOST))
