Move the quarantine of requests where both programs can use it

The table of requests that crash upstreams was part of sequoiapulleyd's dispatcher, which the node on the users' platform may not import.

--- a/src/sequoiapulley/upstream/quarantine.py
+++ b/src/sequoiapulley/quarantine.py
@@ -5,8 +5,9 @@
 from collections import OrderedDict
 from typing import Final
 
+from msgspec import Struct
+
 from sequoiapulley.ids import Fingerprint, InstanceName, ServiceName, UpstreamName
-from sequoiapulley.upstream.messages import NewStrike
 
 STRIKES_TO_REFUSE: Final = 2
 SUSPECT_TTL_S: Final = 30.0
@@ -16,6 +17,16 @@
 InstanceKey = tuple[ServiceName, InstanceName]
 
 
+class Strike(Struct, frozen=True, array_like=True):
+    """Loss of a request together with the connection to its upstream."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamName
+    """The upstream that closed the connection."""
+    strikes: int
+    """Strikes against the request so far; with `STRIKES_TO_REFUSE` it is refused."""
+
+
 class _Entry:
     """Losses recorded for one suspected fingerprint."""
 
@@ -88,7 +99,7 @@
         instance: InstanceKey,
         isolated: bool,
         now: float,
-    ) -> NewStrike | None:
+    ) -> Strike | None:
         """Records the loss of a connection with a request in flight.
 
         Args:
@@ -108,7 +119,7 @@
             entry = self._add(fingerprint, now)
             entry.upstreams.add(upstream)
             entry.instances.add(instance)
-            return NewStrike(fingerprint, upstream, 1)
+            return Strike(fingerprint, upstream, 1)
         entry.instances.add(instance)
         if not isolated:
             return None
@@ -116,7 +127,7 @@
             entry.isolated_losses += 1
             return None
         self._refuse(fingerprint, now)
-        return NewStrike(fingerprint, upstream, STRIKES_TO_REFUSE)
+        return Strike(fingerprint, upstream, STRIKES_TO_REFUSE)
 
     def on_answered(
         self, fingerprint: Fingerprint, instance: InstanceKey, sent_at: float, now: float
--- a/src/sequoiapulley/upstream/_dispatch_core.py
+++ b/src/sequoiapulley/upstream/_dispatch_core.py
@@ -7,6 +7,7 @@
 from sequoiapulley.ids import Fingerprint, ServiceName
 from sequoiapulley.model.snapshot import Snapshot
 from sequoiapulley.observe.log_event import LogSink
+from sequoiapulley.quarantine import Quarantine
 from sequoiapulley.search.messages import MissingReason
 from sequoiapulley.upstream._timer_heap import TimerHeap
 from sequoiapulley.upstream._work import Work
@@ -22,7 +23,6 @@
     not_run_outcome,
     unknown_outcome,
 )
-from sequoiapulley.upstream.quarantine import Quarantine
 from sequoiapulley.upstream.replica_selector import ReplicaSelector
 from sequoiapulley.upstream.retry_budget import RetryBudget
 
--- a/src/sequoiapulley/upstream/_recovery.py
+++ b/src/sequoiapulley/upstream/_recovery.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from sequoiapulley.quarantine import STRIKES_TO_REFUSE
 from sequoiapulley.search.messages import MissingReason, ShardReply
 from sequoiapulley.upstream._dispatch_core import DispatchCore
 from sequoiapulley.upstream._queue_pump import QueuePump
@@ -18,6 +19,7 @@
     Action,
     FinishSearch,
     LossKind,
+    NewStrike,
     ReplyKind,
     SubRun,
     SubSearch,
@@ -31,7 +33,6 @@
     run_outcome,
     unknown_outcome,
 )
-from sequoiapulley.upstream.quarantine import STRIKES_TO_REFUSE
 from sequoiapulley.upstream.upstream_state import UpstreamState
 
 ERROR_WEIGHT: Final = 1
@@ -169,7 +170,7 @@
         )
         if strike is None:
             return
-        actions.append(strike)
+        actions.append(NewStrike(strike.fingerprint, strike.upstream, strike.strikes))
         if strike.strikes >= STRIKES_TO_REFUSE:
             self._core.fail_quarantined(work.fingerprint, now, actions)
             return
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,16 +8,16 @@
 from hypothesis import strategies as st
 
 from sequoiapulley.ids import Fingerprint, InstanceName, UpstreamName
-from sequoiapulley.requests.messages import RefusalReason, RunState
-from sequoiapulley.search.messages import MissingReason
-from sequoiapulley.upstream.log_events import REQUEST_QUARANTINED, REQUEST_SUSPECTED
-from sequoiapulley.upstream.messages import LossKind
-from sequoiapulley.upstream.quarantine import (
+from sequoiapulley.quarantine import (
     MAX_ENTRIES,
     REFUSED_TTL_S,
     SUSPECT_TTL_S,
     Quarantine,
 )
+from sequoiapulley.requests.messages import RefusalReason, RunState
+from sequoiapulley.search.messages import MissingReason
+from sequoiapulley.upstream.log_events import REQUEST_QUARANTINED, REQUEST_SUSPECTED
+from sequoiapulley.upstream.messages import LossKind
 from tests.upstream_fakes import SERVICE, DispatcherHarness, configuration, ok, run, search
 
 LOST = LossKind.CONNECTION_LOST
--- a/tests/upstream_fakes.py
+++ b/tests/upstream_fakes.py
@@ -30,6 +30,7 @@
     Upstream,
 )
 from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.quarantine import REFUSED_TTL_S
 from sequoiapulley.requests.messages import RunReport, RunState
 from sequoiapulley.search.messages import Hit, ShardReply, ShardTarget
 from sequoiapulley.upstream.codec import EncodedRequest
@@ -47,7 +48,6 @@
     SubSearch,
     UpstreamReply,
 )
-from sequoiapulley.upstream.quarantine import REFUSED_TTL_S
 
 SNAPSHOT: Final = Snapshot(1, 1)
 SERVICE: Final = ServiceName("ledger")
