Refuse requests that crash upstreams, on all nodes

What callers saw: a request under which three upstreams had ended was sent to upstreams nine more times; one search ended both upstreams of all shards again and again, so that no search was served for up to fifteen seconds.

Cause: nothing in this program recognized a request that comes again. Each arrival was a new request, sent to every shard, retried and hedged. Class: a bound for one attempt where one for the content over all attempts and nodes is needed.

Change: a request that is lost with its connection is sent to one upstream at a time; a second loss refuses it on all nodes for 3 s, a third for ten minutes. A loss counts only if the upstream accepts no new connection, so that lost replies and resets refuse nothing. Heartbeats tell strikes at once and carry refusals in turn for nodes that start later. Shards are hedged once one of them has replied: crashes take 25 to 95 ms, hedged requests go out after 12 ms.

Why it works: the content is known by a hash, whoever sends it, and the nodes learn of it within a round trip, well within the users' bound of 4 s.

The test of heartbeats of earlier versions took away the last field and expected no age; the age is the last but one now. It is replaced by one that takes away one and two fields and checks the rest in full.

--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -11,6 +11,7 @@
     PARTS_LACKING,
     PARTS_REQUESTS,
     PEERS_READY,
+    REFUSED_REQUESTS,
     REPEATS,
     STATE_AGE,
     STATE_REPLIES,
@@ -41,6 +42,7 @@
     STATE_AGE,
     STORE_ERA,
     PEERS_READY,
+    REFUSED_REQUESTS,
 )
 
 
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -23,6 +23,7 @@
 from sequoiapulley.forward.change_log import ChangeLog
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.contract import WireContract
+from sequoiapulley.forward.crash_guard import CrashGuard
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.learning import record_leaving
@@ -35,6 +36,7 @@
 from sequoiapulley.forward.messages import Answer
 from sequoiapulley.forward.metrics import (
     PEERS_READY,
+    REFUSED_REQUESTS,
     STATE_AGE,
     STORE_ERA,
     UPSTREAM_CONNECTIONS,
@@ -165,6 +167,7 @@
         self._directory.limit_share = self._limit_share
         self._quota = RetryQuota(cfg.quota)
         self._tally = Tally()
+        self._crash_guard = CrashGuard(self._timers, log)
         self._peers = PeerTable(self._local_node, log)
         parts_client = HttpClient(self._reactor, self._clock, self._timers, reply_bounds)
         self._aggregators = Aggregators(
@@ -183,6 +186,7 @@
             self._quota,
             log,
             self._tally,
+            self._crash_guard,
             self._aggregators,
         )
         self._forwarder = Forwarder(ctx)
@@ -229,6 +233,7 @@
         self._heartbeats = HeartbeatTask(
             self._heartbeat_port, self._peers, self._timers, self._make_heartbeat
         )
+        self._crash_guard.on_news = self._heartbeats.send_soon
         self._entry_port = EntryPort(
             codec, self._peers, lambda: self._lifecycle.state is NodeState.READY, cfg.most_entry_ttl
         )
@@ -302,6 +307,7 @@
         self._refresh_shares()
         self._directory.sweep(now)
         self._directory.update_limit_shares(now)
+        self._crash_guard.sweep()
         if self._lifecycle.may_stop_accepting(
             now, self._settings_task.cfg.grace, len(self._callers_server.connections)
         ):
@@ -353,6 +359,7 @@
                 for record in self._directory.announced_leaving()
             ),
             state_age=round(self._feed.age, STATE_AGE_DIGITS),
+            strikes=self._crash_guard.news(),
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -365,6 +372,7 @@
             upstream = self._directory.find(news.name)
             if upstream is not None and upstream.record.started_ms == news.started_ms:
                 record_leaving(self._ctx, upstream, f"announced to {heartbeat.record.name}")
+        self._crash_guard.hear(heartbeat.strikes, self._directory.service_of, heartbeat.record.name)
 
     def _on_caller_request(self, req: ServerRequest) -> None:
         """Forwards a caller's request."""
@@ -410,6 +418,7 @@
             STATE_AGE: self._feed.age,
             STORE_ERA: self._feed.position.era,
             PEERS_READY: len(self._peers.ready()),
+            REFUSED_REQUESTS: self._crash_guard.refused_requests,
         }
 
     def _begin_shutdown(self) -> None:
--- a/src/sequoiapulley/daemon/heartbeat_task.py
+++ b/src/sequoiapulley/daemon/heartbeat_task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
 from sequoiapulley.forward.peer_table import (
@@ -13,6 +14,10 @@
 )
 from sequoiapulley.runtime import TimerQueue
 
+NEWS_DELAY_S: Final = 0.002
+"""Time for which news is collected before it is sent, as several requests are often lost at once:
+a small part of a round trip between regions."""
+
 
 class HeartbeatTask:
     """Schedules heartbeats within the failure domain and, less often, to other failure domains."""
@@ -36,6 +41,7 @@
         self._peers = peers
         self._timers = timers
         self._make_heartbeat = make_heartbeat
+        self._news_pending = False
 
     def start(self) -> None:
         """Sends the first heartbeats and schedules the next ones."""
@@ -47,6 +53,18 @@
         peers = [*self._peers.local_heartbeat_targets(), *self._peers.remote_heartbeat_targets()]
         self._port.send(self._make_heartbeat(), peers)
 
+    def send_soon(self) -> None:
+        """Sends a heartbeat to all recipients within milliseconds, for news of requests."""
+        if self._news_pending:
+            return
+        self._news_pending = True
+        self._timers.call_later(NEWS_DELAY_S, self._send_news)
+
+    def _send_news(self) -> None:
+        """Sends the heartbeat with the news that was collected."""
+        self._news_pending = False
+        self.send_now()
+
     def _send_local(self) -> None:
         """Sends a heartbeat within the failure domain and schedules the next one."""
         # The next one is scheduled first, so that an unexpected error does not end the series.
--- a/src/sequoiapulley/forward/call_result.py
+++ b/src/sequoiapulley/forward/call_result.py
@@ -30,6 +30,10 @@
     connection, or the maximum number of sends is reached."""
     QUOTA = "quota"
     LIMITED = "limited"
+    NO_REPLY_YET = "no_reply_yet"
+    """No other shard has replied to the request; it is hedged once one has."""
+    SUSPECTED = "suspected"
+    """The request may have crashed an upstream."""
     NOT_IDEMPOTENT = "not_idempotent"
 
 
--- a/src/sequoiapulley/forward/context.py
+++ b/src/sequoiapulley/forward/context.py
@@ -6,6 +6,7 @@
 
 from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.contract import WireContract
+from sequoiapulley.forward.crash_guard import CrashGuard
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.tally import Tally
@@ -25,5 +26,6 @@
     quota: RetryQuota
     log: LogSink
     tally: Tally
+    crash_guard: CrashGuard
     aggregators: Aggregators | None = None
     """Selects remote nodes that merge parts; None if there are none."""
--- a/src/sequoiapulley/forward/exchange.py
+++ b/src/sequoiapulley/forward/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
 
@@ -91,6 +92,9 @@
     def abandon(self, exchange: Exchange) -> None:
         """Abandons an exchange; its outcome is reported only if it ends shortly afterwards."""
 
+    def check_alive(self, done: Callable[[bool], None]) -> None:
+        """Opens a connection; `done` is called later with whether the upstream accepted it."""
+
     def refuse_waiting(self) -> None:
         """Ends the requests that wait for a connection as not sent, for a paused upstream."""
 
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -209,6 +209,10 @@
             _refuse(job, Reason.NO_ROUTE)
             return
         job.route = route
+        refused_for = self._ctx.crash_guard.refused_for(req)
+        if refused_for:
+            _refuse(job, Reason.CRASHES_UPSTREAMS, refused_for)
+            return
         end = req.arrived + min(route.timeout, req.time_left or route.timeout)
         if self._ctx.clock.now() >= end:
             _refuse(job, Reason.EXPIRED)
@@ -238,6 +242,12 @@
         return max(0.0, estimate.observe(req.time_left) - req.time_left)
 
 
-def _refuse(job: Job, reason: Reason) -> None:
-    """Answers a request with an error before anything was sent to an upstream."""
-    job.finish(error_answer(reason, may_have_run=False), reason)
+def _refuse(job: Job, reason: Reason, retry_after: float = 0.0) -> None:
+    """Answers a request with an error before anything was sent to an upstream.
+
+    Args:
+        job: The request.
+        reason: Why it is refused.
+        retry_after: Time after which it can be served, in seconds; 0 if unknown.
+    """
+    job.finish(error_answer(reason, may_have_run=False, retry_after=retry_after), reason)
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -8,6 +8,7 @@
 
 from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.late_shards import expected_late
 from sequoiapulley.forward.log_events import ANSWER_PARTIAL, SHARDS_LIMITED
 from sequoiapulley.forward.messages import Answer, CallerRequest
@@ -68,8 +69,10 @@
         are resumed if their parts become required."""
         self._may_have_run = False
         self._last_reason = Reason.FAILED
+        self._hedge_gate = HedgeGate(len(plan.shards))
         self._calls = [
-            ServiceCall(ctx, req, route, shard, deadline, self._on_call) for shard in plan.shards
+            ServiceCall(ctx, req, route, shard, deadline, self._on_call, self._hedge_gate)
+            for shard in plan.shards
         ]
         self._timer = ctx.timers.call_at(due, self._on_due)
 
@@ -105,7 +108,12 @@
         return pauses[self._min_parts - 1] if self._min_parts <= len(pauses) else float("inf")
 
     def _delegate(self, first: dict[ServiceCall, Upstream | None], now: float) -> set[ServiceCall]:
-        """Delegates calls to nodes in the failure domains of the upstreams; returns these calls."""
+        """Delegates calls to nodes in the failure domains of the upstreams; returns these calls.
+
+        A request that may crash upstreams is not delegated: only this node sends it, one at a time.
+        """
+        if self._ctx.crash_guard.is_suspected(self._req):
+            return set()
         in_time = {
             call: upstream
             for call, upstream in first.items()
@@ -192,6 +200,7 @@
             return
         self._seals.extend(seals)
         self._bodies.append(body)
+        self._hedge_gate.open()
 
     def _answer_if_ready(self) -> None:
         """Answers once all calls have ended, or when due if enough parts have arrived."""
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -251,6 +251,23 @@
     "logged.",
     "Divide `bytes` by the bandwidth of the VM's link for the time until all peers have it.",
 )
+CRASHING_REQUEST_SUSPECTED: Final = define_event(
+    2535,
+    "crashing_request_suspected",
+    Severity.WARNING,
+    "An upstream was lost with the request in flight and accepts no connection. The request is "
+    "sent to one upstream at a time until one replies.",
+    "No action is needed unless SP2536 follows with the same fingerprint.",
+)
+CRASHING_REQUEST_REFUSED: Final = define_event(
+    2536,
+    "crashing_request_refused",
+    Severity.ERROR,
+    "A request has crashed upstreams one after the other; all nodes refuse it for `refused_s`: "
+    "some seconds after two of them, as another request may have crashed both, ten minutes after "
+    "three.",
+    "Find the request by the SP2504 lines with this fingerprint, and repair the upstreams.",
+)
 NODE_STARTED: Final = define_event(
     2540, "forward_node_started", Severity.INFO, "The node accepts callers."
 )
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -50,6 +50,12 @@
     "`failed` counts failed nodes: see SP2507. `partial` indicates slow shards: see SP2506.",
     ("outcome",),
 )
+REFUSED_REQUESTS: Final = define_metric(
+    "sequoiapulley_refused_requests",
+    MetricKind.GAUGE,
+    "Different requests that have crashed two upstreams and are or were refused for it.",
+    "Any other value than 0: see SP2536.",
+)
 STATE_REPLIES: Final = define_metric(
     "sequoiapulley_state_replies_total",
     MetricKind.COUNTER,
--- a/src/sequoiapulley/forward/part_collector.py
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -7,6 +7,7 @@
 from sequoiapulley.forward.aggregators import PartsReply, PartsRequest
 from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.log_events import PARTS_LACKING
 from sequoiapulley.forward.messages import CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
@@ -38,9 +39,12 @@
         req = _caller_request(request, now)
         route = _route(request)
         deadline = now + request.time_left
+        self._hedge_gate = HedgeGate(len(request.tasks))
         self._calls: list[ServiceCall] = []
         for task in request.tasks:
-            call = ServiceCall(ctx, req, route, task.service, deadline, self._on_call)
+            call = ServiceCall(
+                ctx, req, route, task.service, deadline, self._on_call, self._hedge_gate
+            )
             call.allow(frozenset(task.upstreams))
             self._calls.append(call)
         self._started_at = now
@@ -67,6 +71,7 @@
         if result.end is CallEnd.REPLY and reply is not None and reply.reply is not None:
             self._seals[self._calls.index(call)] = reply.seal or b""
             self._bodies.append(reply.reply.body)
+            self._hedge_gate.open()
         else:
             self._failures[call.service] = result.reason.value if result.reason else "failed"
         if all(call.done for call in self._calls):
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from sequoiapulley.forward.crash_guard import StrikeNews
 from sequoiapulley.forward.log_events import PEER_LOST, PEER_SEEN
 from sequoiapulley.forward.roles import ranked
 from sequoiapulley.forward.state import NodeRecord
@@ -62,6 +63,8 @@
     """Upstreams that recently announced their shutdown in a reply to the node."""
     state_age: float = float("inf")
     """Seconds since the store served the node's state; infinite if the node states none."""
+    strikes: tuple[StrikeNews, ...] = ()
+    """Requests that crash upstreams, or are suspected to."""
 
     @property
     def position(self) -> StorePosition:
--- a/src/sequoiapulley/forward/send_try.py
+++ b/src/sequoiapulley/forward/send_try.py
@@ -11,24 +11,30 @@
     """State of one try."""
 
     __slots__ = (
+        "alone",
         "ended",
         "exchange",
         "overdue",
         "overdue_after_s",
         "overdue_timer",
+        "probe",
         "upstream",
         "uses_quota",
     )
 
-    def __init__(self, upstream: Upstream, uses_quota: bool) -> None:
+    def __init__(self, upstream: Upstream, uses_quota: bool, probe: bool) -> None:
         """Initialise a try that has not been sent.
 
         Args:
             upstream: The upstream that receives the request.
             uses_quota: Whether it consumed a retry from the quota.
+            probe: Whether it is the probe of a request that may crash upstreams.
         """
         self.upstream = upstream
         self.uses_quota = uses_quota
+        self.probe = probe
+        self.alone = upstream.pool.busy == 0
+        """Whether nothing else of this node was in flight at the upstream."""
         self.exchange: Exchange | None = None
         self.overdue_timer: TimerHandle | None = None
         self.overdue = False
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -9,6 +9,7 @@
 from sequoiapulley.forward.call_result import CallEnd, CallResult, HedgeOutcome
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.learning import record_overdue_try, record_try_end
 from sequoiapulley.forward.log_events import TRY_FAILED, TRY_OVERDUE
 from sequoiapulley.forward.messages import (
@@ -41,8 +42,10 @@
     """
 
     __slots__ = (
+        "_awaits_check",
         "_ctx",
         "_deadline",
+        "_hedge_gate",
         "_limit",
         "_may_have_run",
         "_on_done",
@@ -66,6 +69,7 @@
         service: ServiceName,
         deadline: float,
         on_done: Callable[[ServiceCall, CallResult], None],
+        hedge_gate: HedgeGate | None = None,
     ) -> None:
         """Initialise a call that has sent nothing.
 
@@ -76,8 +80,10 @@
             service: The service to call.
             deadline: Clock reading at which the caller's deadline passes.
             on_done: Called once with the result, never from inside `start`.
+            hedge_gate: Gate for hedged requests that the calls to several shards share.
         """
         self._ctx = ctx
+        self._hedge_gate = hedge_gate
         self._req = req
         self._route = route
         self.service = service
@@ -89,6 +95,8 @@
         self._may_have_run = False
         self._was_sent = False
         self._out_of_quota = False
+        self._awaits_check = False
+        """Whether the call goes on when it is known if its lost probe crashed the upstream."""
         self._limit: float | None = None
         self.delegate: NodeId | None = None
         """Remote node to which this call is delegated, if any."""
@@ -144,6 +152,9 @@
         if upstream is None:
             self._ctx.timers.call_later(0.0, self._fail_without_upstream)
             return
+        if self._ctx.crash_guard.must_probe(self._req, self.service):
+            self._ctx.timers.call_later(0.0, self.continue_probe)
+            return
         self._send(upstream, False)
 
     def allow(self, upstreams: frozenset[UpstreamName]) -> None:
@@ -192,11 +203,29 @@
         """Abandons the tries, as the result is no longer needed."""
         self._on_done = None
         self._abandon_tries()
+        self._ctx.crash_guard.end_probe(self._req, self)
+
+    def continue_probe(self) -> None:
+        """Sends a suspected request if no other probe of it is in flight, else waits for its end.
 
-    def _send(self, upstream: Upstream, uses_quota: bool) -> None:
+        If the request is not suspected any more, it is sent as usual.
+        """
+        if self.done or self._awaits_check or self._open_tries():
+            return
+        guard = self._ctx.crash_guard
+        if guard.refused_for(self._req) or not self._has_time():
+            self._fail()
+            return
+        now = self._ctx.clock.now()
+        if not guard.must_probe(self._req, self.service):
+            self._send_next(now)
+        elif guard.start_probe(self._req, self):
+            self._send_next(now, probe=True)
+
+    def _send(self, upstream: Upstream, uses_quota: bool, probe: bool = False) -> None:
         """Sends one try and starts the timer after which it is overdue."""
         ctx = self._ctx
-        sent_try = SendTry(upstream, uses_quota)
+        sent_try = SendTry(upstream, uses_quota, probe)
         self._sends += 1
         self._tries.append(sent_try)
         exchange = Exchange(
@@ -242,6 +271,12 @@
             return HedgeOutcome.NOT_IDEMPOTENT, None
         if self.limited:
             return HedgeOutcome.LIMITED, None
+        if self._ctx.crash_guard.must_probe(self._req, self.service):
+            return HedgeOutcome.SUSPECTED, None
+        gate = self._hedge_gate
+        if gate is not None and not gate.is_open:
+            gate.wait(self._hedge_overdue)
+            return HedgeOutcome.NO_REPLY_YET, None
         upstream = self._next_upstream(now, hedge=True)
         if upstream is None:
             return HedgeOutcome.NO_UPSTREAM, None
@@ -250,6 +285,14 @@
         self._send(upstream, True)
         return HedgeOutcome.HEDGED, upstream
 
+    def _hedge_overdue(self) -> None:
+        """Hedges the try that became overdue before the gate opened."""
+        if self.done:
+            return
+        open_tries = self._open_tries()
+        if len(open_tries) == 1 and open_tries[0].overdue:
+            self._on_overdue(open_tries[0])
+
     def _on_end(self, sent_try: SendTry, reply: ExchangeReply) -> None:
         """Handles the end of one try: reports a final reply, or retries."""
         now = self._ctx.clock.now()
@@ -257,6 +300,7 @@
         failed = reply.end is not ExchangeEnd.REPLY or not self._is_final(reply)
         record_try_end(self._ctx, self._route, sent_try.upstream, sent_try.exchange, reply, failed)
         self._ctx.tally.ends[reply.end.value] += 1
+        self._record_survival(sent_try, reply)
         if self.done:
             return
         self._tried.record_try(sent_try.upstream, reply.end)
@@ -283,8 +327,40 @@
             detail=reply.detail,
             sends=self._sends,
         )
+        if sent_try.probe and lost and self._ctx.crash_guard.must_probe(self._req, self.service):
+            self._awaits_check = True
+            return
         self._try_again(now)
 
+    def _record_survival(self, sent_try: SendTry, reply: ExchangeReply) -> None:
+        """Records whether the upstream has survived the request, as far as the reply tells."""
+        guard = self._ctx.crash_guard
+        upstream = sent_try.upstream
+        if reply.end is ExchangeEnd.LOST and sent_try.probe:
+            guard.record_lost_probe(
+                self._req, upstream, sent_try.alone, self._on_lost_probe_checked
+            )
+            return
+        if reply.end is ExchangeEnd.LOST:
+            guard.record_loss(self._req, upstream)
+            self._make_hedge_a_probe()
+        elif reply.end is ExchangeEnd.REPLY and sent_try.exchange is not None:
+            guard.record_reply(self._req, upstream, sent_try.exchange.sent_at, sent_try.probe)
+        if sent_try.probe:
+            guard.end_probe(self._req, self)
+
+    def _make_hedge_a_probe(self) -> None:
+        """Makes the other try in flight a probe, as its end tells what the next one would."""
+        for sent_try in self._open_tries():
+            sent_try.probe = self._ctx.crash_guard.start_probe(self._req, self)
+
+    def _on_lost_probe_checked(self) -> None:
+        """Goes on after a lost probe, when it is known whether the upstream has crashed."""
+        self._ctx.crash_guard.end_probe(self._req, self)
+        if self._awaits_check and not self.done:
+            self._awaits_check = False
+            self._try_again(self._ctx.clock.now())
+
     def _try_again(self, now: float) -> None:
         """Retries after a failure, or ends the call when no retry is possible."""
         if self._open_tries():
@@ -292,10 +368,21 @@
         if self.limited or not self._may_retry():
             self._fail()
             return
-        upstream = self._next_upstream(now, hedge=False)
+        if self._ctx.crash_guard.refused_for(self._req):
+            self._fail()
+            return
+        if self._ctx.crash_guard.must_probe(self._req, self.service):
+            self.continue_probe()
+            return
+        self._send_next(now)
+
+    def _send_next(self, now: float, probe: bool = False) -> None:
+        """Sends a try to another upstream, or ends the call if there is none."""
+        upstream = self._next_upstream(now, hedge=False, prefer_idle=probe)
         if upstream is not None:
-            self._retry(upstream)
+            self._retry(upstream, probe)
             return
+        self._ctx.crash_guard.end_probe(self._req, self)
         if self._tried.retry_candidate(now) is None:
             self._fail()
             return
@@ -311,16 +398,16 @@
             return
         self._retry(upstream)
 
-    def _retry(self, upstream: Upstream) -> None:
+    def _retry(self, upstream: Upstream, probe: bool = False) -> None:
         """Retries at an upstream; the quota applies once a try has reached an upstream."""
         now = self._ctx.clock.now()
         if self._was_sent:
             if not self._acquire_quota(now, hedge=False):
                 self._fail()
                 return
-            self._send(upstream, True)
+            self._send(upstream, True, probe)
             return
-        self._send(upstream, False)
+        self._send(upstream, False, probe)
 
     def _acquire_quota(self, now: float, hedge: bool) -> bool:
         """Consumes one retry from the quota; returns whether the quota allowed it."""
@@ -329,13 +416,16 @@
         self._ctx.tally.repeats["allowed" if allowed else "denied"] += 1
         return allowed
 
-    def _next_upstream(self, now: float, hedge: bool) -> Upstream | None:
+    def _next_upstream(self, now: float, hedge: bool, prefer_idle: bool = False) -> Upstream | None:
         """Returns an upstream that has not received the request yet, or None."""
         if self._sends >= MAX_SENDS:
             return None
-        upstream = self._tried.next_untried(
-            [sent_try.upstream for sent_try in self._open_tries()], now, spare_limited=hedge
-        )
+        in_flight = [sent_try.upstream for sent_try in self._open_tries()]
+        if prefer_idle:
+            upstream = self._tried.next_untried(in_flight, now, only_idle=True)
+            if upstream is not None:
+                return upstream
+        upstream = self._tried.next_untried(in_flight, now, spare_limited=hedge)
         if (
             hedge
             and upstream is not None
@@ -347,10 +437,14 @@
 
     def _may_retry(self) -> bool:
         """Returns whether the request may be sent again."""
-        if self._sends >= MAX_SENDS or self._ctx.clock.now() >= self._deadline:
+        if self._sends >= MAX_SENDS or not self._has_time():
             return False
         return self._route.idempotent or not self._may_have_run
 
+    def _has_time(self) -> bool:
+        """Returns whether the caller's deadline has not passed yet."""
+        return self._ctx.clock.now() < self._deadline
+
     def _open_tries(self) -> list[SendTry]:
         """Returns the tries in flight."""
         return [sent_try for sent_try in self._tries if not sent_try.ended]
@@ -375,7 +469,11 @@
             sent_try.upstream.overdue_requests -= 1
 
     def _abandon_tries(self) -> None:
-        """Abandons the tries in flight; their latency is still recorded for the upstream."""
+        """Abandons the tries in flight; their latency is still recorded for the upstream.
+
+        Those of a request that crashes upstreams are cancelled, which may still save some.
+        """
+        refused = self._ctx.crash_guard.refused_for(self._req) > 0.0
         for sent_try in self._open_tries():
             exchange = sent_try.exchange
             if exchange is None or exchange.pool is None:
@@ -383,6 +481,9 @@
             if sent_try.overdue:
                 record_overdue_try(self._ctx, self._route, sent_try.upstream, exchange)
             self._close_try(sent_try)
+            if refused:
+                exchange.pool.cancel(exchange)
+                continue
             exchange.pool.abandon(exchange)
 
     def _fail_without_upstream(self) -> None:
@@ -407,11 +508,15 @@
             reason = Reason.PAUSED
         if self._out_of_quota:
             reason = Reason.QUOTA
+        refused_for = self._ctx.crash_guard.refused_for(self._req)
+        if refused_for:
+            reason, pause = Reason.CRASHES_UPSTREAMS, refused_for
         self._finish(CallResult(end, self.last_failure, reason, pause))
 
     def _finish(self, result: CallResult) -> None:
         """Reports the result and abandons the tries in flight."""
         on_done, self._on_done = self._on_done, None
         self._abandon_tries()
+        self._ctx.crash_guard.end_probe(self._req, self)
         if on_done is not None:
             on_done(self, result)
--- a/src/sequoiapulley/forward/tried_upstreams.py
+++ b/src/sequoiapulley/forward/tried_upstreams.py
@@ -63,7 +63,11 @@
         return self._directory.choose(self._service, self._route, self._disallowed(), now)
 
     def next_untried(
-        self, in_flight: list[Upstream], now: float, spare_limited: bool = False
+        self,
+        in_flight: list[Upstream],
+        now: float,
+        spare_limited: bool = False,
+        only_idle: bool = False,
     ) -> Upstream | None:
         """Returns an upstream that has not received the request, or None.
 
@@ -71,6 +75,7 @@
             in_flight: Upstreams with a try in flight.
             now: Clock reading in seconds.
             spare_limited: Whether to exclude upstreams that state a limit on requests.
+            only_idle: Whether to exclude upstreams with requests in flight.
         """
         may_run = len(self._may_have_run) + sum(
             upstream not in self._may_have_run for upstream in in_flight
@@ -78,9 +83,11 @@
         if may_run >= self._route.max_upstreams:
             return None
         excluded = [*self._may_have_run, *self._did_not_run, *in_flight, *self._disallowed()]
+        candidates = self._directory.candidates(self._service)
         if spare_limited:
-            candidates = self._directory.candidates(self._service)
             excluded.extend(upstream for upstream in candidates if upstream.limit is not None)
+        if only_idle:
+            excluded.extend(upstream for upstream in candidates if upstream.pool.busy)
         return self._directory.choose(self._service, self._route, excluded, now)
 
     def retry_candidate(self, now: float) -> Upstream | None:
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -183,6 +183,11 @@
         """Returns the registered upstream with a name, or None."""
         return self._upstreams.get(name)
 
+    def service_of(self, name: UpstreamName) -> ServiceName | None:
+        """Returns the service of a registered upstream, or None."""
+        upstream = self._upstreams.get(name)
+        return upstream.record.service if upstream is not None else None
+
     def remove(self, name: UpstreamName) -> bool:
         """Removes an upstream; returns whether it was registered."""
         upstream = self._upstreams.pop(name, None)
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from typing import Final
 
 from sequoiapulley.forward.contract import WireContract
@@ -79,6 +80,8 @@
         self._last_replies: dict[HttpConnection, tuple[RequestId, bytes]] = {}
         """Request and seal of the last reply of each connection that has had one."""
         self._connecting = 0
+        self._checks: list[Callable[[bool], None]] = []
+        """Callers that wait for whether the upstream accepts a new connection."""
         self._waiting: deque[Exchange] = deque()
 
     @property
@@ -122,6 +125,13 @@
             return
         self._timers.call_later(ABANDONED_TIMEOUT_S, lambda: self._end_abandoned(exchange))
 
+    def check_alive(self, done: Callable[[bool], None]) -> None:
+        """Opens a connection; `done` is called later with whether the upstream accepted it."""
+        self._checks.append(done)
+        self._timers.call_later(CONNECT_TIMEOUT_S, lambda: self._end_check(done))
+        if len(self._checks) == 1 and not self._connecting and not self._open_connection():
+            self._timers.call_later(0.0, lambda: self._end_checks(False))
+
     def refuse_waiting(self) -> None:
         """Ends the requests that wait for a connection as not sent, for a paused upstream."""
         self._fail_waiting()
@@ -145,6 +155,7 @@
     def on_open(self, conn: HttpConnection) -> None:
         """Uses a new connection for a waiting request, or adds it to the idle ones."""
         self._connecting -= 1
+        self._end_checks(True)
         if self._waiting:
             self._start(self._waiting.popleft(), conn)
             return
@@ -178,6 +189,7 @@
             exchange.finish(ExchangeReply(_exchange_end(conn, reason), detail=conn.failure))
         elif reason is CloseReason.CONNECT_FAILED and connecting:
             self._connecting -= 1
+            self._end_checks(False)
             self._fail_waiting()
         self._open_for_waiting()
 
@@ -222,16 +234,34 @@
         wanted = len(self._waiting) - self._connecting
         room = self.connection_limit - len(self._open)
         for _ in range(min(wanted, room)):
-            try:
-                conn = HttpConnection(
-                    self._reactor, self.record.host, self.record.port, self, self._bounds
-                )
-            except OSError:
+            if not self._open_connection():
                 self._timers.call_later(0.0, self._fail_waiting)
                 return
-            self.opened += 1
-            self._connecting += 1
-            self._open.add(conn)
+
+    def _open_connection(self) -> bool:
+        """Starts to open a connection; returns False if the system allows none."""
+        try:
+            conn = HttpConnection(
+                self._reactor, self.record.host, self.record.port, self, self._bounds
+            )
+        except OSError:
+            return False
+        self.opened += 1
+        self._connecting += 1
+        self._open.add(conn)
+        return True
+
+    def _end_check(self, done: Callable[[bool], None]) -> None:
+        """Reports that the upstream has not accepted a new connection in time."""
+        if done in self._checks:
+            self._checks.remove(done)
+            done(False)
+
+    def _end_checks(self, alive: bool) -> None:
+        """Reports whether the upstream accepted a new connection."""
+        checks, self._checks = self._checks, []
+        for done in checks:
+            done(alive)
 
     def _fail_waiting(self) -> None:
         """Ends the requests that waited for a connection that could not be opened."""
--- a/src/sequoiapulley/quarantine.py
+++ b/src/sequoiapulley/quarantine.py
@@ -30,17 +30,18 @@
 class _Entry:
     """Losses recorded for one suspected fingerprint."""
 
-    __slots__ = ("expires", "instances", "isolated_losses", "struck_at", "upstreams")
+    __slots__ = ("expires", "instances", "isolated_losses", "strikes", "struck_at", "upstreams")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, ttl: float) -> None:
         self.upstreams: set[UpstreamName] = set()
         """Upstreams at which a strike was recorded."""
         self.instances: set[InstanceKey] = set()
         """Instances that lost the request and have sent no good reply to it since."""
         self.isolated_losses = 0
         """Losses while isolated, at upstreams that already had a strike."""
+        self.strikes = 1
         self.struck_at = now
-        self.expires = now + SUSPECT_TTL_S
+        self.expires = now + ttl
 
 
 class Quarantine:
@@ -53,7 +54,20 @@
     lost the request clears the suspicion there.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, suspect_ttl: float = SUSPECT_TTL_S, first_refusal: float | None = None
+    ) -> None:
+        """Creates an empty table.
+
+        Args:
+            suspect_ttl: Time for which a request is suspected, in seconds.
+            first_refusal: Time for which a request is refused after the second strike, in seconds,
+                after which it is suspected again and a third strike refuses it for
+                `REFUSED_TTL_S`. None for the second strike to do so.
+        """
+        self._suspect_ttl = suspect_ttl
+        self._first_refusal = first_refusal
+        self._strikes_to_refuse = STRIKES_TO_REFUSE + (first_refusal is not None)
         self._entries: OrderedDict[Fingerprint, _Entry] = OrderedDict()
         self._refused: dict[Fingerprint, float] = {}
 
@@ -66,6 +80,51 @@
         """Whether any request is suspected."""
         return bool(self._entries)
 
+    @property
+    def has_refusals(self) -> bool:
+        """Whether any request is refused."""
+        return bool(self._refused)
+
+    def refused_for(self, fingerprint: Fingerprint, now: float) -> float:
+        """Returns the remaining time for which a request is refused, in seconds; 0 if it is not."""
+        return max(0.0, self._refused.get(fingerprint, now) - now)
+
+    def suspected_for(self, fingerprint: Fingerprint, now: float) -> float:
+        """Returns the remaining time for which a request is suspected, in seconds, or 0."""
+        entry = self._entry(fingerprint, now)
+        return 0.0 if entry is None else entry.expires - now
+
+    def strikes(self, fingerprint: Fingerprint, now: float) -> int:
+        """Returns the strikes against a request."""
+        entry = self._entry(fingerprint, now)
+        if entry is not None:
+            return entry.strikes
+        return self._strikes_to_refuse if self.is_refused(fingerprint, now) else 0
+
+    def refusals(self, now: float) -> list[Strike]:
+        """Returns the requests that are or were refused, as strikes without an upstream."""
+        no_upstream = UpstreamName("")
+        found = [
+            Strike(fingerprint, no_upstream, self._strikes_to_refuse)
+            for fingerprint, expires in self._refused.items()
+            if expires > now and fingerprint not in self._entries
+        ]
+        found.extend(
+            Strike(fingerprint, no_upstream, entry.strikes)
+            for fingerprint, entry in self._entries.items()
+            if entry.strikes >= STRIKES_TO_REFUSE and entry.expires > now
+        )
+        return found
+
+    def expire(self, now: float) -> None:
+        """Removes the suspicions and refusals that have expired."""
+        for fingerprint, entry in tuple(self._entries.items()):
+            if entry.expires <= now:
+                del self._entries[fingerprint]
+        for fingerprint, expires in tuple(self._refused.items()):
+            if expires <= now:
+                del self._refused[fingerprint]
+
     def is_refused(self, fingerprint: Fingerprint, now: float) -> bool:
         """Returns whether a request is quarantined and refused by all nodes."""
         if not self._refused:
@@ -126,8 +185,14 @@
         if upstream in entry.upstreams and not entry.isolated_losses:
             entry.isolated_losses += 1
             return None
-        self._refuse(fingerprint, now)
-        return Strike(fingerprint, upstream, STRIKES_TO_REFUSE)
+        entry.strikes += 1
+        if self._first_refusal is not None and entry.strikes < self._strikes_to_refuse:
+            entry.upstreams.add(upstream)
+            entry.expires = now + self._suspect_ttl
+            self._refused[fingerprint] = now + self._first_refusal
+        else:
+            self._refuse(fingerprint, now)
+        return Strike(fingerprint, upstream, entry.strikes)
 
     def on_answered(
         self, fingerprint: Fingerprint, instance: InstanceKey, sent_at: float, now: float
@@ -156,6 +221,8 @@
         instance: InstanceKey | None,
         strikes: int,
         now: float,
+        refused_for: float = REFUSED_TTL_S,
+        suspected_for: float | None = None,
     ) -> bool:
         """Records a strike that another node broadcast.
 
@@ -165,20 +232,30 @@
             instance: Its instance, or None if the upstream is not in the configuration.
             strikes: Strikes counted by the other node.
             now: Clock reading in seconds.
+            refused_for: Time for which the request is refused, in seconds; for fewer strikes than
+                refuse it for good, 0 if it is only suspected.
+            suspected_for: Time for which it is suspected, in seconds; None for the usual one.
 
         Returns:
             Whether the request is refused from now on.
         """
-        if self.is_refused(fingerprint, now):
-            return False
-        if strikes >= STRIKES_TO_REFUSE:
-            self._refuse(fingerprint, now)
+        refused = self.is_refused(fingerprint, now)
+        if strikes >= self._strikes_to_refuse:
+            if refused and fingerprint not in self._entries:
+                return False
+            self._refuse(fingerprint, now, refused_for)
             return True
-        entry = self._entry(fingerprint, now) or self._add(fingerprint, now)
+        if refused:
+            return False
+        entry = self._entry(fingerprint, now) or self._add(fingerprint, now, suspected_for)
         entry.upstreams.add(upstream)
+        entry.strikes = max(entry.strikes, strikes)
         if instance is not None:
             entry.instances.add(instance)
-        return False
+        if strikes < STRIKES_TO_REFUSE or refused_for <= 0.0:
+            return False
+        self._refused[fingerprint] = now + refused_for
+        return True
 
     def _entry(self, fingerprint: Fingerprint, now: float) -> _Entry | None:
         if not self._entries:
@@ -189,14 +266,16 @@
             return None
         return entry
 
-    def _add(self, fingerprint: Fingerprint, now: float) -> _Entry:
+    def _add(self, fingerprint: Fingerprint, now: float, ttl: float | None = None) -> _Entry:
         while self._entries and len(self._entries) >= MAX_ENTRIES:
             self._entries.popitem(last=False)
-        entry = self._entries[fingerprint] = _Entry(now)
+        entry = self._entries[fingerprint] = _Entry(now, self._suspect_ttl if ttl is None else ttl)
         return entry
 
-    def _refuse(self, fingerprint: Fingerprint, now: float) -> None:
+    def _refuse(
+        self, fingerprint: Fingerprint, now: float, refused_for: float = REFUSED_TTL_S
+    ) -> None:
         self._entries.pop(fingerprint, None)
         if len(self._refused) >= MAX_ENTRIES:
             self._refused.pop(next(iter(self._refused)))
-        self._refused[fingerprint] = now + REFUSED_TTL_S
+        self._refused[fingerprint] = now + refused_for
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from functools import partial
+
+from sequoiapulley.forward.crash_guard import StrikeNews
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.route_table import Route
-from sequoiapulley.ids import FailureDomainName, UpstreamName
+from sequoiapulley.ids import FailureDomainName, NodeId, UpstreamName
 from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, ended, success
 
@@ -15,6 +18,8 @@
 """Time until a crashed upstream serves again."""
 PROCESSING_S = 0.01
 CONNECT_REFUSED_S = 0.001
+NEWS_S = 0.01
+"""Time until a heartbeat arrives, in another region."""
 
 
 class CrashingFleet:
@@ -33,6 +38,8 @@
         self.crashes: list[tuple[float, UpstreamName]] = []
         self.sends: list[float] = []
         """Clock readings at which such a request reached an upstream."""
+        self.lossy: frozenset[bytes] = frozenset()
+        """Targets of the requests whose connections close without a reply; nothing crashes."""
         self._down: set[UpstreamName] = set()
         self.nets = [
             SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
@@ -42,7 +49,21 @@
             self._connect(net)
 
     def _connect(self, net: SimulatedNet) -> None:
-        """Connects a node to the others."""
+        """Connects a node to the others, and to the state of the upstreams."""
+        net.is_down = self._down.__contains__
+        guard = net.ctx.crash_guard
+        name = NodeId(f"n{self.nets.index(net)}")
+
+        def send() -> None:
+            news = guard.news()
+            for peer in self.nets:
+                if peer is not net:
+                    self.timers.call_later(NEWS_S, partial(hear, peer, news))
+
+        def hear(peer: SimulatedNet, news: tuple[StrikeNews, ...]) -> None:
+            peer.ctx.crash_guard.hear(news, peer.directory.service_of, name)
+
+        guard.on_news = send
 
     def add(self, name: str, service: str, domain: str) -> None:
         """Registers an upstream at every node."""
@@ -62,6 +83,12 @@
         """Advances the clock of all nodes."""
         self.nets[0].run(seconds)
 
+    def crash_domain(self, domain: str) -> None:
+        """Ends all upstreams of a failure domain at once."""
+        for name, pool in self.nets[0].pools.items():
+            if pool.record.failure_domain == domain:
+                self._crash(name)
+
     def sends_after(self, crashes: int, delay: float) -> int:
         """Returns the sends of crashing requests that came too late to be expected.
 
@@ -80,6 +107,8 @@
         name = pool.record.name
         if name in self._down:
             return CONNECT_REFUSED_S, ended(ExchangeEnd.NOT_SENT)
+        if exchange.req.target in self.lossy:
+            return PROCESSING_S, ended(ExchangeEnd.LOST)
         if exchange.req.target not in self.crashing:
             seal = f"{name}-{exchange.req.id}".encode()
             return PROCESSING_S, success(seal=seal)
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -7,6 +7,7 @@
 
 from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.context import ForwardContext
+from sequoiapulley.forward.crash_guard import CrashGuard
 from sequoiapulley.forward.exchange import Exchange, ExchangeState
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.latency_model import LatencyModel
@@ -107,6 +108,10 @@
     def abandon(self, exchange: Exchange) -> None:
         self.net.timers.call_later(0.3, lambda: self.cancel(exchange))
 
+    def check_alive(self, done: Callable[[bool], None]) -> None:
+        delay = LOCAL_ROUND_TRIP_S if self.record.failure_domain == self.net.home else 0.016
+        self.net.timers.call_later(delay, lambda: done(not self.net.is_down(self.record.name)))
+
     def refuse_waiting(self) -> None:
         """Does nothing: no request waits for a connection."""
 
@@ -174,9 +179,12 @@
             self.quota,
             self.log,
             Tally(),
+            CrashGuard(self.timers, self.log),
             aggregators,
         )
         self.forwarder = Forwarder(self.ctx)
+        self.is_down: Callable[[UpstreamName], bool] = lambda name: False
+        """Returns whether an upstream refuses connections."""
         self._next = 0
 
     def _pool(self, record: UpstreamRecord) -> SimulatedUpstream:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,7 +9,9 @@
 
 from unittest import TestCase
 
+from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S
 from sequoiapulley.ids import ServiceName
+from sequoiapulley.quarantine import REFUSED_TTL_S
 from tests.crashing_fleet import CrashingFleet
 from tests.simulated_upstreams import gather_route, plain_route
 
@@ -77,3 +79,71 @@
         answers = fleet.ask(1, "/q/other")
         fleet.run(0.5)
         self.assertEqual([answer.status for _, answer in answers], [200])
+
+    # Guards against collateral damage: requests that are in flight when an upstream crashes.
+    def test_requests_in_flight_beside_a_crash_are_served(self) -> None:
+        fleet = make_fleet()
+        answers = []
+        for number in range(80):
+            if number % 10 == 0:
+                fleet.ask(number % len(DOMAINS), CRASHING_REQUEST)
+            answers.append(fleet.ask(number % len(DOMAINS), f"/p/{number}"))
+            fleet.run(0.02)
+        fleet.run(1.5)
+        statuses = [found[0][1].status for found in answers]
+        self.assertGreaterEqual(statuses.count(200), 0.95 * len(statuses))
+        fleet.run(FIRST_REFUSAL_S)
+        again = [fleet.ask(number % len(DOMAINS), f"/p/{number}") for number in range(80)]
+        fleet.run(1.0)
+        self.assertEqual({found[0][1].status for found in again}, {200})
+
+    # Guards against a search that is refused for good because a failure domain crashed.
+    def test_search_survives_the_crash_of_a_failure_domain(self) -> None:
+        fleet = make_fleet()
+        search = fleet.ask(0, "/q/ordinary")
+        fleet.run(0.005)
+        fleet.crash_domain("q")
+        fleet.run(0.5)
+        self.assertEqual([answer.status for _, answer in search], [200])
+        self.assertLess(search[0][0], 0.2)
+        again = fleet.ask(3, "/q/ordinary")
+        fleet.run(0.5)
+        self.assertEqual([answer.status for _, answer in again], [200])
+
+    # Guards against a refusal of requests whose replies were lost by upstreams that live on.
+    def test_lost_replies_without_a_crash_refuse_nothing(self) -> None:
+        fleet = make_fleet()
+        fleet.lossy = frozenset({b"/p/lossy"})
+        for _ in range(5):
+            fleet.ask(0, "/p/lossy")
+            fleet.run(0.3)
+        fleet.lossy = frozenset()
+        for net in range(len(DOMAINS)):
+            answers = fleet.ask(net, "/p/lossy")
+            fleet.run(0.3)
+            self.assertEqual([answer.status for _, answer in answers], [200])
+
+    def test_refused_request_has_not_run_and_names_the_time_of_the_refusal(self) -> None:
+        fleet = make_fleet()
+        fleet.ask(0, CRASHING_REQUEST)
+        fleet.run(0.5)
+        for most_wait in (FIRST_REFUSAL_S, REFUSED_TTL_S):
+            sends = len(fleet.sends)
+            for net in range(len(DOMAINS)):
+                answers = fleet.ask(net, CRASHING_REQUEST)
+                self.assertEqual(answers[0][1].status, 503)
+                wait = float(dict(answers[0][1].headers)[b"Retry-After"])
+                self.assertTrue(0.5 * most_wait < wait <= most_wait, wait)
+            self.assertEqual(len(fleet.sends), sends)
+            fleet.run(FIRST_REFUSAL_S)
+            fleet.ask(1, CRASHING_REQUEST)
+            fleet.run(0.5)
+
+    # Guards against nodes that each learn of such a request by their own losses.
+    def test_requests_at_every_node_crash_few_upstreams_in_all(self) -> None:
+        fleet = make_fleet()
+        for number in range(20 * len(DOMAINS)):
+            fleet.ask(number % len(DOMAINS), CRASHING_REQUEST)
+            fleet.run(0.15)
+        # Three strikes, and one loss that is none, as these upstreams keep their names.
+        self.assertLessEqual(len(fleet.crashes), 4)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 
 from sequoiapulley.daemon.feed_sources import MAX_CONFIG_LAG_S, FeedSourceSelector
 from sequoiapulley.daemon.peer_source import PeerSource
+from sequoiapulley.forward.crash_guard import StrikeNews
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.peer_table import (
     LOCAL_HEARTBEAT_INTERVAL_S,
@@ -28,8 +29,9 @@
     choose_store_reader,
 )
 from sequoiapulley.forward.state import NodeRecord
-from sequoiapulley.ids import FailureDomainName, Incarnation, RegionName
+from sequoiapulley.ids import FailureDomainName, Fingerprint, Incarnation, RegionName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.quarantine import Strike
 from sequoiapulley.runtime import Clock, PausedClock, TimerQueue
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.reactor import Reactor
@@ -93,11 +95,15 @@
         )
         self.assertEqual(len(self.table.ready()), 1)
 
-    def test_heartbeat_of_an_earlier_version_states_no_age(self) -> None:
-        sent = replace(heartbeat(node("b")), state_age=0.4)
+    def test_heartbeats_of_earlier_versions_lack_the_last_fields(self) -> None:
+        news = StrikeNews(Strike(Fingerprint("f"), UpstreamName("u"), 1), 0.0, 5.0)
+        sent = replace(heartbeat(node("b")), state_age=0.4, strikes=(news,))
         self.assertEqual(decode(encode(sent), type=Heartbeat), sent)
-        earlier = decode(encode(to_builtins(sent)[:-1]), type=Heartbeat)
-        self.assertEqual(earlier, replace(sent, state_age=float("inf")))
+        fields = to_builtins(sent)
+        without_strikes = decode(encode(fields[:-1]), type=Heartbeat)
+        self.assertEqual(without_strikes, replace(sent, strikes=()))
+        without_age = decode(encode(fields[:-2]), type=Heartbeat)
+        self.assertEqual(without_age, replace(sent, state_age=float("inf"), strikes=()))
 
     def test_heartbeat_of_an_earlier_incarnation_is_ignored(self) -> None:
         record = node("b")
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -6,11 +6,13 @@
 from socket import IPPROTO_TCP, SHUT_WR, SO_LINGER, SOL_SOCKET, TCP_NODELAY, create_server, socket
 from struct import pack
 from unittest import TestCase
+from unittest.mock import patch
 
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import CallerRequest, ExchangeEnd, ExchangeReply, UpstreamRecord
 from sequoiapulley.forward.upstream_pool import (
     ABANDONED_TIMEOUT_S,
+    CONNECT_TIMEOUT_S,
     NON_IDEMPOTENT_IDLE_S,
     UpstreamPool,
 )
@@ -197,6 +199,29 @@
         self.send()
         self.assertIs(self.ends["r1"].end, ExchangeEnd.NOT_SENT)
 
+    def test_check_tells_an_upstream_that_lives_from_one_that_is_gone(self) -> None:
+        found: list[bool] = []
+        self.pool.check_alive(found.append)
+        self.pool.check_alive(found.append)
+        self.loop.settle()
+        self.assertEqual((found, self.pool.opened), ([True, True], 1))
+        self.accept()
+        self.send("r1")
+        self.assertEqual(self.pool.opened, 1, "the connection of the check was not used")
+        self.listener.close()
+        self.pool.check_alive(found.append)
+        self.loop.settle()
+        self.assertEqual(found, [True, True, False])
+
+    def test_check_of_an_upstream_that_does_not_answer_ends_in_time(self) -> None:
+        found: list[bool] = []
+        with patch.object(self.pool, "_open_connection", return_value=True):
+            self.pool.check_alive(found.append)
+        self.loop.settle()
+        self.assertEqual(found, [])
+        self.loop.advance(CONNECT_TIMEOUT_S)
+        self.assertEqual(found, [False])
+
     def test_old_idle_connection_gets_no_non_idempotent_request(self) -> None:
         self.first()
         self.loop.advance(NON_IDEMPOTENT_IDLE_S + 0.1)
