Keep refused requests in the store for nodes that start later

Change: a node that refuses a request by its own losses writes it under a lease of at most ten minutes and tries again while the store is away. Nodes apply it with the rest of the state, and heartbeats pass it on to those that read from peers, so that replies between nodes stay as they were for earlier versions.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -15,6 +15,7 @@
 from sequoiapulley.daemon.node_lifecycle import NodeLifecycle
 from sequoiapulley.daemon.parts_port import PARTS_PATH, HttpPartsClient, PartsPort
 from sequoiapulley.daemon.peer_source import PeerPort
+from sequoiapulley.daemon.refusal_task import RefusalTask
 from sequoiapulley.daemon.registration import Registration
 from sequoiapulley.daemon.settings_task import SettingsTask
 from sequoiapulley.daemon.settings_watch import SettingsWatch
@@ -53,7 +54,13 @@
 )
 from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.shared_state import SharedState
-from sequoiapulley.forward.state import ChangeSet, NodeRecord, NodeRegistry, StateSource
+from sequoiapulley.forward.state import (
+    ChangeSet,
+    NodeRecord,
+    NodeRegistry,
+    RefusalStore,
+    StateSource,
+)
 from sequoiapulley.forward.state_feed import StateFeed
 from sequoiapulley.forward.store_availability import StoreAvailability
 from sequoiapulley.forward.store_position import NO_POSITION
@@ -98,8 +105,8 @@
 """Limits on replies of the store and of peers, several times a full state of 4,300 upstreams."""
 
 
-class Store(StateSource, NodeRegistry, Protocol):
-    """The store client: reads shared state and registers this node."""
+class Store(StateSource, NodeRegistry, RefusalStore, Protocol):
+    """The store client: reads shared state, registers this node and keeps refused requests."""
 
 
 class ForwardNode:
@@ -193,7 +200,14 @@
         changes = ChangeLog()
         history = TableHistory()
         self._shared_state = SharedState(
-            self._forwarder, self._directory, self._peers, changes, history, self._timers, log
+            self._forwarder,
+            self._directory,
+            self._peers,
+            self._crash_guard,
+            changes,
+            history,
+            self._timers,
+            log,
         )
         self._client = HttpClient(self._reactor, self._clock, self._timers, STATE_REPLY_BOUNDS)
         store = make_store(self._client, cfg.store)
@@ -234,6 +248,7 @@
             self._heartbeat_port, self._peers, self._timers, self._make_heartbeat
         )
         self._crash_guard.on_news = self._heartbeats.send_soon
+        self._crash_guard.on_refusal = RefusalTask(store, self._timers, log).keep
         self._entry_port = EntryPort(
             codec, self._peers, lambda: self._lifecycle.state is NodeState.READY, cfg.most_entry_ttl
         )
--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -9,8 +9,10 @@
 
 from sequoiapulley.forward.log_events import CRASHING_REQUEST_REFUSED, CRASHING_REQUEST_SUSPECTED
 from sequoiapulley.forward.messages import CallerRequest
+from sequoiapulley.forward.route_table import MS_PER_S
+from sequoiapulley.forward.state import RequestRefusal
 from sequoiapulley.forward.upstream import Upstream
-from sequoiapulley.ids import Fingerprint, InstanceName, NodeId, ServiceName, UpstreamName
+from sequoiapulley.ids import Fingerprint, InstanceName, ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.quarantine import (
     MAX_ENTRIES,
@@ -25,6 +27,8 @@
 FIRST_REFUSAL_S: Final = 3.0
 """Time for which a request is refused after two strikes: three times the time in which the users'
 upstreams restart. It may have been in flight beside another request that crashed both upstreams."""
+STRIKES_FOR_GOOD: Final = STRIKES_TO_REFUSE + 1
+"""Number of strikes that refuse a request for `REFUSED_TTL_S`."""
 SUSPECT_S: Final = REFUSED_TTL_S
 """Time for which a request is suspected; one that crashes upstreams may come seldom."""
 NEWS_S: Final = 3.0
@@ -113,6 +117,8 @@
         self._next_refusal = 0
         self.on_news: Callable[[], None] = _ignore_news
         """Called when there is a strike to tell the other nodes."""
+        self.on_refusal: Callable[[RequestRefusal], None] = _ignore_refusal
+        """Called when this node refuses a request by its own losses."""
 
     @property
     def refused_requests(self) -> int:
@@ -245,6 +251,7 @@
             strike = self._table.on_lost(fingerprint, name, key, isolated, now)
             if strike is not None:
                 self._tell(strike, "lost here")
+                self._keep(strike, now)
             done()
 
         upstream.pool.check_alive(on_checked)
@@ -253,14 +260,14 @@
         self,
         news: Iterable[StrikeNews],
         service_of: Callable[[UpstreamName], ServiceName | None],
-        node: NodeId,
+        source: str,
     ) -> None:
-        """Records strikes that another node told.
+        """Records strikes that another node or the store told.
 
         Args:
             news: The strikes.
             service_of: Returns the service of an upstream, or None if it is not known.
-            node: The other node.
+            source: The other node or the store, for the log.
         """
         now = self._clock.now()
         for item in news:
@@ -278,7 +285,15 @@
                 item.refused_for,
                 item.suspected_for,
             )
-            self._tell(strike, f"told by {node}")
+            self._tell(strike, f"told by {source}")
+
+    def restore(self, refusal: RequestRefusal) -> None:
+        """Applies a refused request that the store has kept."""
+        left = min(REFUSED_TTL_S, refusal.expires_ms / MS_PER_S - self._clock.wall())
+        strike = Strike(refusal.fingerprint, UpstreamName(""), refusal.strikes)
+        for_good = strike.strikes >= STRIKES_FOR_GOOD
+        news = StrikeNews(strike, left if for_good else 0.0, 0.0 if for_good else left)
+        self.hear((news,), lambda name: None, "the store")
 
     def news(self) -> tuple[StrikeNews, ...]:
         """Returns the strikes for the next heartbeat: recent ones, and refused requests in turn."""
@@ -306,6 +321,15 @@
             if not suspect.probes and not suspect.waiting:
                 self._forget(fingerprint)
 
+    def _keep(self, strike: Strike, now: float) -> None:
+        """Has a refused request kept for nodes that start later."""
+        fingerprint = strike.fingerprint
+        left = max(
+            self._table.refused_for(fingerprint, now), self._table.suspected_for(fingerprint, now)
+        )
+        expires_ms = round((self._clock.wall() + left) * MS_PER_S)
+        self.on_refusal(RequestRefusal(fingerprint, strike.strikes, expires_ms))
+
     def _tell(self, strike: Strike, cause: str) -> None:
         """Logs a new strike, passes it on to other nodes and wakes the calls that wait."""
         refused = strike.strikes >= STRIKES_TO_REFUSE
@@ -370,5 +394,9 @@
     return news.refused_for + news.suspected_for > 0.0
 
 
+def _ignore_refusal(_refusal: RequestRefusal) -> None:
+    """Does nothing: there is no store."""
+
+
 def _ignore_news() -> None:
     """Does nothing: the node has no peers."""
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -268,6 +268,14 @@
     "three.",
     "Find the request by the SP2504 lines with this fingerprint, and repair the upstreams.",
 )
+REFUSAL_NOT_KEPT: Final = define_event(
+    2537,
+    "refusal_not_kept",
+    Severity.INFO,
+    "The store did not accept a refused request; the node tries again. All nodes refuse it "
+    "nevertheless, but would not know it after they have all restarted.",
+    "Check the store if this event recurs.",
+)
 NODE_STARTED: Final = define_event(
     2540, "forward_node_started", Severity.INFO, "The node accepts callers."
 )
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.crash_guard import CrashGuard
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.log_events import (
     CONFIGURATION_APPLIED,
@@ -22,6 +23,7 @@
     ChangeSet,
     NodeChange,
     NodeRemoval,
+    RequestRefusal,
     TableChange,
     UnreadableEntry,
     UpstreamChange,
@@ -46,6 +48,7 @@
         forwarder: Forwarder,
         directory: UpstreamDirectory,
         peers: PeerTable,
+        crash_guard: CrashGuard,
         change_log: ChangeLog,
         history: TableHistory,
         timers: TimerQueue,
@@ -57,6 +60,7 @@
             forwarder: Receives the configuration.
             directory: Receives the upstreams.
             peers: Receives the registered nodes.
+            crash_guard: Receives the refused requests.
             change_log: Receives the changes that were applied.
             history: Receives the configuration versions that were applied.
             timers: Timers of the event loop.
@@ -65,6 +69,7 @@
         self._forwarder = forwarder
         self._directory = directory
         self._peers = peers
+        self._crash_guard = crash_guard
         self._change_log = change_log
         self._history = history
         self._timers = timers
@@ -129,6 +134,9 @@
         elif isinstance(change, NodeRemoval):
             self._peers.unregister(change.name)
             self._change_log.append(change, revision)
+        elif isinstance(change, RequestRefusal):
+            # Heartbeats pass it on to the nodes that read from this one.
+            self._crash_guard.restore(change)
         else:
             self._handle_unreadable(change, after_outage, revision)
 
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -15,6 +15,7 @@
 from sequoiapulley.ids import (
     Era,
     FailureDomainName,
+    Fingerprint,
     Incarnation,
     LeaseId,
     NodeId,
@@ -82,6 +83,16 @@
     name: NodeId
 
 
+class RequestRefusal(Struct, frozen=True, tag="refusal"):
+    """A request that has crashed upstreams, kept for nodes that start later."""
+
+    fingerprint: Fingerprint
+    strikes: int
+    """Number of losses that counted against it."""
+    expires_ms: int
+    """Time at which it is no longer refused or suspected, in Unix milliseconds."""
+
+
 class UnreadableEntry(Struct, frozen=True, tag="unreadable"):
     """An entry that cannot be decoded."""
 
@@ -93,7 +104,15 @@
     """Whether it is the operator's configuration."""
 
 
-Change = TableChange | UpstreamChange | UpstreamRemoval | NodeChange | NodeRemoval | UnreadableEntry
+Change = (
+    TableChange
+    | UpstreamChange
+    | UpstreamRemoval
+    | NodeChange
+    | NodeRemoval
+    | RequestRefusal
+    | UnreadableEntry
+)
 
 
 class ChangeSet(Struct, frozen=True):
@@ -177,6 +196,15 @@
         """
 
 
+class RefusalStore(Protocol):
+    """Keeps refused requests; every callback runs once, asynchronously, on the event loop."""
+
+    def keep_refusal(
+        self, refusal: RequestRefusal, ttl: float, done: Callable[[AnnounceReply], None]
+    ) -> None:
+        """Writes a refused request under a new lease of `ttl` seconds."""
+
+
 class NodeRegistry(Protocol):
     """Registry of nodes; every callback runs once, asynchronously, on the event loop."""
 
--- a/src/sequoiapulley/platform/documents.py
+++ b/src/sequoiapulley/platform/documents.py
@@ -24,13 +24,19 @@
     NodeChange,
     NodeRecord,
     NodeRemoval,
+    RequestRefusal,
     TableChange,
     UnreadableEntry,
     UpstreamChange,
     UpstreamRemoval,
 )
 from sequoiapulley.ids import ConfigVersion, FailureDomainName, NodeId, ServiceName, UpstreamName
-from sequoiapulley.platform.names import CONFIGURATION_KEY, NODES_PREFIX, UPSTREAMS_PREFIX
+from sequoiapulley.platform.names import (
+    CONFIGURATION_KEY,
+    NODES_PREFIX,
+    REFUSALS_PREFIX,
+    UPSTREAMS_PREFIX,
+)
 
 IDEMPOTENT: Final = "idempotent"
 READY: Final = "ready"
@@ -176,6 +182,8 @@
             record = decode(value, type=NodeRecord)
             check_addresses(record)
             return NodeChange(record)
+        if key.startswith(REFUSALS_PREFIX):
+            return decode(value, type=RequestRefusal)
     except (ValueError, DecodeError, ValidationError) as exc:
         return unreadable_entry(key, str(exc))
     return None
@@ -206,6 +214,16 @@
     return f"{NODES_PREFIX}{record.name}"
 
 
+def refusal_key(refusal: RequestRefusal) -> str:
+    """Returns the key under which a refused request is stored."""
+    return f"{REFUSALS_PREFIX}{refusal.fingerprint}"
+
+
+def encode_refusal(refusal: RequestRefusal) -> bytes:
+    """Encodes a refused request."""
+    return encode(refusal)
+
+
 def encode_node(record: NodeRecord) -> bytes:
     """Encodes a node's record."""
     return encode(record)
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -19,6 +19,7 @@
     NodeChange,
     NodeRecord,
     RegisteredReply,
+    RequestRefusal,
     SourceError,
     SourceErrorKind,
     UpstreamChange,
@@ -29,7 +30,9 @@
     decode_item,
     decode_removal,
     encode_node,
+    encode_refusal,
     node_key,
+    refusal_key,
     unreadable_entry,
 )
 from sequoiapulley.platform.kv_client import (
@@ -66,7 +69,7 @@
 
 
 class KvSource:
-    """Implements `StateSource` and `NodeRegistry`."""
+    """Implements `StateSource`, `NodeRegistry` and `RefusalStore`."""
 
     def __init__(self, client: HttpClient, host: str, port: int) -> None:
         """Creates an adapter for one store.
@@ -107,16 +110,13 @@
         self, record: NodeRecord, ttl: float, done: Callable[[AnnounceReply], None]
     ) -> None:
         """Writes a node's record under a new lease of `ttl` seconds."""
+        self._put(node_key(record), encode_node(record), ttl, done)
 
-        def on_lease(reply: Result[LeaseId, KvError]) -> None:
-            if isinstance(reply, Err):
-                done(Err(_source_error(reply.err_value)))
-                return
-            lease = reply.ok_value
-            put = KvPut(node_key(record), encode_node(record), lease)
-            self._kv.write({}, (put,), (), lambda reply: done(_lease_reply(reply, lease)))
-
-        self._kv.grant_lease(ttl, on_lease)
+    def keep_refusal(
+        self, refusal: RequestRefusal, ttl: float, done: Callable[[AnnounceReply], None]
+    ) -> None:
+        """Writes a refused request under a new lease of `ttl` seconds."""
+        self._put(refusal_key(refusal), encode_refusal(refusal), ttl, done)
 
     def renew(self, lease: LeaseId, done: Callable[[AnnounceReply], None]) -> None:
         """Renews a node's lease; fails with `HISTORY_COMPACTED` if the lease has expired."""
@@ -154,6 +154,21 @@
         path = f"{STORE_KEY_PATH}?key={quote(node_key(record), safe='/')}&allow_stale=1"
         self._kv.read(path, KvItem, on_item)
 
+    def _put(
+        self, key: str, content: bytes, ttl: float, done: Callable[[AnnounceReply], None]
+    ) -> None:
+        """Writes a key under a new lease of `ttl` seconds."""
+
+        def on_lease(reply: Result[LeaseId, KvError]) -> None:
+            if isinstance(reply, Err):
+                done(Err(_source_error(reply.err_value)))
+                return
+            lease = reply.ok_value
+            put = KvPut(key, content, lease)
+            self._kv.write({}, (put,), (), lambda reply: done(_lease_reply(reply, lease)))
+
+        self._kv.grant_lease(ttl, on_lease)
+
 
 class _RangeRead:
     """Reads all items, page by page.
--- a/src/sequoiapulley/platform/names.py
+++ b/src/sequoiapulley/platform/names.py
@@ -33,6 +33,8 @@
 
 CONFIGURATION_KEY: Final = "op/config"
 UPSTREAMS_PREFIX: Final = "servers/"
+REFUSALS_PREFIX: Final = "refusals/"
+"""Prefix of the keys under which this system's nodes store requests that crash upstreams."""
 NODES_PREFIX: Final = "nodes/"
 """Prefix of the keys under which this system's nodes store their records."""
 
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -8,7 +8,8 @@
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.route_table import Route
-from sequoiapulley.ids import FailureDomainName, NodeId, UpstreamName
+from sequoiapulley.forward.state import RequestRefusal
+from sequoiapulley.ids import FailureDomainName, Fingerprint, NodeId, UpstreamName
 from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, ended, success
 
@@ -40,6 +41,8 @@
         """Clock readings at which such a request reached an upstream."""
         self.lossy: frozenset[bytes] = frozenset()
         """Targets of the requests whose connections close without a reply; nothing crashes."""
+        self._kept: dict[Fingerprint, RequestRefusal] = {}
+        """Refused requests in the store."""
         self._down: set[UpstreamName] = set()
         self.nets = [
             SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
@@ -64,6 +67,7 @@
             peer.ctx.crash_guard.hear(news, peer.directory.service_of, name)
 
         guard.on_news = send
+        guard.on_refusal = self._keep
 
     def add(self, name: str, service: str, domain: str) -> None:
         """Registers an upstream at every node."""
@@ -83,6 +87,18 @@
         """Advances the clock of all nodes."""
         self.nets[0].run(seconds)
 
+    def _keep(self, refusal: RequestRefusal) -> None:
+        """Keeps a refused request in the store."""
+        self._kept[refusal.fingerprint] = refusal
+
+    def restart(self) -> None:
+        """Restarts all nodes, which read the store."""
+        for net in self.nets:
+            net.restart()
+            self._connect(net)
+            for refusal in self._kept.values():
+                net.ctx.crash_guard.restore(refusal)
+
     def crash_domain(self, domain: str) -> None:
         """Ends all upstreams of a failure domain at once."""
         for name, pool in self.nets[0].pools.items():
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from random import Random
 
+from msgspec.structs import replace
+
 from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.crash_guard import CrashGuard
@@ -187,6 +189,15 @@
         """Returns whether an upstream refuses connections."""
         self._next = 0
 
+    def restart(self) -> None:
+        """Replaces what a node knows of requests, as a new process of it would."""
+        crash_guard = CrashGuard(self.timers, self.log)
+        self.ctx = replace(self.ctx, crash_guard=crash_guard)
+        table = self.forwarder.table
+        self.forwarder = Forwarder(self.ctx)
+        if table is not None:
+            self.forwarder.apply(table)
+
     def _pool(self, record: UpstreamRecord) -> SimulatedUpstream:
         pool = SimulatedUpstream(self, record)
         self.pools[record.name] = pool
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -80,6 +80,14 @@
         fleet.run(0.5)
         self.assertEqual([answer.status for _, answer in answers], [200])
 
+    # Guards against BUDGET of issue 28 after all nodes have restarted and know only the store.
+    def test_search_is_not_sent_on_after_all_nodes_have_restarted(self) -> None:
+        fleet = make_fleet()
+        self.repeat(fleet, CRASHING_SEARCH, 20.0, len(DOMAINS))
+        fleet.restart()
+        self.repeat(fleet, CRASHING_SEARCH, 5.0, len(DOMAINS))
+        self.assertLessEqual(fleet.sends_after(KNOWN_AFTER_CRASHES, CONTACT_S), MAX_SENDS)
+
     # Guards against collateral damage: requests that are in flight when an upstream crashes.
     def test_requests_in_flight_beside_a_crash_are_served(self) -> None:
         fleet = make_fleet()
--- a/tests/test_kv_source.py
+++ b/tests/test_kv_source.py
@@ -14,13 +14,14 @@
     ChangesReply,
     FoundLeaseReply,
     NodeChange,
+    RequestRefusal,
     SourceErrorKind,
     TableChange,
     UnreadableEntry,
     UpstreamChange,
     UpstreamRemoval,
 )
-from sequoiapulley.ids import Incarnation, LeaseId, NodeId, UpstreamName
+from sequoiapulley.ids import Fingerprint, Incarnation, LeaseId, NodeId, UpstreamName
 from sequoiapulley.platform.kv_source import KvSource
 from sequoiapulley.wire.http_client import HttpClient
 from standins.store import PAGE_ITEMS, StoreStandIn
@@ -57,6 +58,14 @@
         self.source.read_changes(position(after), wait, TIMEOUT_S, self.replies.append)
         return self.next_reply()
 
+    def test_refused_request_is_kept_and_read(self) -> None:
+        refusal = RequestRefusal(Fingerprint("f" * 32), 3, 1_700_000_000_000)
+        done: list[AnnounceReply] = []
+        self.source.keep_refusal(refusal, 300.0, done.append)
+        self.loop.until(lambda: bool(done))
+        self.assertIsInstance(done[0], Ok)
+        self.assertIn(refusal, self.read_all().changes)
+
     def put_upstreams(self, count: int) -> None:
         for number in range(count):
             self.server.put(f"servers/u{number:04}", json.encode(UPSTREAM))
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -14,6 +14,7 @@
 from sequoiapulley.forward.state import (
     Change,
     NodeChange,
+    RequestRefusal,
     TableChange,
     UnreadableEntry,
     UpstreamChange,
@@ -39,6 +40,7 @@
             self.net.forwarder,
             self.net.directory,
             self.peers,
+            self.net.ctx.crash_guard,
             self.log,
             TableHistory(),
             self.net.timers,
@@ -53,6 +55,25 @@
     def names(self) -> set[str]:
         return {str(name) for name in self.net.directory.names()}
 
+    # Guards against issue 28 after a restart of all nodes, which had forgotten what they refused.
+    def test_kept_refusal_is_applied_and_told(self) -> None:
+        guard = self.net.ctx.crash_guard
+        req = self.net.request("/p/crash")
+        expires_ms = round((self.net.clock.wall() + 300.0) * 1000)
+        self.apply(1, RequestRefusal(req.fingerprint, 3, expires_ms))
+        self.assertAlmostEqual(guard.refused_for(req), 300.0, places=2)
+        self.assertEqual([news.strike.fingerprint for news in guard.news()], [req.fingerprint])
+        suspect = self.net.request("/p/suspect")
+        self.apply(2, RequestRefusal(suspect.fingerprint, 2, expires_ms))
+        self.assertEqual(guard.refused_for(suspect), 0.0)
+        self.assertTrue(guard.must_probe(suspect, ServiceName("s")))
+
+    def test_kept_refusal_that_has_expired_is_ignored(self) -> None:
+        req = self.net.request("/p/crash")
+        now_ms = round(self.net.clock.wall() * 1000)
+        self.apply(1, RequestRefusal(req.fingerprint, 3, now_ms - 1))
+        self.assertEqual(self.net.ctx.crash_guard.refused_for(req), 0.0)
+
     def test_removed_entry_takes_effect_at_once(self) -> None:
         self.apply(1, upstream_change("a"), upstream_change("b"))
         self.apply(2, removal("a"))
--- a/tests/test_store_restore.py
+++ b/tests/test_store_restore.py
@@ -165,6 +165,7 @@
             self.net.forwarder,
             self.net.directory,
             PeerTable(node("me"), self.net.log),
+            self.net.ctx.crash_guard,
             self.changes,
             TableHistory(),
             self.net.timers,
