Reproduce nodes that are cut off from all upstreams

The tests have six nodes, of which one, two or four lose their links to all upstreams; connections hang, are reset or are refused.

--- /dev/null
+++ b/tests/test_cut_off_nodes.py
@@ -0,0 +1,69 @@
+"""Tests of nodes without a path to any upstream, without a network.
+
+The load: six nodes in three failure domains get a steady load of searches over twenty shards and of
+requests for one service. Some of the nodes lose their links to all upstreams for some seconds.
+"""
+
+from __future__ import annotations
+
+from unittest import TestCase
+
+from sequoiapulley.forward.messages import Answer
+from sequoiapulley.ids import ServiceName
+from tests.partitioned_fleet import Cut, PartitionedFleet
+from tests.simulated_upstreams import gather_route, plain_route
+
+DOMAINS = ("p", "p", "q", "q", "r", "r")
+SHARDS = 20
+CONTACT_S = 4.0
+"""The users' `contact_ms`: time from the start of the cut after which the bound holds."""
+MIN_RATIO = 2 / 3
+"""The users' bound on the share of requests that cut-off nodes serve, relative to the others."""
+OK = 200
+
+
+def make_fleet() -> PartitionedFleet:
+    """Returns the nodes with both routes."""
+    fleet = PartitionedFleet(DOMAINS)
+    shards = tuple(ServiceName(f"shard-{number}") for number in range(SHARDS))
+    for number, shard in enumerate(shards):
+        for position in range(2):
+            fleet.add(f"{shard}-{position}", shard, "pqr"[(number + position) % 3])
+    for domain in "pqr":
+        fleet.add(f"portal-{domain}", "portal", domain)
+    fleet.apply(gather_route(shards), plain_route("portal"))
+    return fleet
+
+
+def served(answers: list[tuple[float, Answer]]) -> float:
+    """Returns the share of successful answers."""
+    return sum(answer.status == OK for _, answer in answers) / len(answers)
+
+
+class CutOffNodeTest(TestCase):
+    """Callers of nodes that are cut off from all upstreams are served by way of other nodes."""
+
+    def check(self, cut: Cut) -> None:
+        """Cuts off one, two and four nodes; compares the share that they and the others serve."""
+        for nodes in (range(1), range(2), range(4)):
+            fleet = make_fleet()
+            fleet.load(2.0)
+            fleet.cut(nodes, cut)
+            fleet.load(CONTACT_S)
+            answers = fleet.load(4.0)
+            others = min(served(answers[node]) for node in range(len(nodes), len(DOMAINS)))
+            cut_off = min(served(answers[node]) for node in nodes)
+            self.assertGreaterEqual(cut_off, MIN_RATIO * others, f"{len(nodes)} nodes")
+
+    # Guards against RECOVER of issue 28: nodes that had lost their links to all upstreams answered
+    # nearly every request with an error.
+    def test_cut_off_nodes_with_hanging_links_serve_their_callers(self) -> None:
+        self.check(Cut.HANGING)
+
+    # Guards against RECOVER of issue 28, where the connections of the cut-off nodes are reset.
+    def test_cut_off_nodes_with_reset_links_serve_their_callers(self) -> None:
+        self.check(Cut.RESET)
+
+    # Guards against RECOVER of issue 28, where new connections of the cut-off nodes are refused.
+    def test_cut_off_nodes_with_refused_links_serve_their_callers(self) -> None:
+        self.check(Cut.REFUSED)
