Serve callers of nodes that are cut off from the upstreams by other nodes

What callers saw: nodes whose links to all upstreams were lost answered nearly every request with 502 or 504 until the links were back, 2 of 306 first tries served where the others served 122 of 122.

Cause: a node judged single upstreams only. That all of them failed at once had no consequence: it went on trying, its heartbeats and so the directory listed it, and a request had no other way. Class: a fault of the node itself is taken for one of everything around it.

Change: when no upstream replies for 0.15 s, or five lose or refuse connections within a second, a node opens connections to eight of them. If at most a quarter are accepted it is cut off: heartbeats say so at once, the directory and other nodes' gathers omit it, and its callers' requests go to nodes in contact, those in hand as well if they are idempotent and arrived after the last contact. It checks its links twice a second and serves by itself again when three quarters are accepted. Nodes that may be needed and have had no contact for a second check theirs. If no node is in contact, the upstreams are gone, and everything is as before.

Why it works: a check with new connections tells a lost path from slow or crashed upstreams, and does not take a paused or frozen node for one; the hand-over needs no change of what callers know, so that cached directory answers do no harm.

The test of heartbeats of earlier versions covers the two new fields.

--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -29,6 +29,7 @@
     "retry_quota_used_up": "A retry was needed, but the retry quota was used up.",
     "deadline_passed_on_arrival": "The route's timeout or the caller's deadline had already passed "
     "when the request could be served.",
+    "cut_off": "The node was cut off from all upstreams, and no other node served the request.",
     "quarantined": "The same request has crashed upstreams one after the other, so that all nodes "
     "refuse it. Status 503 means that it has not run this time.",
 }
--- a/src/sequoiapulley/daemon/entry_port.py
+++ b/src/sequoiapulley/daemon/entry_port.py
@@ -46,6 +46,7 @@
         codec: CallerCodec,
         peers: PeerTable,
         is_ready: Callable[[], bool],
+        is_cut_off: Callable[[], bool],
         max_ttl: float,
     ) -> None:
         """Initialise the port.
@@ -54,11 +55,13 @@
             codec: Decodes the requests and encodes the answers.
             peers: Table of the other nodes.
             is_ready: Returns whether this node serves callers and is not shutting down.
+            is_cut_off: Returns whether this node is cut off from the upstreams.
             max_ttl: Upper limit of `ENTRY_TTL_S` from the settings, in seconds.
         """
         self._codec = codec
         self._peers = peers
         self._is_ready = is_ready
+        self._is_cut_off = is_cut_off
         self.max_ttl = max_ttl
         """Upper limit of `ENTRY_TTL_S` from the settings, in seconds."""
 
@@ -89,6 +92,11 @@
     ) -> list[NodeRecord]:
         """Returns the entry nodes for callers of a failure domain."""
         nodes = self._peers.ready()
-        if self._is_ready():
+        if self._is_ready() and not self._is_cut_off():
             nodes.append(self._peers.local_node)
+        if not nodes:
+            # All upstreams may be gone; callers are refused by the nodes, which tell why.
+            nodes = self._peers.cut_off()
+            if self._is_ready():
+                nodes.append(self._peers.local_node)
         return choose_entry_nodes(nodes, failure_domain, region)
--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from sequoiapulley.forward.metrics import (
+    CUT_OFF,
     FORWARD_SECONDS,
     FORWARDED,
     PARTS_LACKING,
@@ -43,6 +44,7 @@
     STORE_ERA,
     PEERS_READY,
     REFUSED_REQUESTS,
+    CUT_OFF,
 )
 
 
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -10,6 +10,7 @@
 from sequoiapulley.daemon.entry_port import CallerCodec, EntryPort
 from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
+from sequoiapulley.daemon.handover_port import HANDOVER_PATH, HandoverPort, HttpHandoverClient
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
 from sequoiapulley.daemon.heartbeat_task import HeartbeatTask
 from sequoiapulley.daemon.node_lifecycle import NodeLifecycle
@@ -36,6 +37,7 @@
 )
 from sequoiapulley.forward.messages import Answer
 from sequoiapulley.forward.metrics import (
+    CUT_OFF,
     PEERS_READY,
     REFUSED_REQUESTS,
     STATE_AGE,
@@ -44,12 +46,19 @@
     UPSTREAMS,
 )
 from sequoiapulley.forward.node_settings import Address, NodeSettings
-from sequoiapulley.forward.peer_table import Heartbeat, LeavingUpstream, NodeState, PeerTable
+from sequoiapulley.forward.peer_table import (
+    ROLE_CANDIDATES,
+    Heartbeat,
+    LeavingUpstream,
+    NodeState,
+    PeerTable,
+)
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.roles import (
     ENTRIES_PER_FAILURE_DOMAIN,
     choose_store_reader,
     limit_share,
+    ranked,
     slack_share,
 )
 from sequoiapulley.forward.route_table import CallerLimits
@@ -66,6 +75,7 @@
 from sequoiapulley.forward.store_position import NO_POSITION
 from sequoiapulley.forward.table_history import TableHistory
 from sequoiapulley.forward.tally import Tally
+from sequoiapulley.forward.upstream_contact import UpstreamContact
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.forward.upstream_pool import UpstreamPool
 from sequoiapulley.ids import FailureDomainName, Incarnation
@@ -84,6 +94,9 @@
 if TYPE_CHECKING:
     from sequoiapulley.daemon.forward_metrics import ForwardMetrics
 
+MAX_HANDOVER_CONNECTIONS: Final = 64
+"""Maximum number of connections to one node for requests that are handed over to it, a small part
+of the descriptors of the smallest VMs."""
 MAINTENANCE_INTERVAL_S: Final = 0.25
 """Interval between two checks of peers and idle connections."""
 MAX_POLL_S: Final = 1.0
@@ -175,6 +188,8 @@
         self._quota = RetryQuota(cfg.quota)
         self._tally = Tally()
         self._crash_guard = CrashGuard(self._timers, log)
+        self._contact = UpstreamContact(self._timers, self._random, log, self._directory.accepting)
+        self._contact.on_change = self._on_contact_change
         self._peers = PeerTable(self._local_node, log)
         parts_client = HttpClient(self._reactor, self._clock, self._timers, reply_bounds)
         self._aggregators = Aggregators(
@@ -194,9 +209,15 @@
             log,
             self._tally,
             self._crash_guard,
+            self._contact,
             self._aggregators,
         )
         self._forwarder = Forwarder(ctx)
+        handover_client = HttpClient(
+            self._reactor, self._clock, self._timers, reply_bounds, MAX_HANDOVER_CONNECTIONS
+        )
+        self._forwarder.handover = HttpHandoverClient(handover_client, self._peers, self._clock)
+        self._handover_port = HandoverPort(self._forwarder, self._contact, self._clock, log)
         changes = ChangeLog()
         history = TableHistory()
         self._shared_state = SharedState(
@@ -250,7 +271,11 @@
         self._crash_guard.on_news = self._heartbeats.send_soon
         self._crash_guard.on_refusal = RefusalTask(store, self._timers, log).keep
         self._entry_port = EntryPort(
-            codec, self._peers, lambda: self._lifecycle.state is NodeState.READY, cfg.most_entry_ttl
+            codec,
+            self._peers,
+            lambda: self._lifecycle.state is NodeState.READY,
+            lambda: self._contact.cut_off,
+            cfg.most_entry_ttl,
         )
         self._callers_server = self._listen(cfg.callers, self._on_caller_request)
         self._other_servers = [
@@ -323,11 +348,27 @@
         self._directory.sweep(now)
         self._directory.update_limit_shares(now)
         self._crash_guard.sweep()
+        self._check_contact()
         if self._lifecycle.may_stop_accepting(
             now, self._settings_task.cfg.grace, len(self._callers_server.connections)
         ):
             self._close_callers()
 
+    def _check_contact(self) -> None:
+        """Checks the links to the upstreams if cut-off peers may need this node."""
+        if not self._peers.cut_off() or self._lifecycle.state is not NodeState.READY:
+            return
+        domain = self._local_node.failure_domain
+        local = [node for node in self._peers.ready() if node.failure_domain == domain]
+        if self._local_node in ranked([*local, self._local_node])[:ROLE_CANDIDATES]:
+            self._contact.check_if_idle()
+
+    def _on_contact_change(self) -> None:
+        """Tells the peers that this node is cut off or in contact again."""
+        self._heartbeats.send_now()
+        if self._contact.cut_off:
+            self._forwarder.hand_over_jobs()
+
     def _refresh_shares(self) -> None:
         """Updates this node's shares of the retry quota and of the upstreams' connections."""
         # `regions` maps each failure domain to its region.
@@ -375,6 +416,8 @@
             ),
             state_age=round(self._feed.age, STATE_AGE_DIGITS),
             strikes=self._crash_guard.news(),
+            cut_off=self._contact.cut_off,
+            contact_age=round(self._contact.age, STATE_AGE_DIGITS),
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -404,6 +447,9 @@
         if req.parsed.target == PARTS_PATH.encode():
             self._parts_port.serve(req)
             return
+        if req.parsed.target == HANDOVER_PATH.encode():
+            self._handover_port.serve(req)
+            return
         self._peer_port.serve(req)
 
     def _on_settings(self, cfg: NodeSettings) -> None:
@@ -434,6 +480,7 @@
             STORE_ERA: self._feed.position.era,
             PEERS_READY: len(self._peers.ready()),
             REFUSED_REQUESTS: self._crash_guard.refused_requests,
+            CUT_OFF: float(self._contact.cut_off),
         }
 
     def _begin_shutdown(self) -> None:
--- a/src/sequoiapulley/daemon/parts_port.py
+++ b/src/sequoiapulley/daemon/parts_port.py
@@ -87,6 +87,9 @@
             self._ctx.log.log(PARTS_UNREADABLE, error=str(exc))
             req.answer(STATUS_BAD_REQUEST, (), b"")
             return
+        if self._ctx.contact.cut_off:
+            req.answer(STATUS_UNAVAILABLE, (), b"")
+            return
 
         def on_done(reply: PartsReply) -> None:
             req.answer(STATUS_OK, MSGPACK_HEADERS, encode(reply))
--- a/src/sequoiapulley/forward/context.py
+++ b/src/sequoiapulley/forward/context.py
@@ -10,6 +10,7 @@
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.tally import Tally
+from sequoiapulley.forward.upstream_contact import UpstreamContact
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.runtime import Clock, TimerQueue
@@ -27,5 +28,6 @@
     log: LogSink
     tally: Tally
     crash_guard: CrashGuard
+    contact: UpstreamContact
     aggregators: Aggregators | None = None
     """Selects remote nodes that merge parts; None if there are none."""
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -7,6 +7,7 @@
 
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.gather import Gather
+from sequoiapulley.forward.handover import Handover, HandoverClient
 from sequoiapulley.forward.initial_time_left import InitialTimeLeft
 from sequoiapulley.forward.log_events import CALLER_LEFT, REQUEST_ANSWERED, REQUEST_GIVEN_UP
 from sequoiapulley.forward.messages import Answer, CallerRequest
@@ -30,13 +31,23 @@
 class Job:
     """One request of a caller in progress."""
 
-    __slots__ = ("_forwarder", "_handler", "_on_answer", "_timer", "req", "route")
+    __slots__ = (
+        "_forwarder",
+        "_handler",
+        "_on_answer",
+        "_timer",
+        "deadline",
+        "may_hand_over",
+        "req",
+        "route",
+    )
 
     def __init__(
         self,
         forwarder: Forwarder,
         req: CallerRequest,
         on_answer: Callable[[Answer], None],
+        may_hand_over: bool,
     ) -> None:
         """Initialise a job that has not been started.
 
@@ -44,13 +55,17 @@
             forwarder: The forwarder that created the job.
             req: The request.
             on_answer: Called once with the answer.
+            may_hand_over: Whether another node may serve the request.
         """
         self._forwarder = forwarder
+        self.deadline = 0.0
+        """Clock reading at which the request ends, once its route is selected."""
         self.req = req
         self.route: Route | None = None
         """Route of the request, once it is selected."""
         self._on_answer: Callable[[Answer], None] | None = on_answer
-        self._handler: Gather | Relay | None = None
+        self._handler: Gather | Relay | Handover | None = None
+        self.may_hand_over = may_hand_over
         self._timer: TimerHandle | None = None
 
     @property
@@ -64,7 +79,7 @@
             self._timer.cancel()
         self._timer = timer
 
-    def begin(self, handler: Gather | Relay) -> None:
+    def begin(self, handler: Gather | Relay | Handover) -> None:
         """Starts to process the request.
 
         Args:
@@ -73,6 +88,15 @@
         self._handler = handler
         handler.start()
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether another node serves the request."""
+        return isinstance(self._handler, Handover)
+
+    def stop(self) -> bool:
+        """Cancels the calls; returns whether an upstream may have run the request."""
+        return self._handler.stop() if self._handler is not None else False
+
     def disconnect(self) -> None:
         """Cancels the request, as its caller has disconnected."""
         if self._on_answer is None:
@@ -102,10 +126,10 @@
         on_answer(answer)
 
     def _stop(self) -> bool:
-        """Cancels the calls; returns whether an upstream may have run the request."""
+        """Cancels the calls and the timer; returns whether an upstream may have run the request."""
         if self._timer is not None:
             self._timer.cancel()
-        return self._handler.stop() if self._handler is not None else False
+        return self.stop()
 
 
 class Forwarder:
@@ -122,7 +146,15 @@
         self._shares = SplitShares()
         self._initial_times_left: dict[str, InitialTimeLeft] = {}
         self._pending: list[Job] = []
-        self.in_flight = 0
+        self._jobs: set[Job] = set()
+        """Requests in progress."""
+        self.handover: HandoverClient | None = None
+        """Hands requests over to other nodes; None if there are none."""
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress."""
+        return len(self._jobs)
 
     @property
     def table(self) -> RouteTable | None:
@@ -142,18 +174,21 @@
         self._shares.retain(table.routes)
         return True
 
-    def handle(self, req: CallerRequest, on_answer: Callable[[Answer], None]) -> Job:
+    def handle(
+        self, req: CallerRequest, on_answer: Callable[[Answer], None], may_hand_over: bool = True
+    ) -> Job:
         """Serves one request.
 
         Args:
             req: The request.
             on_answer: Called once with the answer, possibly before this method returns.
+            may_hand_over: Whether another node may serve it if this one is cut off.
 
         Returns:
             The job, which can cancel the request.
         """
-        self.in_flight += 1
-        job = Job(self, req, on_answer)
+        job = Job(self, req, on_answer, may_hand_over)
+        self._jobs.add(job)
         if self._index is not None:
             self._begin(job, self._index)
             return job
@@ -175,7 +210,7 @@
 
     def record_answer(self, job: Job, answer: Answer, reason: Reason | None) -> None:
         """Counts and logs the answer to a request."""
-        self.in_flight -= 1
+        self._jobs.discard(job)
         outcome = reason.value if reason is not None else str(answer.status)
         waited = self._ctx.clock.now() - job.req.arrived
         self._ctx.tally.outcomes[outcome] += 1
@@ -196,7 +231,7 @@
 
     def record_disconnect(self, job: Job) -> None:
         """Counts and logs a caller that disconnected."""
-        self.in_flight -= 1
+        self._jobs.discard(job)
         self._ctx.tally.outcomes["caller_left"] += 1
         waited = round((self._ctx.clock.now() - job.req.arrived) * 1000, 1)
         self._ctx.log.log(CALLER_LEFT, id=job.req.id, ms=waited)
@@ -218,12 +253,47 @@
             _refuse(job, Reason.EXPIRED)
             return
         job.set_timer(self._ctx.timers.call_at(end, job.time_out))
+        job.deadline = end
         job.begin(self._make_handler(job, req, route, end))
 
+    def hand_over_jobs(self) -> None:
+        """Hands the requests in progress over that have no chance here, after a loss of contact.
+
+        Those are idempotent ones that arrived after the last contact with an upstream.
+        """
+        since = self._ctx.contact.last_contact
+        for job in tuple(self._jobs):
+            route = job.route
+            if route is None or not route.idempotent or job.req.arrived <= since:
+                continue
+            if job.handed_over or not self._may_hand_over(job):
+                continue
+            assert self.handover is not None
+            may_have_run = job.stop()
+            job.begin(
+                Handover(
+                    self._ctx,
+                    self.handover,
+                    job.req,
+                    route,
+                    job.deadline,
+                    job.finish,
+                    may_have_run,
+                )
+            )
+
+    def _may_hand_over(self, job: Job) -> bool:
+        """Returns whether another node should serve a request."""
+        if self.handover is None or not self._ctx.contact.cut_off or not job.may_hand_over:
+            return False
+        return self.handover.next_node([]) is not None
+
     def _make_handler(
         self, job: Job, req: CallerRequest, route: Route, end: float
-    ) -> Gather | Relay:
-        """Returns the relay or the gather that serves a request."""
+    ) -> Gather | Relay | Handover:
+        """Returns the relay or the gather that serves a request, or its handover."""
+        if self.handover is not None and self._may_hand_over(job):
+            return Handover(self._ctx, self.handover, req, route, end, job.finish)
         if route.gather is None:
             service = self._shares.next_service(route)
             return Relay(self._ctx, req, route, service, end, job.finish)
--- a/src/sequoiapulley/forward/learning.py
+++ b/src/sequoiapulley/forward/learning.py
@@ -56,8 +56,10 @@
     upstream.record_end(failed, reply.end is ExchangeEnd.NOT_SENT, now)
     if reply.end in WITHOUT_REPLY:
         upstream.record_silence(now)
+        ctx.contact.record_unreachable(upstream)
     else:
         upstream.record_received()
+        ctx.contact.record_reply(upstream)
     _log_silence(ctx, upstream, now)
     if reply.end is ExchangeEnd.WRONG_UPSTREAM and not upstream.address_reassigned:
         upstream.address_reassigned = True
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -268,6 +268,35 @@
     "three.",
     "Find the request by the SP2504 lines with this fingerprint, and repair the upstreams.",
 )
+CONTACT_LOST: Final = define_event(
+    2546,
+    "contact_lost",
+    Severity.WARNING,
+    "Of `connections` to a sample of the upstreams, `accepted` were accepted: this node is cut off "
+    "from them, or they are all gone. Other nodes serve its callers if they are in contact, and "
+    "new directory answers omit it.",
+    "Check the network path of the VM to the upstreams; if all nodes log this, check these.",
+)
+CONTACT_REGAINED: Final = define_event(
+    2547,
+    "contact_regained",
+    Severity.INFO,
+    "Upstreams accept connections of this node again; it serves its callers itself.",
+)
+HANDOVER_FAILED: Final = define_event(
+    2548,
+    "handover_failed",
+    Severity.INFO,
+    "A node to which this one, cut off from the upstreams, handed a request over did not answer.",
+    "Check the node and the network path to it if this event recurs.",
+)
+HANDOVER_UNREADABLE: Final = define_event(
+    2549,
+    "handover_unreadable",
+    Severity.WARNING,
+    "A request that another node handed over cannot be decoded.",
+    "Check for nodes that run another version.",
+)
 REFUSAL_NOT_KEPT: Final = define_event(
     2537,
     "refusal_not_kept",
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -50,6 +50,12 @@
     "`failed` counts failed nodes: see SP2507. `partial` indicates slow shards: see SP2506.",
     ("outcome",),
 )
+CUT_OFF: Final = define_metric(
+    "sequoiapulley_cut_off",
+    MetricKind.GAUGE,
+    "1 while the node is cut off from the upstreams and hands its requests over, else 0.",
+    "1 on some nodes: check their network path; 1 on all: check the upstreams. See SP2546.",
+)
 REFUSED_REQUESTS: Final = define_metric(
     "sequoiapulley_refused_requests",
     MetricKind.GAUGE,
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -22,6 +22,9 @@
 MAX_MISSED_HEARTBEATS: Final = 3.5
 """Number of heartbeat intervals after which a peer counts as lost: three, and half of one for
 delays."""
+MAX_CONTACT_AGE_S: Final = 3.0
+"""Age of a peer's last contact with an upstream up to which it counts as in contact: that of its
+heartbeat from another failure domain, and the interval of its checks."""
 ROLE_CANDIDATES: Final = 5
 """Number of nodes of a failure domain that hold a role (entry node, store reader) or take one over
 after a few losses. They send heartbeats to every node of the failure domain; the other nodes send
@@ -65,6 +68,10 @@
     """Seconds since the store served the node's state; infinite if the node states none."""
     strikes: tuple[StrikeNews, ...] = ()
     """Requests that crash upstreams, or are suspected to."""
+    cut_off: bool = False
+    """Whether the node is cut off from the upstreams."""
+    contact_age: float = float("inf")
+    """Seconds since the node's last contact with an upstream; infinite if it states none."""
 
     @property
     def position(self) -> StorePosition:
@@ -198,11 +205,29 @@
         return [peer.record for peer in self._peers.values()]
 
     def ready(self) -> list[NodeRecord]:
-        """Returns the peers that serve callers."""
+        """Returns the peers that serve callers and are not cut off from the upstreams."""
+        return [
+            peer.record
+            for peer, last_heartbeat in self._live_peers()
+            if last_heartbeat.state is NodeState.READY and not last_heartbeat.cut_off
+        ]
+
+    def cut_off(self) -> list[NodeRecord]:
+        """Returns the peers that serve callers by way of other nodes, cut off from upstreams."""
+        return [
+            peer.record
+            for peer, last_heartbeat in self._live_peers()
+            if last_heartbeat.state is NodeState.READY and last_heartbeat.cut_off
+        ]
+
+    def in_contact(self, now: float) -> list[NodeRecord]:
+        """Returns the peers that serve callers and had contact with an upstream recently."""
         return [
             peer.record
             for peer, last_heartbeat in self._live_peers()
             if last_heartbeat.state is NodeState.READY
+            and not last_heartbeat.cut_off
+            and last_heartbeat.contact_age + now - peer.last_heartbeat_at <= MAX_CONTACT_AGE_S
         ]
 
     def with_newer_configuration(self, version: ConfigVersion) -> list[NodeRecord]:
--- a/src/sequoiapulley/forward/refusal.py
+++ b/src/sequoiapulley/forward/refusal.py
@@ -36,6 +36,8 @@
     QUOTA = "retry_quota_used_up"
     """A retry was needed, but the retry quota is exhausted."""
     EXPIRED = "deadline_passed_on_arrival"
+    CUT_OFF = "cut_off"
+    """The node is cut off from the upstreams, and no other node served the request."""
     CRASHES_UPSTREAMS = "quarantined"
     """The request has crashed upstreams."""
 
@@ -50,6 +52,7 @@
     Reason.TIMEOUT: 504,
     Reason.QUOTA: 503,
     Reason.EXPIRED: 503,
+    Reason.CUT_OFF: 503,
     Reason.CRASHES_UPSTREAMS: 503,
 }
 """Statuses for requests that have not run; `error_answer` adjusts them for those that may have."""
@@ -60,6 +63,7 @@
     Reason.REFUSED: BUSY_RETRY_AFTER_S,
     Reason.QUOTA: BUSY_RETRY_AFTER_S,
     Reason.EXPIRED: BUSY_RETRY_AFTER_S,
+    Reason.CUT_OFF: BUSY_RETRY_AFTER_S,
     Reason.CRASHES_UPSTREAMS: BUSY_RETRY_AFTER_S,
 }
 NOT_EXECUTED_STATUS: Final = 503
--- a/src/sequoiapulley/forward/roles.py
+++ b/src/sequoiapulley/forward/roles.py
@@ -72,6 +72,17 @@
     return ranked(chosen)[:ENTRIES_PER_FAILURE_DOMAIN]
 
 
+def nodes_by_distance(nodes: list[NodeRecord], local_node: NodeRecord) -> list[NodeRecord]:
+    """Returns nodes by their distance to a node: its failure domain, its region, then others."""
+
+    def distance(node: NodeRecord) -> int:
+        if node.failure_domain == local_node.failure_domain:
+            return 0
+        return 1 if node.region == local_node.region else 2
+
+    return sorted(ranked(nodes), key=distance)
+
+
 def slack_share(is_entry: bool, failure_domains: int, nodes: int) -> float:
     """Returns a node's share of the retry quota's slack, 0 to 1.
 
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -252,9 +252,12 @@
         if not sent_try.overdue:
             sent_try.overdue = True
             sent_try.upstream.overdue_requests += 1
+            ctx.contact.record_overdue(sent_try.upstream)
         if self.done:
             return
         outcome, other = self._hedge(now)
+        if outcome is HedgeOutcome.NO_REPLY_YET:
+            return
         self._ctx.log.log(
             TRY_OVERDUE,
             id=self._req.id,
--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -183,6 +183,11 @@
         """Returns the registered upstream with a name, or None."""
         return self._upstreams.get(name)
 
+    def accepting(self) -> list[Upstream]:
+        """Returns the upstreams that accept requests, of all services."""
+        now = self._clock.now()
+        return [upstream for upstream in self._upstreams.values() if upstream.accepts_requests(now)]
+
     def service_of(self, name: UpstreamName) -> ServiceName | None:
         """Returns the service of a registered upstream, or None."""
         upstream = self._upstreams.get(name)
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -141,6 +141,7 @@
         clock: Clock,
         timers: TimerQueue,
         bounds: ReplyBounds | None = None,
+        max_connections: int = MAX_CONNECTIONS_PER_SERVER,
     ) -> None:
         """Creates a client without connections.
 
@@ -149,20 +150,25 @@
             clock: Clock of the event loop.
             timers: Timers of the same event loop.
             bounds: Size limits of a reply; None for the defaults.
+            max_connections: Maximum number of connections to one server.
         """
         self._reactor = reactor
+        self._max_connections = max_connections
         self._clock = clock
         self._timers = timers
         self._bounds = bounds or ReplyBounds()
         self._servers: dict[tuple[str, int], _Server] = {}
         self._sweep_timer: TimerHandle | None = None
 
-    def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> None:
+    def request(self, call: HttpCall, done: Callable[[HttpResult], None]) -> Callable[[], None]:
         """Sends one request.
 
         Args:
             call: The request; its path and headers must not contain line breaks.
             done: Receives the reply or the failure, once.
+
+        Returns:
+            Cancels the call: its connection is closed, and `done` is not called.
         """
         exchange = _Exchange(call, done, self._clock.now())
         exchange.timer = self._timers.call_later(call.timeout, lambda: self._expire(exchange))
@@ -175,6 +181,7 @@
         self._dispatch(server, call.host, call.port)
         if self._sweep_timer is None:
             self._sweep_timer = self._timers.call_later(SWEEP_INTERVAL_S, self._sweep)
+        return lambda: self._cancel(exchange)
 
     def prepare(self, host: str, port: int) -> bool:
         """Opens a connection in advance unless one is idle or being opened.
@@ -188,7 +195,7 @@
             server.idle.append(conn)
             return True
         opening = any(conn.state is ConnectionState.CONNECTING for conn in server.open)
-        if not opening and len(server.open) < MAX_CONNECTIONS_PER_SERVER:
+        if not opening and len(server.open) < self._max_connections:
             self._connect(server, host, port)
         return False
 
@@ -261,7 +268,7 @@
             conn.tag = (host, port, exchange)
             conn.send(_encode(exchange.call))
         opening = sum(1 for conn in server.open if conn.state is ConnectionState.CONNECTING)
-        available = MAX_CONNECTIONS_PER_SERVER - len(server.open)
+        available = self._max_connections - len(server.open)
         for _ in range(min(available, len(server.waiting) - opening)):
             self._connect(server, host, port)
 
@@ -345,12 +352,22 @@
         if server is not None:
             self._dispatch(server, call.host, call.port)
 
+    def _cancel(self, exchange: _Exchange) -> None:
+        """Ends a call without a result, unless it has ended."""
+        if exchange.done is not None:
+            exchange.done = _ignore_result
+            self._abort(exchange, HttpFailureKind.CLOSED, "cancelled")
+
     def _server_of(self, conn: HttpConnection) -> tuple[_Server, str, int]:
         """Returns the server of a connection with its host and port."""
         host, port, _ = _tag(conn)
         return self._servers.setdefault((host, port), _Server()), host, port
 
 
+def _ignore_result(_result: HttpResult) -> None:
+    """Receives the result of a cancelled call."""
+
+
 def _transfer_limit(exchange: _Exchange) -> float:
     """Returns the clock reading until which a call may go on because its reply is arriving."""
     conn, limit = exchange.conn, exchange.call.transfer_timeout
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -2,17 +2,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
+from functools import partial
+
+from msgspec.structs import replace
+from result import Err, Ok
 
 from sequoiapulley.forward.exchange import Exchange
-from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
+from sequoiapulley.forward.handover import HandoverFailure, HandoverResult
+from sequoiapulley.forward.messages import Answer, CallerRequest, ExchangeEnd, ExchangeReply
 from sequoiapulley.forward.route_table import Route
-from sequoiapulley.ids import FailureDomainName
+from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.ids import FailureDomainName, NodeId, UpstreamName
 from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, ended, success
+from tests.state_fixtures import node
 
 PROCESSING_S = 0.01
 REFUSED_S = 0.001
+ONE_WAY_S = 0.002
+"""Network latency between two nodes."""
 
 
 class Cut(Enum):
@@ -27,6 +37,55 @@
     """New connections are refused."""
 
 
+class SimulatedHandover:
+    """Implements `HandoverClient` of one node between the nodes of a fleet."""
+
+    def __init__(self, fleet: PartitionedFleet, net: SimulatedNet) -> None:
+        self.fleet = fleet
+        self.net = net
+        self.sent = 0
+        self.cancelled = 0
+
+    def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
+        usable = [
+            node(f"n{number}", str(net.home))
+            for number, net in enumerate(self.fleet.nets)
+            if net is not self.net and not net.ctx.contact.cut_off and net.ctx.contact.age < 3.0
+        ]
+        usable = [record for record in usable if record.name not in excluded]
+        return usable[self.sent % len(usable)] if usable else None
+
+    def hand_over(
+        self,
+        node: NodeRecord,
+        req: CallerRequest,
+        time_left: float,
+        done: Callable[[HandoverResult], None],
+    ) -> Callable[[], None]:
+        self.sent += 1
+        peer = self.fleet.nets[int(node.name[1:])]
+        timers = self.fleet.timers
+        ended = False
+
+        def on_answer(answer: Answer) -> None:
+            timers.call_later(ONE_WAY_S, lambda: None if ended else done(Ok(answer)))
+
+        def arrive() -> None:
+            if peer.ctx.contact.cut_off:
+                timers.call_later(ONE_WAY_S, lambda: done(Err(HandoverFailure(False, "cut off"))))
+                return
+            arrived = replace(req, time_left=time_left, arrived=timers.clock.now())
+            peer.forwarder.handle(arrived, on_answer, may_hand_over=False)
+
+        def cancel() -> None:
+            nonlocal ended
+            ended = True
+            self.cancelled += 1
+
+        timers.call_later(ONE_WAY_S, arrive)
+        return cancel
+
+
 class PartitionedFleet:
     """Nodes that share upstreams, each with its own links to them."""
 
@@ -39,6 +98,19 @@
             SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
             for domain in domains
         ]
+        for net in self.nets:
+            net.forwarder.handover = SimulatedHandover(self, net)
+            net.ctx.contact.on_change = partial(self._on_change, net)
+            net.is_down = partial(self._refuses, net)
+
+    def _on_change(self, net: SimulatedNet) -> None:
+        """Acts on a node's loss of contact as the node does."""
+        if net.ctx.contact.cut_off:
+            net.forwarder.hand_over_jobs()
+
+    def _refuses(self, net: SimulatedNet, _name: UpstreamName) -> bool:
+        """Returns whether an upstream accepts no connection of a node."""
+        return self.upstreams_down or self.cuts[self.nets.index(net)] is not Cut.NONE
 
     def add(self, name: str, service: str, domain: str) -> None:
         """Registers an upstream at every node."""
@@ -52,8 +124,8 @@
 
     def cut(self, nodes: range, cut: Cut) -> None:
         """Cuts nodes off from all upstreams, or restores their links."""
-        for node in nodes:
-            self.cuts[node] = cut
+        for number in nodes:
+            self.cuts[number] = cut
 
     def load(self, seconds: float, rate: float = 20.0) -> list[list[tuple[float, Answer]]]:
         """Sends requests to each node in turn; returns the answers, by node and request."""
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -29,6 +29,7 @@
     WeightedService,
 )
 from sequoiapulley.forward.tally import Tally
+from sequoiapulley.forward.upstream_contact import UpstreamContact
 from sequoiapulley.forward.upstream_directory import UpstreamDirectory
 from sequoiapulley.ids import ConfigVersion, FailureDomainName, RequestId, ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
@@ -182,6 +183,7 @@
             self.log,
             Tally(),
             CrashGuard(self.timers, self.log),
+            UpstreamContact(self.timers, self.random, self.log, self.directory.accepting),
             aggregators,
         )
         self.forwarder = Forwarder(self.ctx)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -97,13 +97,15 @@
 
     def test_heartbeats_of_earlier_versions_lack_the_last_fields(self) -> None:
         news = StrikeNews(Strike(Fingerprint("f"), UpstreamName("u"), 1), 0.0, 5.0)
-        sent = replace(heartbeat(node("b")), state_age=0.4, strikes=(news,))
+        later = {"state_age": 0.4, "strikes": (news,), "cut_off": True, "contact_age": 0.2}
+        plain = heartbeat(node("b"))
+        sent = replace(plain, **later)
         self.assertEqual(decode(encode(sent), type=Heartbeat), sent)
         fields = to_builtins(sent)
-        without_strikes = decode(encode(fields[:-1]), type=Heartbeat)
-        self.assertEqual(without_strikes, replace(sent, strikes=()))
-        without_age = decode(encode(fields[:-2]), type=Heartbeat)
-        self.assertEqual(without_age, replace(sent, state_age=float("inf"), strikes=()))
+        for lacking in range(1, len(later) + 1):
+            known = dict(list(later.items())[:-lacking])
+            earlier = decode(encode(fields[:-lacking]), type=Heartbeat)
+            self.assertEqual(earlier, replace(plain, **known))
 
     def test_heartbeat_of_an_earlier_incarnation_is_ignored(self) -> None:
         record = node("b")
