--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -98,8 +98,9 @@
             SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
             for domain in domains
         ]
-        for net in self.nets:
-            net.forwarder.handover = SimulatedHandover(self, net)
+        self.clients = [SimulatedHandover(self, net) for net in self.nets]
+        for net, client in zip(self.nets, self.clients, strict=True):
+            net.forwarder.handover = client
             net.ctx.contact.on_change = partial(self._on_change, net)
             net.is_down = partial(self._refuses, net)
 
@@ -147,6 +148,10 @@
         self.run(1.5)
         return answers
 
+    def handovers(self) -> int:
+        """Returns the number of requests that were handed over so far."""
+        return sum(client.sent for client in self.clients)
+
     def run(self, seconds: float) -> None:
         """Advances the clock of all nodes."""
         self.nets[0].run(seconds)
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -67,3 +67,42 @@
     # Guards against RECOVER of issue 28, where new connections of the cut-off nodes are refused.
     def test_cut_off_nodes_with_refused_links_serve_their_callers(self) -> None:
         self.check(Cut.REFUSED)
+
+    # Guards against a hand-over without end when all upstreams are gone.
+    def test_upstreams_that_are_gone_for_all_nodes_cause_no_handover(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        fleet.upstreams_down = True
+        fleet.run(4.0)
+        fleet.load(4.0)
+        sent = fleet.handovers()
+        answers = fleet.load(2.0)
+        self.assertEqual(fleet.handovers(), sent)
+        self.assertEqual({served(found) for found in answers}, {0.0})
+        self.assertEqual([len(found) for found in answers], [40] * len(DOMAINS))
+
+    def test_nodes_serve_by_themselves_when_their_links_are_back(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        fleet.cut(range(4), Cut.HANGING)
+        fleet.load(4.0)
+        fleet.cut(range(4), Cut.NONE)
+        fleet.load(2.0)
+        sent = fleet.handovers()
+        answers = fleet.load(2.0)
+        self.assertEqual(fleet.handovers(), sent)
+        self.assertEqual({served(found) for found in answers}, {1.0})
+
+    # Guards against requests that wait for their deadline at a node that has just been cut off.
+    def test_requests_in_hand_are_handed_over(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        fleet.cut(range(1), Cut.HANGING)
+        answers = fleet.load(4.0)
+        self.assertGreaterEqual(served(answers[0]), 0.95)
+
+    # Guards against the slowness of a single node or upstream that is taken for a lost path.
+    def test_nodes_that_are_not_cut_off_hand_nothing_over(self) -> None:
+        fleet = make_fleet()
+        fleet.load(4.0)
+        self.assertEqual(fleet.handovers(), 0)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,239 @@
+"""Tests of handing callers' requests over to other nodes, over sockets and without."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from unittest import TestCase
+
+from msgspec.msgpack import encode
+from msgspec.structs import replace
+from result import Err, Ok
+
+from sequoiapulley.daemon.handover_port import (
+    HANDOVER_PATH,
+    HandoverPort,
+    HandoverReply,
+    HandoverRequest,
+    HttpHandoverClient,
+)
+from sequoiapulley.forward.handover import MAX_NODES, Handover, HandoverFailure, HandoverResult
+from sequoiapulley.forward.messages import Answer, CallerRequest
+from sequoiapulley.forward.peer_table import MAX_CONTACT_AGE_S, PeerTable
+from sequoiapulley.forward.refusal import Reason
+from sequoiapulley.forward.state import NodeRecord
+from sequoiapulley.ids import NodeId, RequestId
+from sequoiapulley.observe.log_event import MemoryLog
+from sequoiapulley.runtime import PausedClock
+from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+from sequoiapulley.wire.http_server import HttpServer
+from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
+from tests.simulated_upstreams import SimulatedNet, plain_route, success
+from tests.state_fixtures import heartbeat, node
+from tests.wire_support import Loop
+
+OK = Answer(200, ((b"X-Seal", b"s"),), b"body")
+NOT_RUN = Answer(503, (), b"")
+
+
+class ScriptedNodes:
+    """Implements `HandoverClient`; the test replies to each request."""
+
+    def __init__(self, count: int) -> None:
+        self.names = [f"n{number}" for number in range(count)]
+        self.asked: list[str] = []
+        self.cancelled = 0
+        self._done: list[Callable[[HandoverResult], None]] = []
+
+    def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
+        usable = [name for name in self.names if name not in excluded]
+        return node(usable[0]) if usable else None
+
+    def hand_over(
+        self,
+        node: NodeRecord,
+        req: CallerRequest,
+        time_left: float,
+        done: Callable[[HandoverResult], None],
+    ) -> Callable[[], None]:
+        self.asked.append(str(node.name))
+        self._done.append(done)
+        return self._cancel
+
+    def _cancel(self) -> None:
+        self.cancelled += 1
+
+    def reply(self, result: HandoverResult) -> None:
+        self._done.pop(0)(result)
+
+
+class HandoverTest(TestCase):
+    """The choice of the next node, and what the caller is told."""
+
+    def hand_over(self, nodes: ScriptedNodes, idempotent: bool = True) -> Handover:
+        self.net = SimulatedNet(lambda *_args: (0.001, success()))
+        self.answers: list[tuple[Answer, Reason | None]] = []
+        route = plain_route("s", idempotent)
+        deadline = self.net.clock.now() + 1.0
+        handover = Handover(
+            self.net.ctx,
+            nodes,
+            self.net.request("/p/1"),
+            route,
+            deadline,
+            lambda answer, reason: self.answers.append((answer, reason)),
+        )
+        handover.start()
+        return handover
+
+    def test_answer_of_the_other_node_is_forwarded_unchanged(self) -> None:
+        nodes = ScriptedNodes(2)
+        self.hand_over(nodes)
+        nodes.reply(Ok(OK))
+        self.assertEqual(self.answers, [(OK, None)])
+
+    def test_next_node_is_used_when_one_fails(self) -> None:
+        nodes = ScriptedNodes(5)
+        self.hand_over(nodes)
+        for _ in range(MAX_NODES):
+            nodes.reply(Err(HandoverFailure(True, "lost")))
+        self.net.run(0.01)
+        self.assertEqual(nodes.asked, ["n0", "n1", "n2"])
+        answer, reason = self.answers[0]
+        self.assertEqual((answer.status, reason), (502, Reason.CUT_OFF))
+
+    # Guards against a second run of a request that is not idempotent.
+    def test_request_that_may_have_run_is_not_handed_over_again(self) -> None:
+        nodes = ScriptedNodes(3)
+        self.hand_over(nodes, idempotent=False)
+        nodes.reply(Err(HandoverFailure(True, "lost")))
+        self.assertEqual((nodes.asked, self.answers[0][0].status), (["n0"], 502))
+
+    def test_request_that_was_not_sent_is_handed_over_again(self) -> None:
+        nodes = ScriptedNodes(3)
+        self.hand_over(nodes, idempotent=False)
+        nodes.reply(Err(HandoverFailure(False, "cut off")))
+        nodes.reply(Ok(OK))
+        self.assertEqual((nodes.asked, self.answers), (["n0", "n1"], [(OK, None)]))
+
+    # Guards against a statement that a request has not run although the first node may have run it.
+    def test_refusal_after_a_lost_request_does_not_promise_that_it_has_not_run(self) -> None:
+        nodes = ScriptedNodes(2)
+        self.hand_over(nodes)
+        nodes.reply(Err(HandoverFailure(True, "lost")))
+        nodes.reply(Ok(NOT_RUN))
+        self.assertEqual(self.answers[0][0].status, 502)
+
+    def test_refusal_of_the_first_node_is_forwarded(self) -> None:
+        nodes = ScriptedNodes(2)
+        self.hand_over(nodes)
+        nodes.reply(Ok(NOT_RUN))
+        self.assertEqual(self.answers, [(NOT_RUN, None)])
+
+    def test_without_a_node_the_caller_is_refused_at_once(self) -> None:
+        self.hand_over(ScriptedNodes(0))
+        self.net.run(0.0)
+        self.assertEqual(self.answers[0][0].status, 503)
+
+    # Guards against work that goes on after the caller has left.
+    def test_stop_cancels_the_request_at_the_other_node(self) -> None:
+        nodes = ScriptedNodes(2)
+        handover = self.hand_over(nodes)
+        self.assertTrue(handover.stop())
+        self.assertEqual(nodes.cancelled, 1)
+        nodes.reply(Ok(OK))
+        self.assertEqual(self.answers, [])
+
+
+class HandoverPortTest(TestCase):
+    """One node hands requests over to another one, over sockets."""
+
+    def setUp(self) -> None:
+        self.loop = Loop(PausedClock())
+        self.net = SimulatedNet(lambda *_args: (0.01, success(b"part")), timers=self.loop.timers)
+        for number in range(4):
+            self.net.add(f"u-{number}", "portal")
+        self.net.apply(plain_route("portal"))
+        self.log = MemoryLog()
+        self.port = HandoverPort(
+            self.net.forwarder, self.net.ctx.contact, self.loop.clock, self.log
+        )
+        self.requests: list[ServerRequest] = []
+        self.server = HttpServer(
+            self.loop.reactor, self.loop.timers, "127.0.0.1", 0, self.serve, ServerLimits()
+        )
+        self.addCleanup(self.server.close)
+        self.client = HttpClient(self.loop.reactor, self.loop.clock, self.loop.timers)
+        self.addCleanup(self.client.close)
+        self.record = replace(node("n2"), host="127.0.0.1", peers_port=self.server.port)
+        self.peers = PeerTable(node("n1"), self.log)
+        self.handover = HttpHandoverClient(self.client, self.peers, self.loop.clock)
+        self.results: list[HandoverResult] = []
+
+    def serve(self, req: ServerRequest) -> None:
+        self.requests.append(req)
+        self.port.serve(req)
+
+    def send(self, target: bytes = b"/p/1") -> Callable[[], None]:
+        now = self.loop.clock.now()
+        req = CallerRequest(RequestId("r1"), b"GET", target, "h", (), b"", 1.0, now)
+        cancel = self.handover.hand_over(self.record, req, 1.0, self.results.append)
+        self.loop.settle()
+        return cancel
+
+    def test_request_is_served_by_the_other_node(self) -> None:
+        self.send()
+        self.loop.advance(0.02)
+        self.assertEqual(self.results, [Ok(Answer(200, (), b"part"))])
+
+    def test_route_that_the_other_node_lacks_is_answered_by_it(self) -> None:
+        self.send(b"/unknown")
+        self.assertEqual(self.results[0].unwrap().status, 404)
+
+    # Guards against requests that two cut-off nodes hand to each other.
+    def test_node_that_is_cut_off_as_well_refuses(self) -> None:
+        self.net.ctx.contact.cut_off = True
+        self.send()
+        self.assertEqual(self.results, [Err(HandoverFailure(False, "status 503"))])
+
+    # Guards against work at upstreams after the caller of the other node has left.
+    def test_cancelled_request_ends_at_the_other_node(self) -> None:
+        cancel = self.send()
+        self.assertEqual(self.net.forwarder.in_flight, 1)
+        cancel()
+        self.loop.settle()
+        self.assertEqual((self.net.forwarder.in_flight, self.results), (0, []))
+
+    def test_malformed_requests_are_refused(self) -> None:
+        good = HandoverRequest(RequestId("r"), b"GET", b"/p/1", "h", (), b"", 1.0)
+        results: list[HttpResult] = []
+        for body in (b"", b"\xc1", encode([1, 2]), encode(replace(good, time_left=float("nan")))):
+            call = HttpCall("127.0.0.1", self.server.port, "POST", HANDOVER_PATH, body=body)
+            self.client.request(call, results.append)
+            self.loop.settle()
+        self.assertEqual([result.unwrap().status for result in results], [400] * 4)
+        self.assertEqual(self.net.forwarder.in_flight, 0)
+
+    # Guards against an answer of another request that reaches a caller.
+    def test_reply_to_another_request_is_not_used(self) -> None:
+        wrong = encode(HandoverReply(RequestId("r0"), 200, (), b""))
+        self.port.serve = lambda req: req.answer(200, (), wrong)  # type: ignore[method-assign]
+        self.send()
+        self.assertIsInstance(self.results[0], Err)
+        self.assertTrue(self.results[0].unwrap_err().sent)
+
+    def test_only_nodes_in_contact_are_used(self) -> None:
+        now = self.loop.clock.now()
+        beats = [
+            replace(heartbeat(node("a")), contact_age=0.1),
+            replace(heartbeat(node("b")), contact_age=0.1, cut_off=True),
+            replace(heartbeat(node("c")), contact_age=MAX_CONTACT_AGE_S + 0.1),
+            heartbeat(node("d")),
+            replace(heartbeat(node("e", "q")), contact_age=0.1),
+        ]
+        for beat in beats:
+            self.peers.record_heartbeat(beat, now)
+        names = {str(found.name) for _ in range(8) if (found := self.handover.next_node([]))}
+        self.assertEqual(names, {"a", "e"})
+        self.assertEqual([peer.name for peer in self.peers.cut_off()], ["b"])
+        self.assertNotIn("b", {peer.name for peer in self.peers.ready()})
+        self.assertIsNone(self.handover.next_node([NodeId("a"), NodeId("e")]))
