--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from asyncio import CancelledError, get_running_loop, sleep
+from asyncio import CancelledError, create_task, get_running_loop, sleep
 from collections import Counter
 from random import Random
 from typing import Final
@@ -17,6 +17,8 @@
 RECORDS_PER_PART: Final = 8
 
 SEAL_PREFIX: Final = "seal"
+CRASHED_S: Final = 0.6
+"""Time for which a crashed upstream refuses connections."""
 
 
 class UpstreamFaults(Struct):
@@ -42,6 +44,8 @@
     """Answer with bytes that never end."""
     limit: float | None = None
     """State in each reply that so many requests per second are accepted from all nodes together."""
+    crash_path: str | None = None
+    """Crash while running a request with this path; the upstream is back after `CRASHED_S`."""
 
 
 class PlatformUpstream:
@@ -132,6 +136,12 @@
         """Stops listening and resets every connection."""
         self._listener.close()
 
+    def _crash(self) -> None:
+        """Resets every connection and refuses new ones for some time."""
+        loop = get_running_loop()
+        self._listener.close()
+        loop.call_later(CRASHED_S, lambda: create_task(self.open()))
+
     def part(self, request: str) -> bytes:
         """Returns the part of the answer to a request that this upstream serves."""
         random = Random(f"{self.service} {request}")
@@ -171,6 +181,9 @@
         except CancelledError:
             # The caller closed its connection. A real upstream would stop the run as well.
             raise
+        if request.path == self.faults.crash_path:
+            self._crash()
+            return Response(0, drop=True)
         if self._random.random() < self.faults.lose:
             return Response(0, drop=True)
         sealed = (*echo, ("x-server-seal", self.seal(attempt)))
--- a/standins/store.py
+++ b/standins/store.py
@@ -272,6 +272,12 @@
         """Returns whether a key exists."""
         return self.thread.call(lambda: key in self.service.state.items)
 
+    def has_prefix(self, prefix: str) -> bool:
+        """Returns whether a key with a prefix exists."""
+        return self.thread.call(
+            lambda: any(key.startswith(prefix) for key in self.service.state.items)
+        )
+
     def compact_history(self) -> None:
         """Compacts the history up to the current revision."""
         self.thread.call(self.service.state.compact_history)
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -16,6 +16,7 @@
 
 from sequoiapulley.daemon.parts_port import PARTS_PATH
 from sequoiapulley.forward.aggregators import PartsRequest, ShardTask
+from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S
 from sequoiapulley.ids import RequestId, ServiceName, UpstreamName
 from standins.http_server import Endless, EndlessPart
 from standins.platform_fleet import (
@@ -197,6 +198,35 @@
         first.faults = UpstreamFaults()
         self.until(lambda: self.all_log(b'"per_s":"none"', conns))
 
+    # Guards against BUDGET of issue 28: a request that crashes upstreams was sent again and again.
+    def test_request_that_crashes_upstreams(self) -> None:
+        conns = [self.connect(node) for node in range(2)]
+        for upstream in self.upstreams:
+            upstream.faults = UpstreamFaults(crash_path="/r/crash")
+        self.assertEqual(self.ask(conns[0], "/r/crash"), 502)
+        self.until(lambda: self.all_log(b"crashing_request_refused", conns))
+        sends = self.crash_requests()
+        self.assertLessEqual(sends, 2)
+        self.assertEqual([self.ask(conn, "/r/crash") for conn in conns], [503, 503])
+        self.until(lambda: self.store.has_prefix("refusals/"))
+        end = monotonic() + FIRST_REFUSAL_S + 4.0
+        while monotonic() < end:
+            for conn in conns:
+                self.ask(conn, "/r/crash")
+            sleep(0.1)
+        # Three strikes, and a loss at an upstream that has kept its name over its restart.
+        self.assertLessEqual(self.crash_requests(), 4)
+        self.assertIn(b'"refused_s":600', self.read_log(0, conns[0]))
+        self.until(lambda: self.ask(conns[0]) == 200)
+
+    def crash_requests(self) -> int:
+        """Returns the number of requests that were sent to upstreams to crash them."""
+        return sum(
+            path == "/r/crash"
+            for upstream in self.upstreams
+            for _, path, _ in upstream.requests.values()
+        )
+
     def test_malformed_messages(self) -> None:
         """Entries, datagrams and requests of other programs do not end a node."""
         conn = self.connect()
