--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -395,11 +395,14 @@
         """Retries at an upstream that already failed this request."""
         if self.done or self._open_tries():
             return
+        guard = self._ctx.crash_guard
         upstream = self._tried.retry_candidate(self._ctx.clock.now())
-        if upstream is None:
+        if upstream is None or guard.refused_for(self._req):
             self._fail()
             return
-        self._retry(upstream)
+        probe = guard.must_probe(self._req, self.service)
+        if not probe or guard.start_probe(self._req, self):
+            self._retry(upstream, probe)
 
     def _retry(self, upstream: Upstream, probe: bool = False) -> None:
         """Retries at an upstream; the quota applies once a try has reached an upstream."""
