Count no losses of a node that is cut off as strikes against requests

Once the node knows that it is cut off, its losses tell nothing.

The new test fails without the condition (strikes are told) and passes with it. The hand-over asks whether a node is available without using up its turn in the rotation.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -190,6 +190,7 @@
         self._crash_guard = CrashGuard(self._timers, log)
         self._contact = UpstreamContact(self._timers, self._random, log, self._directory.accepting)
         self._contact.on_change = self._on_contact_change
+        self._crash_guard.is_cut_off = lambda: self._contact.cut_off
         self._peers = PeerTable(self._local_node, log)
         parts_client = HttpClient(self._reactor, self._clock, self._timers, reply_bounds)
         self._aggregators = Aggregators(
--- a/src/sequoiapulley/daemon/handover_port.py
+++ b/src/sequoiapulley/daemon/handover_port.py
@@ -70,6 +70,11 @@
         self._clock = clock
         self._round_robin_index = 0
 
+    @property
+    def available(self) -> bool:
+        """Whether any node is in contact with upstreams."""
+        return bool(self._peers.in_contact(self._clock.now()))
+
     def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
         """Returns the next of the closest nodes that are in contact with upstreams, or None."""
         in_contact = self._peers.in_contact(self._clock.now())
--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -119,6 +119,8 @@
         """Called when there is a strike to tell the other nodes."""
         self.on_refusal: Callable[[RequestRefusal], None] = _ignore_refusal
         """Called when this node refuses a request by its own losses."""
+        self.is_cut_off: Callable[[], bool] = _never
+        """Returns whether this node is cut off, so that its losses tell nothing of a request."""
 
     @property
     def refused_requests(self) -> int:
@@ -215,7 +217,7 @@
 
         def on_checked(alive: bool) -> None:
             now = self._clock.now()
-            if alive:
+            if alive or self.is_cut_off():
                 self._table.on_answered(fingerprint, key, now, now)
                 self._wake(fingerprint)
             elif self._table.is_suspected(fingerprint, now) and not self._told.get(fingerprint):
@@ -239,7 +241,7 @@
 
         def on_checked(alive: bool) -> None:
             now = self._clock.now()
-            if alive:
+            if alive or self.is_cut_off():
                 self._table.on_answered(fingerprint, key, now, now)
                 self._wake(fingerprint)
                 done()
@@ -394,6 +396,11 @@
     return news.refused_for + news.suspected_for > 0.0
 
 
+def _never() -> bool:
+    """Returns that this node is not cut off; the default until the node sets its own function."""
+    return False
+
+
 def _ignore_refusal(_refusal: RequestRefusal) -> None:
     """Does nothing: there is no store."""
 
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -286,7 +286,7 @@
         """Returns whether another node should serve a request."""
         if self.handover is None or not self._ctx.contact.cut_off or not job.may_hand_over:
             return False
-        return self.handover.next_node([]) is not None
+        return self.handover.available
 
     def _make_handler(
         self, job: Job, req: CallerRequest, route: Route, end: float
--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -35,6 +35,10 @@
 class HandoverClient(Protocol):
     """Sends callers' requests to nodes that are in contact with the upstreams."""
 
+    @property
+    def available(self) -> bool:
+        """Whether any node is in contact."""
+
     def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
         """Returns the node to use next, in rotation, or None if none is in contact."""
 
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -46,6 +46,10 @@
         self.sent = 0
         self.cancelled = 0
 
+    @property
+    def available(self) -> bool:
+        return self.next_node([]) is not None
+
     def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
         usable = [
             node(f"n{number}", str(net.home))
@@ -103,6 +107,8 @@
             net.forwarder.handover = client
             net.ctx.contact.on_change = partial(self._on_change, net)
             net.is_down = partial(self._refuses, net)
+            contact = net.ctx.contact
+            net.ctx.crash_guard.is_cut_off = lambda contact=contact: contact.cut_off
 
     def _on_change(self, net: SimulatedNet) -> None:
         """Acts on a node's loss of contact as the node does."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -15,7 +15,7 @@
     CrashGuard,
     StrikeNews,
 )
-from sequoiapulley.forward.messages import CallerRequest
+from sequoiapulley.forward.messages import CallerRequest, ExchangeEnd
 from sequoiapulley.forward.peer_table import LeavingUpstream
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.upstream_directory import MAX_NEWS as MAX_LEAVING
@@ -23,7 +23,7 @@
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.quarantine import REFUSED_TTL_S, Strike
 from sequoiapulley.runtime import PausedClock, TimerQueue
-from tests.simulated_upstreams import SimulatedNet, gather_route, success
+from tests.simulated_upstreams import SimulatedNet, ended, gather_route, plain_route, success
 from tests.state_fixtures import heartbeat, node
 
 NODE = NodeId("n2")
@@ -126,6 +126,23 @@
         )
         self.assertLess(len(encode(sent)), MAX_DATAGRAM_BYTES)
 
+    # Guards against requests that all nodes refuse because one node has lost its links.
+    def test_losses_of_a_node_that_is_cut_off_tell_nothing(self) -> None:
+        net = SimulatedNet(lambda *_args: (0.001, ended(ExchangeEnd.LOST)))
+        for number in range(3):
+            net.add(f"u-{number}", "s")
+        net.apply(plain_route("s"))
+        net.is_down = lambda name: True
+        net.ctx.crash_guard.is_cut_off = lambda: True
+        net.ask("/p/1")
+        net.run(1.0)
+        self.assertEqual(net.ctx.crash_guard.news(), ())
+        self.assertEqual(net.ctx.crash_guard.refused_for(net.request("/p/1")), 0.0)
+        net.ctx.crash_guard.is_cut_off = lambda: False
+        net.ask("/p/1")
+        net.run(1.0)
+        self.assertGreater(net.ctx.crash_guard.refused_for(net.request("/p/1")), 0.0)
+
     def test_ordinary_requests_pass_while_others_are_refused(self) -> None:
         self.hear(refusal(request("/p/1").fingerprint))
         self.assertEqual(self.guard.refused_for(request("/p/2")), 0.0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,6 +44,10 @@
         self.cancelled = 0
         self._done: list[Callable[[HandoverResult], None]] = []
 
+    @property
+    def available(self) -> bool:
+        return bool(self.names)
+
     def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
         usable = [name for name in self.names if name not in excluded]
         return node(usable[0]) if usable else None
@@ -237,3 +241,6 @@
         self.assertEqual([peer.name for peer in self.peers.cut_off()], ["b"])
         self.assertNotIn("b", {peer.name for peer in self.peers.ready()})
         self.assertIsNone(self.handover.next_node([NodeId("a"), NodeId("e")]))
+        self.assertTrue(self.handover.available)
+        self.loop.clock.advance(MAX_CONTACT_AGE_S)
+        self.assertFalse(self.handover.available)
