--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -39,6 +39,7 @@
         self.crashes: list[tuple[float, UpstreamName]] = []
         self.sends: list[float] = []
         """Clock readings at which such a request reached an upstream."""
+        self.down_s = DOWN_S
         self.lossy: frozenset[bytes] = frozenset()
         """Targets of the requests whose connections close without a reply; nothing crashes."""
         self._kept: dict[Fingerprint, RequestRefusal] = {}
@@ -138,7 +139,7 @@
             return
         self._down.add(name)
         self.crashes.append((self.clock.now(), name))
-        self.timers.call_later(DOWN_S, lambda: self._down.discard(name))
+        self.timers.call_later(self.down_s, lambda: self._down.discard(name))
         for net in self.nets:
             pool = net.pools[name]
             for exchange in tuple(pool.running):
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 from msgspec.structs import replace
 
@@ -290,3 +291,27 @@
     """Returns a route to one service."""
     split = (WeightedService(ServiceName(service), 1.0),)
     return Route("p", "h", prefix, idempotent, TIMEOUT_S, goal, 1, 2, split)
+
+
+class Fleet(Protocol):
+    """Several nodes that share their upstreams."""
+
+    def add(self, name: str, service: str, domain: str) -> None:
+        """Registers an upstream at every node."""
+
+    def apply(self, *routes: Route) -> None:
+        """Activates a configuration at every node."""
+
+
+def add_search_and_portal(fleet: Fleet, shards: int) -> None:
+    """Adds a search and the service `portal` to nodes of the failure domains p, q and r.
+
+    Each shard has upstreams in two of the failure domains, `portal` has one in each.
+    """
+    names = tuple(ServiceName(f"shard-{number}") for number in range(shards))
+    for number, shard in enumerate(names):
+        for position in range(2):
+            fleet.add(f"{shard}-{position}", shard, "pqr"[(number + position) % 3])
+    for domain in "pqr":
+        fleet.add(f"portal-{domain}", "portal", domain)
+    fleet.apply(gather_route(names), plain_route("portal"))
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -10,10 +10,9 @@
 from unittest import TestCase
 
 from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S
-from sequoiapulley.ids import ServiceName
 from sequoiapulley.quarantine import REFUSED_TTL_S
 from tests.crashing_fleet import CrashingFleet
-from tests.simulated_upstreams import gather_route, plain_route
+from tests.simulated_upstreams import add_search_and_portal, plain_route
 
 DOMAINS = ("p", "p", "q", "q", "r", "r")
 SHARDS = 20
@@ -31,13 +30,7 @@
 def make_fleet() -> CrashingFleet:
     """Returns the nodes with both routes."""
     fleet = CrashingFleet(DOMAINS, frozenset({CRASHING_SEARCH.encode(), CRASHING_REQUEST.encode()}))
-    shards = tuple(ServiceName(f"shard-{number}") for number in range(SHARDS))
-    for number, shard in enumerate(shards):
-        for position in range(2):
-            fleet.add(f"{shard}-{position}", shard, "pqr"[(number + position) % 3])
-    for domain in "pqr":
-        fleet.add(f"portal-{domain}", "portal", domain)
-    fleet.apply(gather_route(shards), plain_route("portal"))
+    add_search_and_portal(fleet, SHARDS)
     return fleet
 
 
@@ -147,6 +140,16 @@
             fleet.ask(1, CRASHING_REQUEST)
             fleet.run(0.5)
 
+    # Guards against a request that returns to the only upstream, which restarts at once.
+    def test_only_upstream_of_a_service_crashes_a_few_times(self) -> None:
+        fleet = CrashingFleet(DOMAINS[:1], frozenset({CRASHING_REQUEST.encode()}))
+        fleet.down_s = 0.01
+        fleet.add("portal-p", "portal", "p")
+        fleet.apply(plain_route("portal"))
+        self.repeat(fleet, CRASHING_REQUEST, 20.0, 1)
+        # Three strikes, and one loss that is none, as the upstream keeps its name.
+        self.assertLessEqual(len(fleet.sends), 4)
+
     # Guards against nodes that each learn of such a request by their own losses.
     def test_requests_at_every_node_crash_few_upstreams_in_all(self) -> None:
         fleet = make_fleet()
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -9,9 +9,8 @@
 from unittest import TestCase
 
 from sequoiapulley.forward.messages import Answer
-from sequoiapulley.ids import ServiceName
 from tests.partitioned_fleet import Cut, PartitionedFleet
-from tests.simulated_upstreams import gather_route, plain_route
+from tests.simulated_upstreams import add_search_and_portal
 
 DOMAINS = ("p", "p", "q", "q", "r", "r")
 SHARDS = 20
@@ -25,13 +24,7 @@
 def make_fleet() -> PartitionedFleet:
     """Returns the nodes with both routes."""
     fleet = PartitionedFleet(DOMAINS)
-    shards = tuple(ServiceName(f"shard-{number}") for number in range(SHARDS))
-    for number, shard in enumerate(shards):
-        for position in range(2):
-            fleet.add(f"{shard}-{position}", shard, "pqr"[(number + position) % 3])
-    for domain in "pqr":
-        fleet.add(f"portal-{domain}", "portal", domain)
-    fleet.apply(gather_route(shards), plain_route("portal"))
+    add_search_and_portal(fleet, SHARDS)
     return fleet
 
 
