--- a/src/sequoiapulley/daemon/forward_metrics.py
+++ b/src/sequoiapulley/daemon/forward_metrics.py
@@ -9,6 +9,7 @@
     CUT_OFF,
     FORWARD_SECONDS,
     FORWARDED,
+    HANDOVERS,
     PARTS_LACKING,
     PARTS_REQUESTS,
     PEERS_READY,
@@ -76,6 +77,7 @@
             (UPSTREAM_TRIES, self._tally.ends),
             (REPEATS, self._tally.repeats),
             (PARTS_REQUESTS, self._tally.delegated),
+            (HANDOVERS, self._tally.handovers),
             (STATE_REPLIES, self._tally.state_replies),
         ):
             for label, count in counts.items():
--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -130,6 +130,7 @@
         if isinstance(result, Err):
             failure = result.err_value
             self._may_have_run = self._may_have_run or failure.sent
+            self._ctx.tally.handovers["failed"] += 1
             self._ctx.log.log(
                 HANDOVER_FAILED, id=self._req.id, peer=node.name, error=failure.detail
             )
@@ -138,6 +139,7 @@
                 return
             self._send()
             return
+        self._ctx.tally.handovers["answered"] += 1
         answer = result.ok_value
         if answer.status == NOT_EXECUTED_STATUS and self._may_have_run:
             # This node's status must cover the node that may have run the request, too.
--- a/src/sequoiapulley/forward/metrics.py
+++ b/src/sequoiapulley/forward/metrics.py
@@ -56,6 +56,14 @@
     "1 while the node is cut off from the upstreams and hands its requests over, else 0.",
     "1 on some nodes: check their network path; 1 on all: check the upstreams. See SP2546.",
 )
+HANDOVERS: Final = define_metric(
+    "sequoiapulley_handovers_total",
+    MetricKind.COUNTER,
+    "Requests handed over to another node while this one is cut off, by outcome: answered or "
+    "failed.",
+    "`failed` counts nodes that did not answer: see SP2548.",
+    ("outcome",),
+)
 REFUSED_REQUESTS: Final = define_metric(
     "sequoiapulley_refused_requests",
     MetricKind.GAUGE,
--- a/src/sequoiapulley/forward/tally.py
+++ b/src/sequoiapulley/forward/tally.py
@@ -23,6 +23,8 @@
         """Retries and hedged requests, by verdict of the quota."""
         self.delegated: Counter[str] = Counter()
         """Requests to remote nodes for parts, by outcome."""
+        self.handovers: Counter[str] = Counter()
+        """Requests handed over to nodes in contact with the upstreams, by outcome."""
         self.parts_lacking = 0
         """Total number of shards missing from merged answers."""
         self.leaving_upstreams = 0
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -118,6 +118,7 @@
         nodes.reply(Err(HandoverFailure(False, "cut off")))
         nodes.reply(Ok(OK))
         self.assertEqual((nodes.asked, self.answers), (["n0", "n1"], [(OK, None)]))
+        self.assertEqual(self.net.ctx.tally.handovers, {"failed": 1, "answered": 1})
 
     # Guards against a statement that a request has not run although the first node may have run it.
     def test_refusal_after_a_lost_request_does_not_promise_that_it_has_not_run(self) -> None:
