Make a break of the guard against crashing requests match one place

test_promises requires one match; the condition stands in two places. The break that replaces it lets a probe count although the upstream lives, and is seen.

--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -326,8 +326,8 @@
     Break(
         6,
         "forward/crash_guard.py",
-        "            if alive or self.is_cut_off():\n",
-        "            if False:\n",
+        "                self._wake(fingerprint)\n                done()\n                return\n",
+        "                self._wake(fingerprint)\n                done()\n",
         ("test_crash_guard", "test_crashing_requests"),
     ),
     Break(
