--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -93,7 +93,7 @@
         """Whether another node serves the request."""
         return isinstance(self._handler, Handover)
 
-    def stop(self) -> bool:
+    def stop_calls(self) -> bool:
         """Cancels the calls; returns whether an upstream may have run the request."""
         return self._handler.stop() if self._handler is not None else False
 
@@ -129,7 +129,7 @@
         """Cancels the calls and the timer; returns whether an upstream may have run the request."""
         if self._timer is not None:
             self._timer.cancel()
-        return self.stop()
+        return self.stop_calls()
 
 
 class Forwarder:
@@ -269,7 +269,7 @@
             if job.handed_over or not self._may_hand_over(job):
                 continue
             assert self.handover is not None
-            may_have_run = job.stop()
+            may_have_run = job.stop_calls()
             job.begin(
                 Handover(
                     self._ctx,
