--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -334,14 +334,15 @@
 
     def _tell(self, strike: Strike, cause: str) -> None:
         """Logs a new strike, passes it on to other nodes and wakes the calls that wait."""
-        refused = strike.strikes >= STRIKES_TO_REFUSE
         now = self._clock.now()
+        refused_for = round(self._table.refused_for(strike.fingerprint, now), 3)
         self._log.log(
-            CRASHING_REQUEST_REFUSED if refused else CRASHING_REQUEST_SUSPECTED,
+            CRASHING_REQUEST_REFUSED if refused_for else CRASHING_REQUEST_SUSPECTED,
             fingerprint=strike.fingerprint,
             upstream=strike.upstream,
+            strikes=strike.strikes,
             cause=cause,
-            refused_s=round(self._table.refused_for(strike.fingerprint, now), 3),
+            refused_s=refused_for,
         )
         self._told[strike.fingerprint] = strike.strikes, now
         self._recent.append(_RecentStrike(strike, now))
--- a/tests/test_shared_state.py
+++ b/tests/test_shared_state.py
@@ -8,6 +8,10 @@
 from hypothesis import strategies as st
 
 from sequoiapulley.forward.change_log import ChangeLog
+from sequoiapulley.forward.log_events import (
+    CRASHING_REQUEST_REFUSED,
+    CRASHING_REQUEST_SUSPECTED,
+)
 from sequoiapulley.forward.messages import ExchangeReply
 from sequoiapulley.forward.peer_table import PeerTable
 from sequoiapulley.forward.shared_state import REREGISTRATION_S, SharedState
@@ -67,6 +71,8 @@
         self.apply(2, RequestRefusal(suspect.fingerprint, 2, expires_ms))
         self.assertEqual(guard.refused_for(suspect), 0.0)
         self.assertTrue(guard.must_probe(suspect, ServiceName("s")))
+        events = [event for event, _ in self.net.log.entries]
+        self.assertEqual(events, [CRASHING_REQUEST_REFUSED, CRASHING_REQUEST_SUSPECTED])
 
     def test_kept_refusal_that_has_expired_is_ignored(self) -> None:
         req = self.net.request("/p/crash")
