Reproduce a popular search that is refused because one shard crashes of itself

A search that crashes one shard only is refused as a whole where it could be answered without that shard.

--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -44,6 +44,8 @@
         """Targets of the requests whose connections close without a reply; nothing crashes."""
         self._kept: dict[Fingerprint, RequestRefusal] = {}
         """Refused requests in the store."""
+        self.crashing_at = (b"", "")
+        """Target of the requests that crash the upstreams of one service, and that service."""
         self._down: set[UpstreamName] = set()
         self.nets = [
             SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
@@ -100,6 +102,10 @@
             for refusal in self._kept.values():
                 net.ctx.crash_guard.restore(refusal)
 
+    def crash_upstream(self, name: str) -> None:
+        """Ends an upstream."""
+        self._crash(UpstreamName(name))
+
     def crash_domain(self, domain: str) -> None:
         """Ends all upstreams of a failure domain at once."""
         for name, pool in self.nets[0].pools.items():
@@ -126,7 +132,8 @@
             return CONNECT_REFUSED_S, ended(ExchangeEnd.NOT_SENT)
         if exchange.req.target in self.lossy:
             return PROCESSING_S, ended(ExchangeEnd.LOST)
-        if exchange.req.target not in self.crashing:
+        crashes = exchange.req.target in self.crashing
+        if not crashes and (exchange.req.target, pool.record.service) != self.crashing_at:
             seal = f"{name}-{exchange.req.id}".encode()
             return PROCESSING_S, success(seal=seal)
         self.sends.append(now)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from unittest import TestCase
 
 from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S
@@ -158,3 +159,39 @@
             fleet.run(0.15)
         # Three strikes, and one loss that is none, as these upstreams keep their names.
         self.assertLessEqual(len(fleet.crashes), 4)
+
+    # Guards against a search of many callers that all nodes refuse because one shard crashes of
+    # itself, again and again, while the search is in flight there.
+    def test_shard_that_keeps_crashing_does_not_refuse_a_popular_search(self) -> None:
+        for seed in (0, 4):
+            random = Random(seed)
+            fleet = make_fleet()
+            fleet.down_s = 0.1
+            answers = []
+            now, crash_at = 0.0, 1.0
+            while now < 30.0:
+                pause = random.expovariate(100.0)
+                if now + pause >= crash_at:
+                    fleet.run(crash_at - now)
+                    fleet.crash_upstream(f"shard-0-{len(fleet.crashes) % 2}")
+                    pause, now = now + pause - crash_at, crash_at
+                    crash_at += random.uniform(0.05, 0.6)
+                fleet.run(pause)
+                now += pause
+                answers.append(fleet.ask(random.randrange(len(DOMAINS)), "/q/popular"))
+            fleet.run(1.5)
+            self.assertEqual({found[0][1].status for found in answers}, {200}, f"seed {seed}")
+
+    # Guards against a search that crashes the upstreams of one shard only, again and again.
+    def test_search_that_crashes_one_shard_is_served_without_it(self) -> None:
+        fleet = make_fleet()
+        fleet.crashing_at = (b"/q/partly", "shard-3")
+        answers = []
+        for number in range(80):
+            answers.append(fleet.ask(number % len(DOMAINS), "/q/partly"))
+            fleet.run(INTERVAL_S)
+        self.assertEqual({found[0][1].status for found in answers}, {200})
+        self.assertLessEqual(fleet.sends_after(KNOWN_AFTER_CRASHES, CONTACT_S), MAX_SENDS)
+        other = fleet.ask(0, "/q/other")
+        fleet.run(0.5)
+        self.assertEqual(dict(other[0][1].headers)[b"missing"], b"0")
