Count losses against a search at one shard once others have replied to it

What callers would have seen: a search that many of them send is refused everywhere for 3 s, and ten minutes at worst, because both upstreams of one shard crash of themselves while it is in flight there.

Cause: the strikes of a request did not tell whether it crashes every upstream or was lost at a single shard, although the other shards had answered it.

Change: after a reply of another service's upstream, to the same request or to a probe, a lost probe is a strike against the request at that service, under a fingerprint of both. The search is answered without the shard. A reply of the service ends it. The contract's requests crash every upstream that runs them, so that no reply stands against them.

--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -95,6 +95,9 @@
     time, a probe, preferably to one where nothing else is in flight. If that upstream is lost, too,
     and does not accept a new connection, all nodes refuse the request, for a short time at first. A
     reply to the probe ends the suspicion.
+
+    If an upstream of another service has replied meanwhile, as other shards do, later losses count
+    against the request at this service alone.
     """
 
     def __init__(self, timers: TimerQueue, log: LogSink) -> None:
@@ -127,11 +130,21 @@
         """Number of requests that are refused, or will be after one more loss."""
         return len(self._table.refusals(self._clock.now()))
 
-    def refused_for(self, req: CallerRequest) -> float:
-        """Returns the remaining time for which a request is refused, in seconds; 0 if it is not."""
+    def refused_for(self, req: CallerRequest, service: ServiceName | None = None) -> float:
+        """Returns the remaining time for which a request is refused, in seconds; 0 if it is not.
+
+        Args:
+            req: The request.
+            service: The service to send it to; None for all services.
+        """
         if not self._table.has_refusals:
             return 0.0
-        return self._table.refused_for(self._fingerprint(req), self._clock.now())
+        now = self._clock.now()
+        fingerprint = self._fingerprint(req)
+        refused_for = self._table.refused_for(fingerprint, now)
+        if service is None:
+            return refused_for
+        return max(refused_for, self._table.refused_for(_at_service(fingerprint, service), now))
 
     def is_suspected(self, req: CallerRequest) -> bool:
         """Returns whether a request is suspected and has not run well since."""
@@ -202,8 +215,10 @@
         fingerprint = self._fingerprint(req)
         if probe and fingerprint in self._suspects:
             self._suspects[fingerprint].ran_well = True
-        key = _key(upstream.record.service)
-        self._table.on_answered(fingerprint, key, sent_at, self._clock.now())
+        service = upstream.record.service
+        now = self._clock.now()
+        for subject in (fingerprint, _at_service(fingerprint, service)):
+            self._table.on_answered(subject, _key(service), sent_at, now)
 
     def record_loss(self, req: CallerRequest, upstream: Upstream) -> None:
         """Records that an upstream closed the connection before it replied to a request.
@@ -226,7 +241,12 @@
         upstream.pool.check_alive(on_checked)
 
     def record_lost_probe(
-        self, req: CallerRequest, upstream: Upstream, alone: bool, done: Callable[[], None]
+        self,
+        req: CallerRequest,
+        upstream: Upstream,
+        alone: bool,
+        others_replied: bool,
+        done: Callable[[], None],
     ) -> None:
         """Records that an upstream closed the connection before it replied to a probe.
 
@@ -234,6 +254,7 @@
             req: The request.
             upstream: The upstream.
             alone: Whether nothing else was in flight there when the probe was sent.
+            others_replied: Whether upstreams of other services have replied to the same request.
             done: Called once it is known whether the upstream has crashed.
         """
         fingerprint = self._fingerprint(req)
@@ -250,7 +271,10 @@
             # Under load no upstream may be free of other requests.
             isolated = alone or suspect.lost_in_company
             suspect.lost_in_company = True
-            strike = self._table.on_lost(fingerprint, name, key, isolated, now)
+            subject = fingerprint
+            if suspect.ran_well or others_replied:
+                subject = _at_service(fingerprint, upstream.record.service)
+            strike = self._table.on_lost(subject, name, key, isolated, now)
             if strike is not None:
                 self._tell(strike, "lost here")
                 self._keep(strike, now)
@@ -397,6 +421,11 @@
     return news.refused_for + news.suspected_for > 0.0
 
 
+def _at_service(fingerprint: Fingerprint, service: ServiceName) -> Fingerprint:
+    """Returns the fingerprint that stands for a request at one service alone."""
+    return Fingerprint(f"{fingerprint}/{service}")
+
+
 def _never() -> bool:
     """Returns that this node is not cut off; the default until the node sets its own function."""
     return False
--- a/src/sequoiapulley/forward/hedge_gate.py
+++ b/src/sequoiapulley/forward/hedge_gate.py
@@ -12,7 +12,7 @@
     sends would only spread that.
     """
 
-    __slots__ = ("_waiting", "is_open")
+    __slots__ = ("_waiting", "is_open", "replied")
 
     def __init__(self, shards: int) -> None:
         """Initialise a gate, which is open for a single shard.
@@ -21,6 +21,8 @@
             shards: Number of shards that are called.
         """
         self.is_open = shards < 2
+        self.replied = False
+        """Whether a shard has replied."""
         self._waiting: list[Callable[[], None]] = []
 
     def wait(self, callback: Callable[[], None]) -> None:
@@ -29,6 +31,7 @@
 
     def open(self) -> None:
         """Opens the gate, as a shard has replied."""
+        self.replied = True
         if self.is_open:
             return
         self.is_open = True
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -152,7 +152,8 @@
         if upstream is None:
             self._ctx.timers.call_later(0.0, self._fail_without_upstream)
             return
-        if self._ctx.crash_guard.must_probe(self._req, self.service):
+        guard = self._ctx.crash_guard
+        if guard.refused_for(self._req, self.service) or guard.must_probe(self._req, self.service):
             self._ctx.timers.call_later(0.0, self.continue_probe)
             return
         self._send(upstream, False)
@@ -213,7 +214,7 @@
         if self.done or self._awaits_check or self._open_tries():
             return
         guard = self._ctx.crash_guard
-        if guard.refused_for(self._req) or not self._has_time():
+        if guard.refused_for(self._req, self.service) or not self._has_time():
             self._fail()
             return
         now = self._ctx.clock.now()
@@ -340,8 +341,10 @@
         guard = self._ctx.crash_guard
         upstream = sent_try.upstream
         if reply.end is ExchangeEnd.LOST and sent_try.probe:
+            gate = self._hedge_gate
+            others_replied = gate is not None and gate.replied
             guard.record_lost_probe(
-                self._req, upstream, sent_try.alone, self._on_lost_probe_checked
+                self._req, upstream, sent_try.alone, others_replied, self._on_lost_probe_checked
             )
             return
         if reply.end is ExchangeEnd.LOST:
@@ -371,7 +374,7 @@
         if self.limited or not self._may_retry():
             self._fail()
             return
-        if self._ctx.crash_guard.refused_for(self._req):
+        if self._ctx.crash_guard.refused_for(self._req, self.service):
             self._fail()
             return
         if self._ctx.crash_guard.must_probe(self._req, self.service):
@@ -397,7 +400,7 @@
             return
         guard = self._ctx.crash_guard
         upstream = self._tried.retry_candidate(self._ctx.clock.now())
-        if upstream is None or guard.refused_for(self._req):
+        if upstream is None or guard.refused_for(self._req, self.service):
             self._fail()
             return
         probe = guard.must_probe(self._req, self.service)
@@ -479,7 +482,7 @@
 
         Those of a request that crashes upstreams are cancelled, which may still save some.
         """
-        refused = self._ctx.crash_guard.refused_for(self._req) > 0.0
+        refused = self._ctx.crash_guard.refused_for(self._req, self.service) > 0.0
         for sent_try in self._open_tries():
             exchange = sent_try.exchange
             if exchange is None or exchange.pool is None:
@@ -514,7 +517,7 @@
             reason = Reason.PAUSED
         if self._out_of_quota:
             reason = Reason.QUOTA
-        refused_for = self._ctx.crash_guard.refused_for(self._req)
+        refused_for = self._ctx.crash_guard.refused_for(self._req, self.service)
         if refused_for:
             reason, pause = Reason.CRASHES_UPSTREAMS, refused_for
         self._finish(CallResult(end, self.last_failure, reason, pause))
