Apply the refusal of a strike that the store told of first

Cause: the store tells of a second strike without its refusal of 3 s. A node that read it before any heartbeat took the heartbeat's strike, with the 3 s, for known, and suspected the request instead of refusing it.

Change: a told strike records whether it refused the request; one that has not is refused when news bring it. Each strike refuses once on a node, so that nodes do not renew refusals for each other.

--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -88,6 +88,24 @@
         self.sends = 0
 
 
+class _ToldStrike:
+    """The latest strike against a request that this node told others."""
+
+    __slots__ = ("refused", "strikes", "told_at")
+
+    def __init__(self, strikes: int, refused: bool, now: float) -> None:
+        """Initialise a strike that is told now.
+
+        Args:
+            strikes: Number of strikes.
+            refused: Whether the request was refused for it.
+            now: Clock reading in seconds.
+        """
+        self.strikes = strikes
+        self.refused = refused
+        self.told_at = now
+
+
 class CrashGuard:
     """Decides which requests are suspected to crash upstreams, and which are refused for it.
 
@@ -113,8 +131,7 @@
         self._table = Quarantine(SUSPECT_S, FIRST_REFUSAL_S)
         self._suspects: dict[Fingerprint, _Suspect] = {}
         self._recent: list[_RecentStrike] = []
-        self._told: dict[Fingerprint, tuple[int, float]] = {}
-        """Strikes against each request that were told, and the clock reading of the last one."""
+        self._told: dict[Fingerprint, _ToldStrike] = {}
         self._last_request: CallerRequest | None = None
         self._last_fingerprint = Fingerprint("")
         self._next_refusal = 0
@@ -298,7 +315,7 @@
         now = self._clock.now()
         for item in news:
             strike = item.strike
-            if not _is_plausible(item) or self._is_known(strike, now):
+            if not _is_plausible(item) or self._is_known(item, now):
                 continue
             service = service_of(strike.upstream)
             key = _key(service) if service is not None else None
@@ -340,8 +357,8 @@
         """Ends suspicions and refusals that have expired."""
         now = self._clock.now()
         self._table.expire(now)
-        for fingerprint, (_, told_at) in tuple(self._told.items()):
-            if now - told_at >= SUSPECT_S:
+        for fingerprint, told in tuple(self._told.items()):
+            if now - told.told_at >= SUSPECT_S:
                 del self._told[fingerprint]
         for fingerprint, suspect in tuple(self._suspects.items()):
             if not suspect.probes and not suspect.waiting:
@@ -368,17 +385,24 @@
             cause=cause,
             refused_s=refused_for,
         )
-        self._told[strike.fingerprint] = strike.strikes, now
+        self._told[strike.fingerprint] = _ToldStrike(strike.strikes, refused_for > 0.0, now)
         self._recent.append(_RecentStrike(strike, now))
         del self._recent[:-MAX_ENTRIES]
         self._wake(strike.fingerprint)
         self.on_news()
 
-    def _is_known(self, strike: Strike, now: float) -> bool:
-        """Returns whether a strike would change nothing, or was told before."""
+    def _is_known(self, news: StrikeNews, now: float) -> bool:
+        """Returns whether the news of a strike would change nothing, or were told before.
+
+        Each strike refuses a request once. The store tells of one without its refusal.
+        """
+        strike = news.strike
+        told = self._told.get(strike.fingerprint)
         # A suspicion that a reply has ended is not renewed by the same news.
-        told, _ = self._told.get(strike.fingerprint, (0, 0.0))
-        return strike.strikes <= max(told, self._table.strikes(strike.fingerprint, now))
+        if told is not None and strike.strikes <= told.strikes:
+            has_refused = told.refused or strike.strikes < told.strikes
+            return has_refused or news.refused_for <= 0.0
+        return strike.strikes <= self._table.strikes(strike.fingerprint, now)
 
     def _news_of(self, strike: Strike, now: float) -> StrikeNews:
         """Returns a strike with the times for which it still counts."""
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -17,7 +17,8 @@
 )
 from sequoiapulley.forward.messages import CallerRequest, ExchangeEnd
 from sequoiapulley.forward.peer_table import LeavingUpstream
-from sequoiapulley.forward.route_table import Route
+from sequoiapulley.forward.route_table import MS_PER_S, Route
+from sequoiapulley.forward.state import RequestRefusal
 from sequoiapulley.forward.upstream_directory import MAX_NEWS as MAX_LEAVING
 from sequoiapulley.ids import Fingerprint, NodeId, RequestId, ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
@@ -80,6 +81,19 @@
                 self.assertEqual(guard.refused_for(req), 0.0)
                 self.assertFalse(guard.must_probe(req, SERVICE))
 
+    # Guards against a refusal that is taken for known, as the store told of its strike first.
+    def test_refusal_counts_when_the_store_told_of_its_strike_first(self) -> None:
+        fingerprint = request().fingerprint
+        expires_ms = round((self.clock.wall() + SUSPECT_S) * MS_PER_S)
+        self.guard.restore(RequestRefusal(fingerprint, 2, expires_ms))
+        self.assertEqual(self.guard.refused_for(request()), 0.0)
+        strike = Strike(fingerprint, UpstreamName("u"), 2)
+        self.hear(StrikeNews(strike, FIRST_REFUSAL_S, SUSPECT_S))
+        self.assertEqual(self.guard.refused_for(request()), FIRST_REFUSAL_S)
+        self.clock.advance(FIRST_REFUSAL_S)
+        self.hear(StrikeNews(strike, FIRST_REFUSAL_S, SUSPECT_S))
+        self.assertEqual(self.guard.refused_for(request()), 0.0)
+
     def test_first_refusal_ends_in_a_suspicion(self) -> None:
         strike = Strike(request().fingerprint, UpstreamName("u"), 2)
         self.hear(StrikeNews(strike, FIRST_REFUSAL_S, SUSPECT_S))
