Refuse a search that crashed upstreams of several shards without a probe

Twenty losses without a reply counted as one suspicion.

Change: the calls to the shards of a request share its progress (shard_progress.py, before hedge_gate.py). A shard that has lost it waits for the others. A reply shows that the request is sound: all lost shards try again at once, not one at a time, and only these shards are suspected. If none replies and two or more have lost an upstream that accepts no new connection, the request is refused without a probe. A node that merges parts never probes; it reports the crashes in its reply (a new last position, empty from earlier builds).

Ruled out: a refusal at the second loss, as a crash of one failure domain looks the same at the node that merges its parts; asking one shard first, which costs every search a round trip.

--- a/src/sequoiapulley/forward/aggregators.py
+++ b/src/sequoiapulley/forward/aggregators.py
@@ -77,6 +77,9 @@
     """Requested upstreams that have announced their shutdown."""
     id: RequestId = RequestId("")
     """Id of the request; empty in replies of nodes of earlier versions."""
+    crashed: dict[int, UpstreamName] = {}
+    """Upstream that crashed while it had the request, by position of its shard; empty in replies of
+    nodes of earlier versions."""
 
 
 class PartsFailure(Struct, frozen=True):
--- a/src/sequoiapulley/forward/crash_guard.py
+++ b/src/sequoiapulley/forward/crash_guard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final, Protocol
 
 from msgspec import Struct
@@ -179,11 +179,21 @@
             return False
         if self.is_suspected(req):
             return True
-        return self._table.must_isolate(self._fingerprint(req), _key(service), self._clock.now())
+        now = self._clock.now()
+        fingerprint = self._fingerprint(req)
+        if self._table.must_isolate(fingerprint, _key(service), now):
+            return True
+        return self._table.is_suspected(_at_service(fingerprint, service), now)
 
-    def start_probe(self, req: CallerRequest, call: Prober) -> bool:
+    def start_probe(self, req: CallerRequest, call: Prober, others_replied: bool = False) -> bool:
         """Starts a probe, unless another one of the request is in flight on this node.
 
+        Args:
+            req: The request.
+            call: The call that may send the request.
+            others_replied: Whether upstreams of other services have replied to it, so that services
+                may be probed in parallel.
+
         Returns:
             Whether the call may send the request. If not, its `continue_probe` is called when that
             may have changed.
@@ -192,7 +202,7 @@
         rivals = [
             probe
             for probe in suspect.probes
-            if not suspect.ran_well or probe.service == call.service
+            if not (suspect.ran_well or others_replied) or probe.service == call.service
         ]
         if not rivals:
             suspect.probes.append(call)
@@ -237,33 +247,69 @@
         for subject in (fingerprint, _at_service(fingerprint, service)):
             self._table.on_answered(subject, _key(service), sent_at, now)
 
-    def record_loss(self, req: CallerRequest, upstream: Upstream) -> None:
+    def record_loss(
+        self,
+        req: CallerRequest,
+        upstream: Upstream,
+        others_replied: bool,
+        done: Callable[[bool], None],
+    ) -> None:
         """Records that an upstream closed the connection before it replied to a request.
 
         The request is suspected at once. An upstream that accepts a new connection afterwards has
         not crashed, which ends the suspicion.
+
+        Args:
+            req: The request.
+            upstream: The upstream.
+            others_replied: Whether upstreams of other services have replied to the same request.
+            done: Called with whether the upstream has crashed, once it is known.
         """
         fingerprint = self._fingerprint(req)
         name, key = upstream.record.name, _key(upstream.record.service)
-        self._table.on_lost(fingerprint, name, key, False, self._clock.now())
+        subject = (
+            _at_service(fingerprint, upstream.record.service) if others_replied else fingerprint
+        )
+        self._table.on_lost(subject, name, key, False, self._clock.now())
 
         def on_checked(alive: bool) -> None:
             now = self._clock.now()
-            if alive or self.is_cut_off():
-                self._table.on_answered(fingerprint, key, now, now)
+            crashed = not alive and not self.is_cut_off()
+            if not crashed:
+                self._table.on_answered(subject, key, now, now)
                 self._wake(fingerprint)
-            elif self._table.is_suspected(fingerprint, now) and not self._told.get(fingerprint):
-                self._tell(Strike(fingerprint, name, 1), "lost here")
+            elif self._table.is_suspected(subject, now) and not self._told.get(subject):
+                self._tell(Strike(subject, name, 1), "lost here")
+            done(crashed)
 
         upstream.pool.check_alive(on_checked)
 
+    def record_crashes(
+        self, req: CallerRequest, crashed: Mapping[ServiceName, UpstreamName]
+    ) -> None:
+        """Records that a request has crashed upstreams of several services and none has replied.
+
+        Args:
+            req: The request.
+            crashed: The upstreams, by service.
+        """
+        now = self._clock.now()
+        fingerprint = self._fingerprint(req)
+        for service, name in crashed.items():
+            strike = self._table.on_lost(fingerprint, name, _key(service), True, now)
+            if strike is None or strike.strikes < STRIKES_TO_REFUSE:
+                continue
+            self._tell(strike, "lost at several services")
+            self._keep(strike, now)
+            return
+
     def record_lost_probe(
         self,
         req: CallerRequest,
         upstream: Upstream,
         alone: bool,
         others_replied: bool,
-        done: Callable[[], None],
+        done: Callable[[bool], None],
     ) -> None:
         """Records that an upstream closed the connection before it replied to a probe.
 
@@ -272,7 +318,7 @@
             upstream: The upstream.
             alone: Whether nothing else was in flight there when the probe was sent.
             others_replied: Whether upstreams of other services have replied to the same request.
-            done: Called once it is known whether the upstream has crashed.
+            done: Called with whether the upstream has crashed, once it is known.
         """
         fingerprint = self._fingerprint(req)
         name, key = upstream.record.name, _key(upstream.record.service)
@@ -282,7 +328,7 @@
             if alive or self.is_cut_off():
                 self._table.on_answered(fingerprint, key, now, now)
                 self._wake(fingerprint)
-                done()
+                done(False)
                 return
             suspect = self._suspects.setdefault(fingerprint, _Suspect())
             # Under load no upstream may be free of other requests.
@@ -295,7 +341,7 @@
             if strike is not None:
                 self._tell(strike, "lost here")
                 self._keep(strike, now)
-            done()
+            done(True)
 
         upstream.pool.check_alive(on_checked)
 
@@ -315,7 +361,7 @@
         now = self._clock.now()
         for item in news:
             strike = item.strike
-            if not _is_plausible(item) or self._is_known(item, now):
+            if not _is_plausible(item) or self._is_known(item):
                 continue
             service = service_of(strike.upstream)
             key = _key(service) if service is not None else None
@@ -391,7 +437,7 @@
         self._wake(strike.fingerprint)
         self.on_news()
 
-    def _is_known(self, news: StrikeNews, now: float) -> bool:
+    def _is_known(self, news: StrikeNews) -> bool:
         """Returns whether the news of a strike would change nothing, or were told before.
 
         Each strike refuses a request once. The store tells of one without its refusal.
@@ -399,10 +445,10 @@
         strike = news.strike
         told = self._told.get(strike.fingerprint)
         # A suspicion that a reply has ended is not renewed by the same news.
-        if told is not None and strike.strikes <= told.strikes:
-            has_refused = told.refused or strike.strikes < told.strikes
-            return has_refused or news.refused_for <= 0.0
-        return strike.strikes <= self._table.strikes(strike.fingerprint, now)
+        if told is None or strike.strikes > told.strikes:
+            return False
+        has_refused = told.refused or strike.strikes < told.strikes
+        return has_refused or news.refused_for <= 0.0
 
     def _news_of(self, strike: Strike, now: float) -> StrikeNews:
         """Returns a strike with the times for which it still counts."""
--- a/src/sequoiapulley/forward/gather.py
+++ b/src/sequoiapulley/forward/gather.py
@@ -8,7 +8,6 @@
 
 from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
-from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.late_shards import expected_late
 from sequoiapulley.forward.log_events import ANSWER_PARTIAL, SHARDS_LIMITED
 from sequoiapulley.forward.messages import Answer, CallerRequest
@@ -17,6 +16,7 @@
 from sequoiapulley.forward.remote_parts import RemoteParts, remote_groups
 from sequoiapulley.forward.route_table import GatherPlan, Route
 from sequoiapulley.forward.service_call import ServiceCall
+from sequoiapulley.forward.shard_progress import ShardProgress
 from sequoiapulley.forward.upstream import Upstream
 from sequoiapulley.ids import ServiceName
 
@@ -69,9 +69,9 @@
         are resumed if their parts become required."""
         self._may_have_run = False
         self._last_reason = Reason.FAILED
-        self._hedge_gate = HedgeGate(len(plan.shards))
+        self._progress = ShardProgress()
         self._calls = [
-            ServiceCall(ctx, req, route, shard, deadline, self._on_call, self._hedge_gate)
+            ServiceCall(ctx, req, route, shard, deadline, self._on_call, self._progress)
             for shard in plan.shards
         ]
         self._timer = ctx.timers.call_at(due, self._on_due)
@@ -93,10 +93,21 @@
             self._log_limited([choices[number][1] for number in sorted(late)], now)
         first = {call: choice[0] for call, choice in zip(self._calls, choices, strict=True)}
         delegated = self._delegate(first, now)
-        for call, upstream in first.items():
+        for call in self._start_order():
+            upstream = first[call]
             if call not in delegated:
                 call.start_at(upstream, self._due if call in self._optional_calls else None)
 
+    def _start_order(self) -> list[ServiceCall]:
+        """Returns the calls in the order in which they start.
+
+        A request that may crash upstreams is first sent where most upstreams are left.
+        """
+        if not self._ctx.crash_guard.is_suspected(self._req):
+            return self._calls
+        directory = self._ctx.directory
+        return sorted(self._calls, key=lambda call: -len(directory.candidates(call.service)))
+
     def _pause_left(self) -> float:
         """Returns the time until enough shards have an upstream that accepts requests.
 
@@ -200,7 +211,7 @@
             return
         self._seals.extend(seals)
         self._bodies.append(body)
-        self._hedge_gate.open()
+        self._progress.record_reply()
 
     def _answer_if_ready(self) -> None:
         """Answers once all calls have ended, or when due if enough parts have arrived."""
--- a/src/sequoiapulley/forward/part_collector.py
+++ b/src/sequoiapulley/forward/part_collector.py
@@ -7,12 +7,12 @@
 from sequoiapulley.forward.aggregators import PartsReply, PartsRequest
 from sequoiapulley.forward.call_result import CallEnd, CallResult
 from sequoiapulley.forward.context import ForwardContext
-from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.log_events import PARTS_LACKING
 from sequoiapulley.forward.messages import CallerRequest
 from sequoiapulley.forward.record_merge import merge_greatest
 from sequoiapulley.forward.route_table import GatherPlan, Route
 from sequoiapulley.forward.service_call import ServiceCall
+from sequoiapulley.forward.shard_progress import ShardProgress
 from sequoiapulley.ids import ServiceName, UpstreamName
 
 
@@ -39,11 +39,11 @@
         req = _caller_request(request, now)
         route = _route(request)
         deadline = now + request.time_left
-        self._hedge_gate = HedgeGate(len(request.tasks))
+        self._progress = ShardProgress(decides=False)
         self._calls: list[ServiceCall] = []
         for task in request.tasks:
             call = ServiceCall(
-                ctx, req, route, task.service, deadline, self._on_call, self._hedge_gate
+                ctx, req, route, task.service, deadline, self._on_call, self._progress
             )
             call.allow(frozenset(task.upstreams))
             self._calls.append(call)
@@ -71,7 +71,7 @@
         if result.end is CallEnd.REPLY and reply is not None and reply.reply is not None:
             self._seals[self._calls.index(call)] = reply.seal or b""
             self._bodies.append(reply.reply.body)
-            self._hedge_gate.open()
+            self._progress.record_reply()
         else:
             self._failures[call.service] = result.reason.value if result.reason else "failed"
         if all(call.done for call in self._calls):
@@ -93,7 +93,12 @@
         self.stop()
         body = merge_greatest(self._bodies, self._request.top_k)
         elapsed = self._ctx.clock.now() - self._started_at
-        on_done(PartsReply(self._seals, body, elapsed, self._leaving(), self._request.id))
+        crashed = {
+            number: self._progress.crashed[task.service]
+            for number, task in enumerate(self._request.tasks)
+            if task.service in self._progress.crashed
+        }
+        on_done(PartsReply(self._seals, body, elapsed, self._leaving(), self._request.id, crashed))
 
     def _leaving(self) -> tuple[UpstreamName, ...]:
         """Returns the requested upstreams that have announced their shutdown."""
--- a/src/sequoiapulley/forward/remote_parts.py
+++ b/src/sequoiapulley/forward/remote_parts.py
@@ -127,6 +127,9 @@
         self._ctx.model.record_round_trip(
             self._node.failure_domain, now - self._sent_at - reply.elapsed, now
         )
+        for number, name in reply.crashed.items():
+            if 0 <= number < len(self._calls):
+                self._calls[number].record_remote_crash(name)
         served = [call for number, call in enumerate(self._calls) if number in reply.seals]
         seals = [reply.seals[number] for number in range(len(self._calls)) if number in reply.seals]
         missing = [call for call in self._calls if call not in served]
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -9,7 +9,6 @@
 from sequoiapulley.forward.call_result import CallEnd, CallResult, HedgeOutcome
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.exchange import Exchange
-from sequoiapulley.forward.hedge_gate import HedgeGate
 from sequoiapulley.forward.learning import record_overdue_try, record_try_end
 from sequoiapulley.forward.log_events import TRY_FAILED, TRY_OVERDUE
 from sequoiapulley.forward.messages import (
@@ -21,6 +20,7 @@
 from sequoiapulley.forward.refusal import Reason
 from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.send_try import SendTry
+from sequoiapulley.forward.shard_progress import ShardProgress
 from sequoiapulley.forward.tried_upstreams import TriedUpstreams
 from sequoiapulley.forward.upstream import Upstream
 from sequoiapulley.ids import NodeId, ServiceName, UpstreamName
@@ -45,11 +45,11 @@
         "_awaits_check",
         "_ctx",
         "_deadline",
-        "_hedge_gate",
         "_limit",
         "_may_have_run",
         "_on_done",
         "_out_of_quota",
+        "_progress",
         "_req",
         "_route",
         "_sends",
@@ -69,7 +69,7 @@
         service: ServiceName,
         deadline: float,
         on_done: Callable[[ServiceCall, CallResult], None],
-        hedge_gate: HedgeGate | None = None,
+        progress: ShardProgress | None = None,
     ) -> None:
         """Initialise a call that has sent nothing.
 
@@ -80,10 +80,12 @@
             service: The service to call.
             deadline: Clock reading at which the caller's deadline passes.
             on_done: Called once with the result, never from inside `start`.
-            hedge_gate: Gate for hedged requests that the calls to several shards share.
+            progress: Progress of the request at all its shards; None for a single service.
         """
         self._ctx = ctx
-        self._hedge_gate = hedge_gate
+        self._progress = progress
+        if progress is not None:
+            progress.add_call(self)
         self._req = req
         self._route = route
         self.service = service
@@ -96,7 +98,8 @@
         self._was_sent = False
         self._out_of_quota = False
         self._awaits_check = False
-        """Whether the call goes on when it is known if its lost probe crashed the upstream."""
+        """Whether the call goes on when it is known if the upstream that lost the request has
+        crashed."""
         self._limit: float | None = None
         self.delegate: NodeId | None = None
         """Remote node to which this call is delegated, if any."""
@@ -115,6 +118,13 @@
             return True
         return any(not sent_try.ended for sent_try in self._tries)
 
+    @property
+    def in_flight(self) -> bool:
+        """Whether an upstream may still reply, or its crash is still being checked."""
+        if self.done:
+            return False
+        return self._awaits_check or self.delegate is not None or bool(self._open_tries())
+
     def describe_pending(self) -> str:
         """Returns the upstreams that have not replied and the time since each send, for the log."""
         if self.delegate is not None and not self._tries:
@@ -185,6 +195,7 @@
             on_done: Called once with the result, never from inside `resume`.
         """
         if self.delegate is not None:
+            self.delegate = None
             self._was_sent = True
             self._may_have_run = True
         self._limit = None
@@ -205,11 +216,18 @@
         self._on_done = None
         self._abandon_tries()
         self._ctx.crash_guard.end_probe(self._req, self)
+        self._update_progress()
+
+    def record_remote_crash(self, upstream: UpstreamName) -> None:
+        """Records that an upstream crashed under the request, as the remote node told."""
+        if self._progress is not None:
+            self._progress.record_crash(self.service, upstream)
 
     def continue_probe(self) -> None:
         """Sends a suspected request if no other probe of it is in flight, else waits for its end.
 
-        If the request is not suspected any more, it is sent as usual.
+        If the request is not suspected any more, it is sent as usual. While other shards may still
+        reply to it, the call waits for them.
         """
         if self.done or self._awaits_check or self._open_tries():
             return
@@ -220,7 +238,19 @@
         now = self._ctx.clock.now()
         if not guard.must_probe(self._req, self.service):
             self._send_next(now)
-        elif guard.start_probe(self._req, self):
+            return
+        progress = self._progress
+        if progress is not None and progress.is_unproven:
+            progress.wait(self.continue_probe)
+            return
+        if progress is not None and not progress.replied and not progress.decides:
+            self._fail()
+            return
+        if progress is not None and progress.shows_crashes:
+            guard.record_crashes(self._req, progress.crashed)
+            self._fail()
+            return
+        if guard.start_probe(self._req, self, self._others_replied):
             self._send_next(now, probe=True)
 
     def _send(self, upstream: Upstream, uses_quota: bool, probe: bool = False) -> None:
@@ -277,9 +307,9 @@
             return HedgeOutcome.LIMITED, None
         if self._ctx.crash_guard.must_probe(self._req, self.service):
             return HedgeOutcome.SUSPECTED, None
-        gate = self._hedge_gate
-        if gate is not None and not gate.is_open:
-            gate.wait(self._hedge_overdue)
+        progress = self._progress
+        if progress is not None and not progress.may_hedge:
+            progress.on_reply(self._hedge_overdue)
             return HedgeOutcome.NO_REPLY_YET, None
         upstream = self._next_upstream(now, hedge=True)
         if upstream is None:
@@ -290,7 +320,7 @@
         return HedgeOutcome.HEDGED, upstream
 
     def _hedge_overdue(self) -> None:
-        """Hedges the try that became overdue before the gate opened."""
+        """Hedges the try that became overdue before a shard had replied."""
         if self.done:
             return
         open_tries = self._open_tries()
@@ -331,24 +361,44 @@
             detail=reply.detail,
             sends=self._sends,
         )
-        if sent_try.probe and lost and self._ctx.crash_guard.must_probe(self._req, self.service):
+        if lost and self._must_await_check(sent_try):
             self._awaits_check = True
             return
         self._try_again(now)
+        self._update_progress()
+
+    @property
+    def _others_replied(self) -> bool:
+        """Whether other shards have replied to the request."""
+        return self._progress is not None and self._progress.replied
+
+    def _update_progress(self) -> None:
+        """Lets the calls to other shards go on that wait for the end of this one."""
+        if self._progress is not None:
+            self._progress.update()
+
+    def _must_await_check(self, sent_try: SendTry) -> bool:
+        """Returns whether a lost try is followed by others only once its loss is explained."""
+        if self._open_tries() or not self._ctx.crash_guard.must_probe(self._req, self.service):
+            return False
+        alone = self._progress is None or self._progress.may_hedge
+        return sent_try.probe or not alone
 
     def _record_survival(self, sent_try: SendTry, reply: ExchangeReply) -> None:
         """Records whether the upstream has survived the request, as far as the reply tells."""
         guard = self._ctx.crash_guard
         upstream = sent_try.upstream
-        if reply.end is ExchangeEnd.LOST and sent_try.probe:
-            gate = self._hedge_gate
-            others_replied = gate is not None and gate.replied
-            guard.record_lost_probe(
-                self._req, upstream, sent_try.alone, others_replied, self._on_lost_probe_checked
-            )
-            return
         if reply.end is ExchangeEnd.LOST:
-            guard.record_loss(self._req, upstream)
+
+            def on_checked(crashed: bool) -> None:
+                self._on_loss_checked(sent_try, crashed)
+
+            if sent_try.probe:
+                guard.record_lost_probe(
+                    self._req, upstream, sent_try.alone, self._others_replied, on_checked
+                )
+                return
+            guard.record_loss(self._req, upstream, self._others_replied, on_checked)
             self._make_hedge_a_probe()
         elif reply.end is ExchangeEnd.REPLY and sent_try.exchange is not None:
             guard.record_reply(self._req, upstream, sent_try.exchange.sent_at, sent_try.probe)
@@ -358,14 +408,20 @@
     def _make_hedge_a_probe(self) -> None:
         """Makes the other try in flight a probe, as its end tells what the next one would."""
         for sent_try in self._open_tries():
-            sent_try.probe = self._ctx.crash_guard.start_probe(self._req, self)
+            sent_try.probe = self._ctx.crash_guard.start_probe(
+                self._req, self, self._others_replied
+            )
 
-    def _on_lost_probe_checked(self) -> None:
-        """Goes on after a lost probe, when it is known whether the upstream has crashed."""
-        self._ctx.crash_guard.end_probe(self._req, self)
+    def _on_loss_checked(self, sent_try: SendTry, crashed: bool) -> None:
+        """Goes on after a lost try, when it is known whether the upstream has crashed."""
+        if crashed and self._progress is not None:
+            self._progress.record_crash(self.service, sent_try.upstream.record.name)
+        if sent_try.probe:
+            self._ctx.crash_guard.end_probe(self._req, self)
         if self._awaits_check and not self.done:
             self._awaits_check = False
             self._try_again(self._ctx.clock.now())
+        self._update_progress()
 
     def _try_again(self, now: float) -> None:
         """Retries after a failure, or ends the call when no retry is possible."""
@@ -404,7 +460,7 @@
             self._fail()
             return
         probe = guard.must_probe(self._req, self.service)
-        if not probe or guard.start_probe(self._req, self):
+        if not probe or guard.start_probe(self._req, self, self._others_replied):
             self._retry(upstream, probe)
 
     def _retry(self, upstream: Upstream, probe: bool = False) -> None:
@@ -529,3 +585,4 @@
         self._ctx.crash_guard.end_probe(self._req, self)
         if on_done is not None:
             on_done(self, result)
+        self._update_progress()
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -2,16 +2,29 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from functools import partial
 
+from result import Ok
+
+from sequoiapulley.forward.aggregators import (
+    Aggregators,
+    PartsReply,
+    PartsRequest,
+    PartsResult,
+    PartsTimeouts,
+)
 from sequoiapulley.forward.crash_guard import StrikeNews
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import Answer, ExchangeEnd, ExchangeReply
+from sequoiapulley.forward.part_collector import PartCollector
 from sequoiapulley.forward.route_table import Route
-from sequoiapulley.forward.state import RequestRefusal
+from sequoiapulley.forward.state import NodeRecord, RequestRefusal
 from sequoiapulley.ids import FailureDomainName, Fingerprint, NodeId, UpstreamName
+from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock, TimerQueue
 from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, ended, success
+from tests.state_fixtures import node
 
 CRASH_AFTER_S = 0.03
 """Time from the arrival of such a request until the upstream crashes."""
@@ -23,15 +36,43 @@
 """Time until a heartbeat arrives, in another region."""
 
 
+class FleetParts:
+    """Implements `PartsClient` between the nodes of a fleet."""
+
+    def __init__(self, fleet: CrashingFleet) -> None:
+        self.fleet = fleet
+
+    def ensure_connected(self, node: NodeRecord) -> bool:
+        return True
+
+    def request_parts(
+        self,
+        node: NodeRecord,
+        request: PartsRequest,
+        timeouts: PartsTimeouts,
+        done: Callable[[PartsResult], None],
+    ) -> None:
+        timers = self.fleet.timers
+        net = self.fleet.nets[int(node.name[1:])]
+
+        def reply(parts: PartsReply) -> None:
+            timers.call_later(NEWS_S, lambda: done(Ok(parts)))
+
+        timers.call_later(NEWS_S, lambda: PartCollector(net.ctx, request, reply).start())
+
+
 class CrashingFleet:
     """Nodes that share upstreams; an upstream that crashes loses the requests of all of them."""
 
-    def __init__(self, domains: tuple[str, ...], crashing: frozenset[bytes]) -> None:
+    def __init__(
+        self, domains: tuple[str, ...], crashing: frozenset[bytes], merges_parts: bool = False
+    ) -> None:
         """Initialise with one node for each entry of `domains`.
 
         Args:
             domains: Failure domain of each node.
             crashing: Targets of the requests that crash upstreams.
+            merges_parts: Whether nodes ask those of other failure domains for merged parts.
         """
         self.timers = TimerQueue(PausedClock())
         self.clock = self.timers.clock
@@ -47,13 +88,26 @@
         self.crashing_at = (b"", "")
         """Target of the requests that crash the upstreams of one service, and that service."""
         self._down: set[UpstreamName] = set()
+        self.crash_after: Callable[[UpstreamName], float] = lambda name: CRASH_AFTER_S
+        records = [node(f"n{number}", domain) for number, domain in enumerate(domains)]
         self.nets = [
-            SimulatedNet(self._behave, home=FailureDomainName(domain), timers=self.timers)
+            SimulatedNet(
+                self._behave,
+                home=FailureDomainName(domain),
+                timers=self.timers,
+                aggregators=self._aggregators(domain, records) if merges_parts else None,
+            )
             for domain in domains
         ]
         for net in self.nets:
             self._connect(net)
 
+    def _aggregators(self, domain: str, records: list[NodeRecord]) -> Aggregators:
+        """Returns the selection of nodes that merge parts for a node of a failure domain."""
+        parts = FleetParts(self)
+        home = FailureDomainName(domain)
+        return Aggregators(home, lambda: records, parts, self.clock, MemoryLog())
+
     def _connect(self, net: SimulatedNet) -> None:
         """Connects a node to the others, and to the state of the upstreams."""
         net.is_down = self._down.__contains__
@@ -137,7 +191,7 @@
             seal = f"{name}-{exchange.req.id}".encode()
             return PROCESSING_S, success(seal=seal)
         self.sends.append(now)
-        self.timers.call_later(CRASH_AFTER_S, lambda: self._crash(name))
+        self.timers.call_later(self.crash_after(name), lambda: self._crash(name))
         return None
 
     def _crash(self, name: UpstreamName) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -10,8 +10,9 @@
 from random import Random
 from unittest import TestCase
 
-from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S
-from sequoiapulley.quarantine import REFUSED_TTL_S
+from sequoiapulley.forward.crash_guard import FIRST_REFUSAL_S, StrikeNews
+from sequoiapulley.ids import UpstreamName
+from sequoiapulley.quarantine import REFUSED_TTL_S, Strike
 from tests.crashing_fleet import CrashingFleet
 from tests.simulated_upstreams import add_search_and_portal, plain_route
 
@@ -28,9 +29,10 @@
 """Interval of the repetitions of the crashing request."""
 
 
-def make_fleet() -> CrashingFleet:
+def make_fleet(merges_parts: bool = False) -> CrashingFleet:
     """Returns the nodes with both routes."""
-    fleet = CrashingFleet(DOMAINS, frozenset({CRASHING_SEARCH.encode(), CRASHING_REQUEST.encode()}))
+    crashing = frozenset({CRASHING_SEARCH.encode(), CRASHING_REQUEST.encode()})
+    fleet = CrashingFleet(DOMAINS, crashing, merges_parts)
     add_search_and_portal(fleet, SHARDS)
     return fleet
 
@@ -74,6 +76,43 @@
         fleet.run(0.5)
         self.assertEqual([answer.status for _, answer in answers], [200])
 
+    # Guards against an outage: each node that merged parts of a crashing search sent it to a second
+    # upstream of a shard, so that too few shards were left for any search.
+    def test_crashing_search_leaves_every_shard_an_upstream_when_nodes_merge_parts(self) -> None:
+        for seed in range(5):
+            random = Random(seed)
+            fleet = make_fleet(merges_parts=True)
+            delays = {name: random.uniform(0.02, 0.09) for name in fleet.nets[0].pools}
+            fleet.crash_after = delays.__getitem__
+            fleet.ask(seed, CRASHING_SEARCH)
+            fleet.run(0.5)
+            shards = [name.rpartition("-")[0] for _, name in fleet.crashes]
+            self.assertEqual(len(shards), len(set(shards)), f"seed {seed}: {shards}")
+            answers = [fleet.ask(number, "/q/other") for number in range(len(DOMAINS))]
+            fleet.run(0.5)
+            found = {
+                (answer.status, dict(answer.headers)[b"missing"]) for ((_, answer),) in answers
+            }
+            self.assertEqual(found, {(200, b"0")}, f"seed {seed}")
+
+    # Guards against searches that are refused as they were in flight beside a crashing one.
+    def test_searches_in_flight_beside_a_crashing_search_are_served(self) -> None:
+        for seed in range(5):
+            random = Random(seed)
+            fleet = make_fleet(merges_parts=True)
+            delays = {name: random.uniform(0.02, 0.09) for name in fleet.nets[0].pools}
+            fleet.crash_after = delays.__getitem__
+            answers = []
+            for number in range(20):
+                if number == 5:
+                    fleet.ask(seed, CRASHING_SEARCH)
+                answers.append(fleet.ask(random.randrange(len(DOMAINS)), f"/q/{number}"))
+                fleet.run(random.expovariate(100.0))
+            fleet.run(1.0)
+            self.assertEqual(
+                [answer[0][1].status for answer in answers], [200] * 20, f"seed {seed}"
+            )
+
     # Guards against BUDGET of issue 28 after all nodes have restarted and know only the store.
     def test_search_is_not_sent_on_after_all_nodes_have_restarted(self) -> None:
         fleet = make_fleet()
@@ -101,16 +140,17 @@
 
     # Guards against a search that is refused for good because a failure domain crashed.
     def test_search_survives_the_crash_of_a_failure_domain(self) -> None:
-        fleet = make_fleet()
-        search = fleet.ask(0, "/q/ordinary")
-        fleet.run(0.005)
-        fleet.crash_domain("q")
-        fleet.run(0.5)
-        self.assertEqual([answer.status for _, answer in search], [200])
-        self.assertLess(search[0][0], 0.2)
-        again = fleet.ask(3, "/q/ordinary")
-        fleet.run(0.5)
-        self.assertEqual([answer.status for _, answer in again], [200])
+        for merges_parts in (False, True):
+            fleet = make_fleet(merges_parts)
+            search = fleet.ask(0, "/q/ordinary")
+            fleet.run(0.015 if merges_parts else 0.005)
+            fleet.crash_domain("q")
+            fleet.run(0.5)
+            self.assertEqual([answer.status for _, answer in search], [200])
+            self.assertLess(search[0][0], 0.2)
+            again = fleet.ask(3, "/q/ordinary")
+            fleet.run(0.5)
+            self.assertEqual([answer.status for _, answer in again], [200])
 
     # Guards against a refusal of requests whose replies were lost by upstreams that live on.
     def test_lost_replies_without_a_crash_refuse_nothing(self) -> None:
@@ -141,6 +181,19 @@
             fleet.ask(1, CRASHING_REQUEST)
             fleet.run(0.5)
 
+    # Guards against callers of one node that each have a suspected request sent.
+    def test_node_probes_a_suspected_request_once_at_a_time(self) -> None:
+        for path in (CRASHING_REQUEST, CRASHING_SEARCH):
+            fleet = make_fleet()
+            suspected = Strike(fleet.nets[0].request(path).fingerprint, UpstreamName("u"), 1)
+            fleet.nets[0].ctx.crash_guard.hear(
+                [StrikeNews(suspected, 0.0, 60.0)], lambda name: None, "n9"
+            )
+            for _ in range(5):
+                fleet.ask(0, path)
+            fleet.run(0.5)
+            self.assertEqual(len(fleet.sends), 1, path)
+
     # Guards against a request that returns to the only upstream, which restarts at once.
     def test_only_upstream_of_a_service_crashes_a_few_times(self) -> None:
         fleet = CrashingFleet(DOMAINS[:1], frozenset({CRASHING_REQUEST.encode()}))
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -326,8 +326,8 @@
     Break(
         6,
         "forward/crash_guard.py",
-        "                self._wake(fingerprint)\n                done()\n                return\n",
-        "                self._wake(fingerprint)\n                done()\n",
+        "                done(False)\n                return\n",
+        "                done(False)\n",
         ("test_crash_guard", "test_crashing_requests"),
     ),
     Break(
@@ -340,17 +340,31 @@
     Break(
         6,
         "forward/crash_guard.py",
-        "return strike.strikes <= max(told, self._table.strikes(strike.fingerprint, now))",
-        "return False",
+        "        if told is None or strike.strikes > told.strikes:\n",
+        "        if True:\n",
         ("test_crash_guard",),
     ),
     Break(
         6,
-        "forward/hedge_gate.py",
-        "        self.is_open = shards < 2\n",
-        "        self.is_open = True\n",
+        "forward/shard_progress.py",
+        "        return self.replied or len(self._calls) == 1\n",
+        "        return True\n",
         ("test_crash_guard", "test_crashing_requests"),
     ),
+    Break(
+        6,
+        "forward/service_call.py",
+        "        if progress is not None and progress.is_unproven:\n",
+        "        if False:\n",
+        ("test_crashing_requests",),
+    ),
+    Break(
+        6,
+        "forward/service_call.py",
+        "        if progress is not None and not progress.replied and not progress.decides:\n",
+        "        if False:\n",
+        ("test_crashing_requests",),
+    ),
     Break(
         6,
         "forward/forwarder.py",
