--- a/deploy/node.py
+++ b/deploy/node.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import gc
 import sys
-from pathlib import Path
+from os.path import abspath, dirname
 
-sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+# Collections while modules are imported find no garbage and delay the start.
+gc.disable()
+sys.path.insert(0, f"{dirname(dirname(abspath(__file__)))}/src")
 
-from sequoiapulley.daemon.forward_main import main
+from sequoiapulley.daemon.forward_main import main  # noqa: E402
 
 main()
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -83,7 +83,7 @@
 from sequoiapulley.observe.metric import Metric
 from sequoiapulley.observe.metrics import CONFIG_VERSION, IN_FLIGHT, UPTIME_SECONDS
 from sequoiapulley.runtime import SystemClock, TimerQueue
-from sequoiapulley.runtime.heap_freeze import freeze_heap
+from sequoiapulley.runtime.heap_freeze import freeze_initial_heap
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.http_server import HttpServer
@@ -305,7 +305,7 @@
         self._tick()
         self._settings_task.start()
         self._heartbeats.start()
-        freeze_heap()
+        freeze_initial_heap()
         while self._running:
             self._reactor.run_once(MAX_POLL_S)
         self._log.log(NODE_STOPPED, requests=sum(self._tally.outcomes.values()))
