Prefer near upstreams unless distant ones are much faster

Change: a distant upstream must be expected to reply earlier by four round trips, at most by twice the typical processing time. A share of failures at the near one adds to its cost, as such requests are sent twice.

--- a/src/sequoiapulley/forward/upstream_directory.py
+++ b/src/sequoiapulley/forward/upstream_directory.py
@@ -23,6 +23,12 @@
 MAX_CONNECTIONS: Final = 16
 """Maximum connection limit of a node for one upstream, as an upstream runs a few requests at a
 time."""
+DISTANCE_ROUND_TRIPS: Final = 4.0
+"""Round trips by which a distant upstream must be expected to reply earlier than a near one: a near
+one with a short queue is preferred, as links between regions are expensive."""
+MAX_DISTANCE_RATIO: Final = 2.0
+"""Upper limit of that time as a multiple of the route's typical processing time: a near upstream
+that is slower than that is not preferred."""
 NEWS_S: Final = 3.0
 """Time for which heartbeats carry an announced shutdown: two intervals between failure domains, in
 case one datagram is lost."""
@@ -246,7 +252,10 @@
     def choose(
         self, service: ServiceName, route: Route, excluded: list[Upstream], now: float
     ) -> Upstream | None:
-        """Returns the upstream with the lowest expected time, or None.
+        """Returns the best upstream, or None.
+
+        It is the one with the lowest expected time, after an allowance for its distance. A failed
+        request to a near upstream is retried at a distant one, so the share of failures adds to it.
 
         Args:
             service: Service to call.
@@ -261,18 +270,23 @@
     ) -> tuple[Upstream | None, float]:
         """Returns the same upstream as `choose`, and its expected time in seconds."""
         best: Upstream | None = None
-        least = float("inf")
-        processing_time = self._model.processing_time(route.name, route.goal)
-        for upstream in self.candidates(service):
-            if upstream in excluded:
-                continue
-            time = upstream.expected_time(
-                self._model.round_trip(upstream.record.failure_domain), processing_time, now
-            )
-            if time < least:
+        time_of_best = least_cost = float("inf")
+        candidates = [upstream for upstream in self.candidates(service) if upstream not in excluded]
+        distances = [self._distance_cost(upstream, route) for upstream in candidates]
+        farthest = max(distances, default=0.0)
+        for upstream, distance in zip(candidates, distances, strict=True):
+            time = self.expected_time(upstream, route, now)
+            cost = time + distance + upstream.failure_share(now) * farthest
+            if cost < least_cost:
                 best = upstream
-                least = time
-        return best, least
+                time_of_best, least_cost = time, cost
+        return best, time_of_best
+
+    def _distance_cost(self, upstream: Upstream, route: Route) -> float:
+        """Returns the time by which an upstream must reply earlier for its distance, in seconds."""
+        round_trip = self._model.round_trip(upstream.record.failure_domain)
+        processing_time = self._model.processing_time(route.name, route.goal)
+        return min(DISTANCE_ROUND_TRIPS * round_trip, MAX_DISTANCE_RATIO * processing_time)
 
     def expected_time(self, upstream: Upstream, route: Route, now: float) -> float:
         """Returns the expected time of a request at an upstream, in seconds."""
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -15,6 +15,7 @@
 from sequoiapulley.forward.retry_quota import QuotaSettings
 from tests.simulated_upstreams import (
     GOAL_S,
+    REMOTE,
     SimulatedNet,
     SimulatedUpstream,
     ended,
@@ -98,6 +99,48 @@
         self.assertGreater(self.coverage(answers), 0.99)
         self.assertLess(share, 0.25)
 
+    def test_searches_arrive_in_groups(self) -> None:
+        """Three searches at once queue at near upstreams, which still reply within the goal.
+
+        Distant upstreams, behind expensive links, would reply a little earlier.
+        """
+
+        def behave(pool: SimulatedUpstream, _exchange: Exchange, _now: float) -> Outcome:
+            rounds = 1 + len(pool.running) // pool.record.slots
+            return rounds * 3 * self.processing_time(pool.net), success(b"", _seal(pool))
+
+        net = SimulatedNet(behave)
+        net.apply(gather_route(net.add_shards(SHARDS), 0.75))
+        answers = []
+        for _ in range(50):
+            answers.extend(net.ask() for _ in range(3))
+            net.run(0.25)
+        distant = sum(
+            len(pool.arrivals)
+            for pool in net.pools.values()
+            if pool.record.failure_domain == REMOTE
+        )
+        self.assertLess(distant / (SHARDS * len(answers)), 0.1)
+        self.assertGreater(self.in_time(answers), 0.99)
+        self.assertGreater(self.coverage(answers), 0.99)
+
+    def test_near_upstreams_refuse_most_requests(self) -> None:
+        """Near upstreams refuse six of ten requests, so that most go to the distant ones."""
+
+        def pattern(pool: SimulatedUpstream, _now: float) -> Outcome:
+            if pool.record.failure_domain != REMOTE and pool.net.random.random() < 0.6:
+                return 0.001, ended(ExchangeEnd.NOT_RUN)
+            return 4 * self.processing_time(pool.net), success(b"", _seal(pool))
+
+        net, answers = self.run_load(pattern)
+        distant = sum(
+            len(pool.arrivals)
+            for pool in net.pools.values()
+            if pool.record.failure_domain == REMOTE
+        )
+        self.assertGreater(distant / (SHARDS * len(answers)), 0.7)
+        self.assertGreater(self.in_time(answers), 0.99)
+
     def test_half_of_the_upstreams_fall_silent(self) -> None:
         """The first upstream of every second shard accepts requests and never replies."""
 
