Run the soak with an older build on half of the nodes

--older names a checkout of an older build. Every second node starts with it, and each restart of a node changes its build, so that both serve side by side under all faults of the soak.

Not among the faults yet: a node cut off from upstreams, and a request that crashes them.

--- a/soak/run.py
+++ b/soak/run.py
@@ -53,6 +53,7 @@
     network: int,
     keep: Path | None = None,
     check_recovery: bool = True,
+    older: Path | None = None,
 ) -> SoakResult:
     """Runs one seed.
 
@@ -63,9 +64,10 @@
         keep: Folder to which the nodes' logs are copied if the run fails.
         check_recovery: Whether the run fails if too few requests are served in the recovery
             window; that share also depends on the load of the machine.
+        older: Checkout of an older build; nodes change between the builds at each start.
     """
     faults = draw_faults(seed, seconds, QUIET_PERIOD_S)
-    testbed = Testbed(f"127.9.{network}")
+    testbed = Testbed(f"127.9.{network}", older)
     await testbed.open()
     try:
         checker = ResultChecker(testbed.upstreams, frozenset(SHARDS))
@@ -130,7 +132,12 @@
         "--report", type=Path, help="file to which results are appended, one JSON object per line"
     )
     parser.add_argument("--keep", type=Path, help="folder for the node logs of failed seeds")
+    parser.add_argument(
+        "--older", type=Path, help="checkout of an older build that serves beside this one"
+    )
     args = parser.parse_args()
+    if args.older is not None and not (args.older / "deploy" / "node.py").is_file():
+        parser.error(f"--older {args.older}: no deploy/node.py")
     seeds = list(args.seed or [])
     if args.failed:
         seeds.extend(item["seed"] for item in json.decode(SEEDS_FILE.read_bytes()))
@@ -138,7 +145,7 @@
     failed = 0
     for seed in seeds:
         started_at = monotonic()
-        result = run(soak(seed, args.seconds, args.network, args.keep))
+        result = run(soak(seed, args.seconds, args.network, args.keep, older=args.older))
         failed += not result.passed
         verdict = "passed" if result.passed else "FAILED"
         print(f"seed {seed}: {verdict} in {monotonic() - started_at:.0f} s, {result.outcomes}")
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -40,13 +40,15 @@
     Nodes connect to the store and to every upstream through a proxy that can inject faults.
     """
 
-    def __init__(self, network: str) -> None:
+    def __init__(self, network: str, older: Path | None = None) -> None:
         """Creates everything without starting it.
 
         Args:
             network: First three numbers of the nodes' loopback addresses.
+            older: Checkout of an older build that serves beside this one; None for this one alone.
         """
         self._network = network
+        self._older = older
         self.failure_domains = list(FAILURE_DOMAINS)
         self.store = StoreStandIn()
         self.upstreams = [
@@ -76,7 +78,8 @@
         await self.store_proxy.open()
         self.put_configuration()
         self._copies = create_task(self._copy_store())
-        shape = FleetSettings(self._network, f"127.0.0.1:{self.store_proxy.port}", FAILURE_DOMAINS)
+        store = f"127.0.0.1:{self.store_proxy.port}"
+        shape = FleetSettings(self._network, store, FAILURE_DOMAINS, older=self._older)
         self.fleet = PlatformFleet(shape, list(NODE_DOMAINS))
         self.fleet.start()
         end = get_running_loop().time() + START_TIMEOUT_S
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -31,6 +31,9 @@
     failure_domains: dict[str, str]
     """Region of each failure domain."""
     grace: float = 6.0
+    older: Path | None = None
+    """Checkout of an older build; every second node starts with it, and each restart of a node
+    changes its build. None for the same build on all nodes."""
 
 
 class FleetNode:
@@ -53,6 +56,8 @@
         self.region = shape.failure_domains[failure_domain]
         self.log = folder / f"{self.name}.log"
         self.process: Popen[bytes] | None = None
+        self._older = shape.older
+        self._runs_older = number % 2 == 0
         self._settings = folder / f"{self.name}.toml"
         self._settings.write_text(_settings_text(shape, self), encoding="utf-8")
 
@@ -69,11 +74,13 @@
         return int(next(line for line in text.splitlines() if line.startswith("VmRSS")).split()[1])
 
     def start(self) -> None:
-        """Starts the process."""
+        """Starts the process, with the other build than before if there are two."""
+        root = self._older if self._older is not None and self._runs_older else ROOT
+        self._runs_older = not self._runs_older
         with self.log.open("ab") as log:
             self.process = Popen(
                 [sys.executable, "deploy/node.py", "--metrics-port", str(METRICS_PORT)],
-                cwd=ROOT,
+                cwd=root,
                 env={"SEQUOIAPULLEY_SETTINGS": str(self._settings), "PATH": "/usr/bin:/bin"},
                 stdout=log,
                 stderr=log,
