--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -170,7 +170,7 @@
         self.assertNotEqual(one.fingerprint, other.fingerprint)
 
 
-class HedgeGateTest(TestCase):
+class HedgedShardsTest(TestCase):
     """Hedged requests to shards wait until one of the shards has replied."""
 
     def test_search_that_no_shard_replies_to_is_not_hedged(self) -> None:
