--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,7 @@
 from review.lib.fleet import ZONES
 from review.lib.http_server import Connection, Reply, Request, encode_reply
 
-SECONDS = 40.0
+SECONDS = 60.0
 CLIENTS_PER_ZONE = 40
 PAUSE_S = 0.35
 """Mean pause of a client between two orders."""
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -86,12 +87,14 @@
 
 
 async def _run(play: Callable[[Case], Awaitable[None]], folder: Path) -> int:
-    """Plays a case; returns the exit status."""
+    """Plays a case; returns the exit status. SIGTERM ends it, and all that it started."""
     case = Case(folder)
     logs = os.environ.get("KEEP_LOGS")
+    task = asyncio.ensure_future(asyncio.wait_for(play(case), LIMIT_S))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        await asyncio.wait_for(play(case), LIMIT_S)
-    except Exception as exc:
+        await task
+    except (Exception, asyncio.CancelledError) as exc:
         case.record.add("could not run", error=repr(exc))
         traceback.print_exc()
         return 2
