Log what is open when a node that is stopped closes and ends

The logs of a planned stop could not tell a request that was cut by the end of the grace period from an answer that was not delivered. SP2550 states what is in flight when the node accepts no more connections, and SP2542 what had no answer and which answers the callers' kernels had not acknowledged when the node ended by itself. SP2542 is missing if the platform killed the node.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -30,6 +30,7 @@
 from sequoiapulley.forward.latency_model import LatencyModel
 from sequoiapulley.forward.learning import record_leaving
 from sequoiapulley.forward.log_events import (
+    CALLERS_CLOSED,
     DUTIES_CHANGED,
     NODE_LEAVING,
     NODE_STARTED,
@@ -308,7 +309,6 @@
         freeze_initial_heap()
         while self._running:
             self._reactor.run_once(MAX_POLL_S)
-        self._log.log(NODE_STOPPED, requests=sum(self._tally.outcomes.values()))
 
     def _listen(
         self,
@@ -495,7 +495,13 @@
 
     def _close_callers(self) -> None:
         """Stops accepting callers, and stops the node once nothing is in flight."""
-        self._callers_server.stop_listening()
+        if self._callers_server.stop_listening():
+            self._log.log(
+                CALLERS_CLOSED,
+                connections=len(self._callers_server.connections),
+                in_flight=self._forwarder.in_flight,
+                parts=self._parts_port.in_flight,
+            )
         self._callers_server.close_idle()
         if not self._callers_server.busy:
             self._stop()
@@ -503,6 +509,13 @@
     def _stop(self) -> None:
         """Ends the event loop and closes every port."""
         self._running = False
+        self._log.log(
+            NODE_STOPPED,
+            requests=sum(self._tally.outcomes.values()),
+            connections=len(self._callers_server.connections),
+            unanswered=self._forwarder.in_flight + self._parts_port.in_flight,
+            undelivered=self._callers_server.undelivered,
+        )
         self._feed.stop()
         for server in (self._callers_server, *self._other_servers):
             server.close()
--- a/src/sequoiapulley/daemon/parts_port.py
+++ b/src/sequoiapulley/daemon/parts_port.py
@@ -77,6 +77,12 @@
         """
         self._ctx = ctx
         self._decoder = Decoder(PartsRequest)
+        self._collectors: set[PartCollector] = set()
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are not answered."""
+        return len(self._collectors)
 
     def serve(self, req: ServerRequest) -> None:
         """Decodes a request, collects its parts from upstreams and answers it."""
@@ -92,10 +98,16 @@
             return
 
         def on_done(reply: PartsReply) -> None:
+            self._collectors.discard(collector)
             req.answer(STATUS_OK, MSGPACK_HEADERS, encode(reply))
 
+        def on_disconnect() -> None:
+            self._collectors.discard(collector)
+            collector.stop()
+
         collector = PartCollector(self._ctx, request, on_done)
-        req.on_disconnect = collector.stop
+        self._collectors.add(collector)
+        req.on_disconnect = on_disconnect
         collector.start()
 
 
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -315,7 +315,20 @@
     "The node is shutting down: it still serves requests, and new directory answers omit it.",
 )
 NODE_STOPPED: Final = define_event(
-    2542, "forward_node_stopped", Severity.INFO, "The node stopped; no request is in flight."
+    2542,
+    "forward_node_stopped",
+    Severity.INFO,
+    "The node stopped. `unanswered` requests had no answer, and the answers of `undelivered` "
+    "connections were not acknowledged by their callers; `connections` were open, and `requests` "
+    "were answered since the start. After a normal shutdown all but the last are 0.",
+    "If `unanswered` or `undelivered` is not 0, look for SP1008 and for a network fault of the VM.",
+)
+CALLERS_CLOSED: Final = define_event(
+    2550,
+    "callers_closed",
+    Severity.INFO,
+    "A node that is shutting down accepts no more connections of callers; `in_flight` requests on "
+    "`connections` connections, and `parts` requests of other nodes, are not answered yet.",
 )
 DUTIES_CHANGED: Final = define_event(
     2545,
--- a/src/sequoiapulley/wire/http_server.py
+++ b/src/sequoiapulley/wire/http_server.py
@@ -68,6 +68,11 @@
         """Number of busy connections, see `ServerConnection.busy`."""
         return sum(conn.busy for conn in self.connections)
 
+    @property
+    def undelivered(self) -> int:
+        """Number of connections with undelivered bytes, see `ServerConnection.undelivered`."""
+        return sum(conn.undelivered for conn in self.connections)
+
     def on_ready(self, events: int) -> None:
         """Accepts new connections."""
         for _ in range(MAX_ACCEPTS_PER_POLL):
@@ -83,13 +88,15 @@
     def on_failure(self) -> None:
         """Keeps listening: only the connection that was being accepted is lost."""
 
-    def stop_listening(self) -> None:
+    def stop_listening(self) -> bool:
         """Stops accepting connections; those that the kernel has queued are accepted first.
 
+        Returns whether the server was listening.
+
         The kernel would reset the queued ones, although their callers may have sent a request.
         """
         if self._sock is None:
-            return
+            return False
         for _ in range(BACKLOG):
             try:
                 sock, _address = self._sock.accept()
@@ -100,6 +107,7 @@
         self.reactor.unregister(self._sock.fileno())
         self._sock.close()
         self._sock = None
+        return True
 
     def close_idle(self) -> None:
         """Serves the requests that have arrived, then closes connections that are not busy."""
--- a/src/sequoiapulley/wire/server_connection.py
+++ b/src/sequoiapulley/wire/server_connection.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from fcntl import ioctl
 from http import HTTPStatus
 from socket import (
     IPPROTO_TCP,
@@ -15,12 +16,13 @@
     TCP_USER_TIMEOUT,
     socket,
 )
+from termios import TIOCOUTQ
 from typing import Final, Protocol
 
 from msgspec import Struct
 
 from sequoiapulley.runtime import TimerQueue
-from sequoiapulley.wire.http_connection import USER_TIMEOUT_MS
+from sequoiapulley.wire.http_connection import USER_TIMEOUT_MS, ZERO_COUNT
 from sequoiapulley.wire.reactor import READABLE, WRITABLE, Reactor
 from sequoiapulley.wire.request_parser import ParsedRequest, RequestError, RequestParser
 
@@ -125,6 +127,21 @@
         waiting = self._current is not None or bool(self._queue)
         return waiting or bool(self._unsent) or (self._parser.in_message and not self._closing)
 
+    @property
+    def undelivered(self) -> bool:
+        """Whether the caller's kernel has not acknowledged everything that was written.
+
+        False if the operating system does not provide the information.
+        """
+        if self._closed:
+            return False
+        if self._unsent:
+            return True
+        try:
+            return ioctl(self._sock.fileno(), TIOCOUTQ, ZERO_COUNT) != ZERO_COUNT
+        except OSError:
+            return False
+
     def on_ready(self, events: int) -> None:
         """Handles readiness of the socket."""
         if events & WRITABLE and self._unsent:
