End the use of a connection at the first byte after a reply

The reply parser noticed bytes after a complete reply only if they held a complete header, a body or an error. A status line, or the beginning of a first header, stayed in the parser, the connection went back to the pool, and the next reply continued that line.

The HTTP parser reports the beginning of a message at its first byte. Once a reply is complete, that report ends the parsing, and the reply has `keep_alive` False, so the connection is closed and its parser is never fed again. Further bytes that request an upgrade or exceed a limit no longer take the complete reply away either. Blank lines between replies begin no message and stay permitted.

The new property test failed before with one byte after the reply: (200, b'ab', True) != (200, b'ab', False).

--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -127,8 +127,8 @@
             data: The next bytes of the stream.
 
         Returns:
-            The reply that ended within `data`, or None. If more bytes follow the reply, its
-            `keep_alive` is False.
+            The reply that ended within `data`, or None. If any byte of another message follows
+            the reply, its `keep_alive` is False. Blank lines are no part of a message.
 
         Raises:
             ReplyError: If the stream is not valid HTTP or exceeds a size limit.
@@ -139,9 +139,9 @@
         except HttpParserUpgrade:
             raise ReplyError("the reply requests a protocol upgrade") from None
         except HttpParserError as exc:
-            if self._too_large:
-                raise ReplyError(self._too_large, too_large=True) from None
             if self._done is None:
+                if self._too_large:
+                    raise ReplyError(self._too_large, too_large=True) from None
                 raise ReplyError(f"the reply is not valid HTTP: {exc}") from exc
             self._has_extra_data = True
         done = self._done
@@ -156,7 +156,7 @@
         self._done = None
         self._message_bytes = 0
         self._release()
-        if self._has_extra_data or self._has_unaccepted_reply or self._headers or self._body:
+        if self._has_extra_data or self._has_unaccepted_reply:
             return ParsedReply(done.status, done.headers, done.body, False)
         return done
 
@@ -189,6 +189,17 @@
             self._budget.release(self._budget_taken)
             self._budget_taken = 0
 
+    def on_message_begin(self) -> None:
+        """Ends the parsing at the first byte after a complete reply.
+
+        That byte belongs to no request; left in the parser, it would begin the next reply.
+
+        Raises:
+            ValueError: If a reply is complete; the HTTP parser passes it on.
+        """
+        if self._done is not None:
+            raise ValueError("more bytes follow the reply")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
         self._headers.append((name.lower(), value))
@@ -246,9 +257,6 @@
         headers, self._headers = self._headers, []
         if status < FIRST_FINAL_STATUS:
             return
-        if self._done is not None:
-            self._has_extra_data = True
-            return
         body, self._body = bytes(self._body), b""
         self._body_bytes = 0
         self._expected_body_bytes = None
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -23,6 +23,15 @@
 MAX_BODY = 300
 
 bodies = st.binary(max_size=MAX_BODY)
+FURTHER_BYTES = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Load: 0.5\r\nContent-Length: 3\r\n\r\nabc",
+    b"HTTP/1.1 100 Continue\r\n\r\n",
+    b"HTTP/1.1 101 x\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n",
+    b"HTTP/1.1 200 x\r\nContent-Length: 1000\r\n\r\n",
+    b"\x00\xff",
+    b"ab",
+)
+"""What may follow a complete reply, in full or cut short."""
 
 
 def encode(status: int, body: bytes, chunked: bool) -> bytes:
@@ -93,6 +102,29 @@
         replies, _ = feed(b"HTTP/1.1 100 x\r\n\r\n" + encode(200, b"ab", False), [25])
         self.assertEqual([reply.body for reply in replies], [b"ab"])
 
+    # Guards against a reply that begins with bytes left over from the one before it.
+    @given(st.sampled_from(FURTHER_BYTES), st.integers(0, 999), st.lists(st.integers(0, 999)))
+    def test_any_byte_after_a_reply_ends_the_use_of_the_connection(
+        self, further: bytes, length: int, cuts: list[int]
+    ) -> None:
+        whole = encode(200, b"ab", False)
+        further = further[: 1 + length % len(further)]
+        parser = ReplyParser(MAX_HEADER, MAX_BODY)
+        offsets = sorted({0, *(cut % len(whole) for cut in cuts)})
+        for start, end in pairwise(offsets):
+            self.assertIsNone(parser.feed(whole[start:end]))
+        found = parser.feed(whole[offsets[-1] :] + further)
+        assert found is not None
+        self.assertEqual((found.status, found.body, found.keep_alive), (200, b"ab", False))
+
+    # Guards against a connection that is closed although no message has followed the reply.
+    def test_blank_lines_after_a_reply_are_no_message(self) -> None:
+        parser = ReplyParser(MAX_HEADER, MAX_BODY)
+        for body in (b"ab", b"cd"):
+            found = parser.feed(encode(200, body, True) + b"\r\n\r\n")
+            assert found is not None
+            self.assertEqual((found.body, found.keep_alive), (body, True))
+
 
 class HttpContractTest(TestCase):
     """Invalid bodies and replies to another exchange are rejected."""
