Send an attempt at most once on a connection

Two sends of one attempt on one connection cannot be told apart, so the pool remembers per connection which attempts it has carried and gives a second send another connection: an idle one, a new one within the limit, or, at the limit, a new one in place of an idle one that the waiting requests cannot use. A second send keeps its turn if every open connection has carried it; otherwise requests behind it may use the connection that it cannot. This holds for idempotent requests too: a copy of a failure would otherwise end a second send that succeeds. The memory also holds the seals of several replies, so that a copy without the id is detected even if it is not of the last reply.

--- /dev/null
+++ b/src/sequoiapulley/forward/attempt_history.py
@@ -0,0 +1,39 @@
+"""What one connection to an upstream has carried, as late second copies of it may still arrive."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from sequoiapulley.ids import RequestId
+
+REMEMBERED_ATTEMPTS: Final = 32
+"""Number of attempts per connection. A late copy arrives where the next reply is expected, and its
+connection is then closed; more than one attempt is a margin."""
+
+
+class AttemptHistory:
+    """The last attempts on one connection, with the seals of their replies."""
+
+    __slots__ = ("_seals",)
+
+    def __init__(self) -> None:
+        """Initialise without attempts."""
+        self._seals: dict[RequestId, bytes | None] = {}
+
+    def has_carried(self, attempt: RequestId) -> bool:
+        """Returns whether an attempt was sent on the connection."""
+        return attempt in self._seals
+
+    def has_seal(self, seal: bytes | None) -> bool:
+        """Returns whether an earlier reply had this seal."""
+        return seal is not None and seal in self._seals.values()
+
+    def record_send(self, attempt: RequestId) -> None:
+        """Adds an attempt and forgets the oldest one beyond `REMEMBERED_ATTEMPTS`."""
+        self._seals[attempt] = None
+        if len(self._seals) > REMEMBERED_ATTEMPTS:
+            del self._seals[next(iter(self._seals))]
+
+    def record_reply(self, attempt: RequestId, seal: bytes | None) -> None:
+        """Stores the seal of the reply to an attempt."""
+        self._seals[attempt] = seal
--- a/src/sequoiapulley/forward/contract.py
+++ b/src/sequoiapulley/forward/contract.py
@@ -4,6 +4,7 @@
 
 from typing import Protocol
 
+from sequoiapulley.forward.attempt_history import AttemptHistory
 from sequoiapulley.forward.messages import Answer, CallerRequest, ExchangeReply, UpstreamRecord
 from sequoiapulley.wire.reply_parser import ParsedReply
 
@@ -22,15 +23,13 @@
             time_left: Seconds until the deadline, after which the upstream may stop.
         """
 
-    def is_reply_to(
-        self, req: CallerRequest, reply: ParsedReply, previous_seal: bytes | None
-    ) -> bool:
+    def is_reply_to(self, req: CallerRequest, reply: ParsedReply, history: AttemptHistory) -> bool:
         """Returns whether a reply belongs to the request; a late one may not.
 
         Args:
             req: The request.
             reply: The reply.
-            previous_seal: Seal of the last reply on the same connection, or None.
+            history: Earlier attempts on the same connection.
         """
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
+from sequoiapulley.forward.attempt_history import AttemptHistory
 from sequoiapulley.forward.contract import WireContract
 from sequoiapulley.forward.exchange import Exchange, ExchangeState
 from sequoiapulley.forward.messages import (
@@ -13,7 +14,6 @@
     ExchangeReply,
     UpstreamRecord,
 )
-from sequoiapulley.ids import RequestId
 from sequoiapulley.runtime import TimerQueue
 from sequoiapulley.wire.http_connection import (
     CloseReason,
@@ -77,8 +77,9 @@
         self._open: set[HttpConnection] = set()
         self._idle: list[HttpConnection] = []
         self._idle_timeouts: dict[HttpConnection, float] = {}
-        self._last_replies: dict[HttpConnection, tuple[RequestId, bytes]] = {}
-        """Request and seal of the last reply of each connection that has had one."""
+        self._histories: dict[HttpConnection, AttemptHistory] = {}
+        """Attempts of each connection that has carried one. None is sent on a connection twice:
+        a late second copy of the first reply could not be told from the second reply."""
         self._connecting = 0
         self._checks: list[Callable[[bool], None]] = []
         """Callers that wait for whether the upstream accepts a new connection."""
@@ -87,7 +88,12 @@
     @property
     def has_room(self) -> bool:
         """Whether a request could be sent without waiting for another one to end."""
-        return bool(self._idle) or len(self._open) < self.connection_limit
+        return bool(self._idle) or not self._is_full
+
+    @property
+    def _is_full(self) -> bool:
+        """Whether no further connection may be opened."""
+        return len(self._open) >= self.connection_limit
 
     @property
     def busy(self) -> int:
@@ -97,7 +103,7 @@
     def submit(self, exchange: Exchange) -> None:
         """Sends a request as soon as a connection is free; never calls back synchronously."""
         exchange.pool = self
-        conn = self._pop_idle(exchange.may_reuse_idle)
+        conn = self._pop_idle(exchange)
         if conn is not None:
             self._start(exchange, conn)
             return
@@ -172,8 +178,8 @@
             self._idle.append(conn)
             self._record_idle_timeout(conn, reply)
         outcome = self._contract.classify(reply)
-        if outcome.seal is not None and conn in self._open:
-            self._last_replies[conn] = (exchange.req.id, outcome.seal)
+        if conn in self._histories:
+            self._histories[conn].record_reply(exchange.req.id, outcome.seal)
         if outcome.end is ExchangeEnd.WRONG_UPSTREAM:
             self.close_idle()
         exchange.finish(outcome)
@@ -202,37 +208,58 @@
         conn.tag = exchange
         req = exchange.req
         data = self._contract.encode_request(req, self.record, max(0.0, exchange.deadline - now))
-        previous_id, previous_seal = self._last_replies.get(conn, (None, None))
-        if previous_id == req.id:
-            # A further reply to the same request may have the same seal.
-            previous_seal = None
-        conn.send(data, lambda reply: self._contract.is_reply_to(req, reply, previous_seal))
-
-    def _pop_idle(self, may_reuse_idle: bool) -> HttpConnection | None:
-        """Returns the most recently used idle connection, unless it was idle for too long."""
+        history = self._histories.setdefault(conn, AttemptHistory())
+        history.record_send(req.id)
+        conn.send(data, lambda reply: self._contract.is_reply_to(req, reply, history))
+
+    def _pop_idle(self, exchange: Exchange) -> HttpConnection | None:
+        """Returns the most recently used idle connection that may carry an exchange, if any."""
         now = self._clock.now()
-        while self._idle:
-            conn = self._idle[-1]
+        for conn in reversed(tuple(self._idle)):
             idle_for = now - conn.last_used
             if idle_for >= self._idle_timeouts.get(conn, MAX_IDLE_S):
                 self._discard(conn)
                 continue
-            if not may_reuse_idle and idle_for >= NON_IDEMPOTENT_IDLE_S:
-                if len(self._open) >= self.connection_limit:
-                    self._discard(conn)
+            if not exchange.may_reuse_idle and idle_for >= NON_IDEMPOTENT_IDLE_S:
+                # Those that remain have been idle for longer.
                 return None
-            return self._idle.pop()
+            history = self._histories.get(conn)
+            if history is not None and history.has_carried(exchange.req.id):
+                continue
+            self._idle.remove(conn)
+            return conn
         return None
 
     def _send_waiting(self) -> None:
-        """Sends waiting requests on idle connections."""
-        while self._waiting and self._idle:
-            self._start(self._waiting.popleft(), self._idle.pop())
+        """Sends waiting requests on idle connections that may carry them."""
+        for exchange in tuple(self._waiting):
+            if not self._idle:
+                break
+            conn = self._pop_idle(exchange)
+            if conn is not None:
+                self._waiting.remove(exchange)
+                self._start(exchange, conn)
+            elif self._idle and self._is_full and not self._will_fit(exchange):
+                # Otherwise the requests behind it would keep the connections to themselves.
+                self._discard(self._idle[0])
+        self._open_for_waiting()
+
+    def _will_fit(self, exchange: Exchange) -> bool:
+        """Returns whether an open connection has not carried the attempt of an exchange."""
+        attempt = exchange.req.id
+        histories = (self._histories.get(conn) for conn in self._open)
+        return not all(history and history.has_carried(attempt) for history in histories)
 
     def _open_for_waiting(self) -> None:
-        """Opens connections for waiting requests, within the connection limit."""
+        """Opens connections for waiting requests, within the connection limit.
+
+        Idle connections give way at the limit, as the waiting requests cannot use them.
+        """
         wanted = len(self._waiting) - self._connecting
         room = self.connection_limit - len(self._open)
+        while self._idle and room < wanted:
+            self._discard(self._idle[0])
+            room += 1
         for _ in range(min(wanted, room)):
             if not self._open_connection():
                 self._timers.call_later(0.0, self._fail_waiting)
@@ -294,7 +321,7 @@
         """Removes a connection from the pool without closing it."""
         self._open.discard(conn)
         self._idle_timeouts.pop(conn, None)
-        self._last_replies.pop(conn, None)
+        self._histories.pop(conn, None)
         if conn in self._idle:
             self._idle.remove(conn)
 
--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -4,6 +4,7 @@
 
 from typing import Final
 
+from sequoiapulley.forward.attempt_history import AttemptHistory
 from sequoiapulley.forward.messages import (
     Answer,
     CallerRequest,
@@ -87,19 +88,17 @@
             lines.append(b"Content-Length: %d" % len(req.body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + req.body
 
-    def is_reply_to(
-        self, req: CallerRequest, reply: ParsedReply, previous_seal: bytes | None
-    ) -> bool:
+    def is_reply_to(self, req: CallerRequest, reply: ParsedReply, history: AttemptHistory) -> bool:
         """Returns whether a reply answers the request.
 
         Upstreams return the attempt's id, so that a late reply to an earlier request is detected.
-        A copy of the last reply that lacks the id is detected by its seal, which is another one for
-        each request.
+        A copy of an earlier reply that lacks the id is detected by its seal, which is another one
+        for each request.
         """
         attempt = _header(reply.headers, ATTEMPT_ID)
         if attempt is not None:
             return attempt == req.id.encode("latin-1")
-        return previous_seal is None or _header(reply.headers, SEAL) != previous_seal
+        return not history.has_seal(_header(reply.headers, SEAL))
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
         """Classifies a complete reply: executed, not executed, wrong upstream or malformed."""
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -9,6 +9,7 @@
 from msgspec.structs import replace
 
 from sequoiapulley.forward.aggregators import Aggregators
+from sequoiapulley.forward.attempt_history import AttemptHistory
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.crash_guard import CrashGuard
 from sequoiapulley.forward.exchange import Exchange, ExchangeState
@@ -134,9 +135,7 @@
     ) -> bytes:
         raise NotImplementedError("nothing is encoded without a network")
 
-    def is_reply_to(
-        self, req: CallerRequest, reply: ParsedReply, previous_seal: bytes | None
-    ) -> bool:
+    def is_reply_to(self, req: CallerRequest, reply: ParsedReply, history: AttemptHistory) -> bool:
         return True
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from socket import IPPROTO_TCP, SHUT_WR, SO_LINGER, SOL_SOCKET, TCP_NODELAY, create_server, socket
 from struct import pack
 from unittest import TestCase
@@ -63,7 +64,8 @@
 
     def send(self, name: str = "r1", may_reuse_idle: bool = True) -> Exchange:
         now = self.loop.clock.now()
-        req = CallerRequest(RequestId(name), b"GET", b"/x?y", "h", (), b"", 1.0, now)
+        headers = ((b"X-Attempt-Id", name.encode()),)
+        req = CallerRequest(RequestId(name), b"GET", b"/x?y", "h", headers, b"", 1.0, now)
         exchange = Exchange(req, now + 1.0, may_reuse_idle, self._recorder(name))
         self.exchanges[name] = exchange
         self.pool.submit(exchange)
@@ -140,6 +142,60 @@
         assert found is not None
         self.assertEqual((found.body, found.keep_alive), (b"second", False))
 
+    # Guards against an order that runs twice: a late copy of its refusal answers its second send.
+    def test_attempt_is_not_sent_again_on_a_connection_that_has_carried_it(self) -> None:
+        self.pool.connection_limit = 1
+        refusal = reply(extra=b"X-Not-Executed: 1\r\n")
+        for may_reuse_idle in (False, True):
+            with self.subTest(may_reuse_idle=may_reuse_idle):
+                self.send("r1", may_reuse_idle)
+                first = self.accept()
+                first.sendall(refusal)
+                self.loop.settle()
+                self.assertIs(self.ends.pop("r1").end, ExchangeEnd.NOT_RUN)
+                self.send("r1", may_reuse_idle)
+                with suppress(ConnectionError):
+                    first.sendall(refusal)
+                self.loop.settle()
+                self.assertNotIn("r1", self.ends, "the copy answered the second send")
+                second = self.accept()
+                second.sendall(reply(b"ran"))
+                self.loop.settle()
+                self.assertIs(self.ends.pop("r1").end, ExchangeEnd.REPLY)
+                self.assertEqual(self.pool.busy, 0)
+                self.pool.close_idle()
+
+    # Guards against a second send that starves while the requests behind it use the connection.
+    def test_second_send_keeps_its_turn_when_its_connection_is_the_only_one(self) -> None:
+        self.pool.connection_limit = 1
+        conn = self.first()
+        self.send("r2")
+        self.ends.clear()
+        self.send("r0")
+        self.send("r3")
+        conn.sendall(reply(attempt=b"r2"))
+        self.loop.settle()
+        replacement = self.accept()
+        self.assertIn(b"X-Attempt-Id: r0", replacement.recv(9_000))
+        for name in (b"r0", b"r3"):
+            replacement.sendall(reply(attempt=name))
+            self.loop.settle()
+        self.assertEqual((set(self.ends), self.pool.opened), ({"r2", "r0", "r3"}, 2))
+
+    # Guards against a connection that is replaced although another one will be free.
+    def test_request_behind_a_second_send_uses_the_connection_that_has_carried_it(self) -> None:
+        conn = self.first()
+        self.send("r1")
+        self.send("r2")
+        other = self.accept()
+        self.ends.clear()
+        self.send("r0")
+        self.send("r3")
+        for side, name in ((conn, b"r1"), (other, b"r2"), (conn, b"r3"), (other, b"r0")):
+            side.sendall(reply(attempt=name))
+            self.loop.settle()
+        self.assertEqual((set(self.ends), self.pool.opened), ({"r1", "r3", "r2", "r0"}, 2))
+
     def test_stray_and_own_reply_in_one_read(self) -> None:
         conn = self.first()
         both = reply(b"stray", b"r0") + reply(b"mine", b"r1")
