Refuse a reply that begins within the head of another one

Bytes of a reply that broke off can also be received after the next request was sent. The next reply then continues its status line or header, so its status or first header is another one ("HTTP/1.1 503 ServHTTP/1.1 200 OK"). A reason phrase or header value that contains the beginning of a status line is now malformed and ends the connection. All other cuts within a head are no valid HTTP.

The property test, with further bytes cut anywhere and all splits of the stream, failed before: [(b'x-server-seal', b'HTTP/1.1 200 OK'), (b'x-server-seal', b'seal-r1'), ...].

--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from re import compile as compile_pattern
 from typing import Final
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -12,6 +13,10 @@
 
 FIRST_FINAL_STATUS: Final = 200
 BODYLESS_STATUSES: Final = frozenset({204, 304})
+STATUS_LINE: Final = compile_pattern(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+"""The beginning of a reply. Within a status line or a header it shows that an earlier reply broke
+off there and that the lines after it belong to another reply."""
+PROTOCOL: Final = b"HTTP/"
 MAX_LENGTH_DIGITS: Final = 18
 """Number of digits of a stated length that are compared with the limit."""
 MAX_BYTES_PER_BODY_BYTE: Final = 2
@@ -66,6 +71,7 @@
         "_max_header_bytes",
         "_message_bytes",
         "_parser",
+        "_reason",
         "_too_large",
         "_unframed",
     )
@@ -90,6 +96,8 @@
         self._budget_taken = 0
         self._too_large = ""
         """Which size limit the reply exceeds; empty if it exceeds none."""
+        self._reason = b""
+        """Reason phrase of the reply that is being received."""
         self._message_bytes = 0
         self._expected_body_bytes: int | None = None
         self._has_extra_data = False
@@ -142,7 +150,8 @@
             if self._done is None:
                 if self._too_large:
                     raise ReplyError(self._too_large, too_large=True) from None
-                raise ReplyError(f"the reply is not valid HTTP: {exc}") from exc
+                detail = f"the reply is not valid HTTP: {exc.__context__ or exc}"
+                raise ReplyError(detail) from exc
             self._has_extra_data = True
         done = self._done
         if done is None:
@@ -199,13 +208,22 @@
         """
         if self._done is not None:
             raise ValueError("more bytes follow the reply")
+        self._reason = b""
+
+    def on_status(self, part: bytes) -> None:
+        """Stores a part of the reason phrase."""
+        self._reason += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
+        if PROTOCOL in value:
+            _refuse_status_line(value)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Records whether the body ends with the connection; refuses a length over the limit."""
+        if PROTOCOL in self._reason:
+            _refuse_status_line(self._reason)
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
             return
@@ -266,3 +284,13 @@
             self._done = reply
         else:
             self._has_unaccepted_reply = True
+
+
+def _refuse_status_line(text: bytes) -> None:
+    """Refuses a reply that begins within another one.
+
+    Raises:
+        ValueError: If the text contains a status line; the HTTP parser passes it on.
+    """
+    if STATUS_LINE.search(text) is not None:
+        raise ValueError("a reply begins within the head of another one")
