--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from re import compile as compile_pattern
 from typing import Final
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -12,6 +13,10 @@
 
 FIRST_FINAL_STATUS: Final = 200
 BODYLESS_STATUSES: Final = frozenset({204, 304})
+STATUS_LINE: Final = compile_pattern(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+"""The beginning of a reply. Within a status line or a header it shows that an earlier reply broke
+off there and that the lines after it belong to another reply."""
+PROTOCOL: Final = b"HTTP/"
 MAX_LENGTH_DIGITS: Final = 18
 """Number of digits of a stated length that are compared with the limit."""
 MAX_BYTES_PER_BODY_BYTE: Final = 2
@@ -66,6 +71,7 @@
         "_max_header_bytes",
         "_message_bytes",
         "_parser",
+        "_reason",
         "_too_large",
         "_unframed",
     )
@@ -90,6 +96,8 @@
         self._budget_taken = 0
         self._too_large = ""
         """Which size limit the reply exceeds; empty if it exceeds none."""
+        self._reason = b""
+        """Reason phrase of the reply that is being received."""
         self._message_bytes = 0
         self._expected_body_bytes: int | None = None
         self._has_extra_data = False
@@ -127,8 +135,8 @@
             data: The next bytes of the stream.
 
         Returns:
-            The reply that ended within `data`, or None. If more bytes follow the reply, its
-            `keep_alive` is False.
+            The reply that ended within `data`, or None. If any byte of another message follows
+            the reply, its `keep_alive` is False. Blank lines are no part of a message.
 
         Raises:
             ReplyError: If the stream is not valid HTTP or exceeds a size limit.
@@ -139,10 +147,11 @@
         except HttpParserUpgrade:
             raise ReplyError("the reply requests a protocol upgrade") from None
         except HttpParserError as exc:
-            if self._too_large:
-                raise ReplyError(self._too_large, too_large=True) from None
             if self._done is None:
-                raise ReplyError(f"the reply is not valid HTTP: {exc}") from exc
+                if self._too_large:
+                    raise ReplyError(self._too_large, too_large=True) from None
+                detail = f"the reply is not valid HTTP: {exc.__context__ or exc}"
+                raise ReplyError(detail) from exc
             self._has_extra_data = True
         done = self._done
         if done is None:
@@ -156,7 +165,7 @@
         self._done = None
         self._message_bytes = 0
         self._release()
-        if self._has_extra_data or self._has_unaccepted_reply or self._headers or self._body:
+        if self._has_extra_data or self._has_unaccepted_reply:
             return ParsedReply(done.status, done.headers, done.body, False)
         return done
 
@@ -189,12 +198,32 @@
             self._budget.release(self._budget_taken)
             self._budget_taken = 0
 
+    def on_message_begin(self) -> None:
+        """Ends the parsing at the first byte after a complete reply.
+
+        That byte belongs to no request; left in the parser, it would begin the next reply.
+
+        Raises:
+            ValueError: If a reply is complete; the HTTP parser passes it on.
+        """
+        if self._done is not None:
+            raise ValueError("more bytes follow the reply")
+        self._reason = b""
+
+    def on_status(self, part: bytes) -> None:
+        """Stores a part of the reason phrase."""
+        self._reason += part
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores one header."""
+        if PROTOCOL in value:
+            _refuse_status_line(value)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Records whether the body ends with the connection; refuses a length over the limit."""
+        if PROTOCOL in self._reason:
+            _refuse_status_line(self._reason)
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
             return
@@ -246,9 +275,6 @@
         headers, self._headers = self._headers, []
         if status < FIRST_FINAL_STATUS:
             return
-        if self._done is not None:
-            self._has_extra_data = True
-            return
         body, self._body = bytes(self._body), b""
         self._body_bytes = 0
         self._expected_body_bytes = None
@@ -258,3 +284,13 @@
             self._done = reply
         else:
             self._has_unaccepted_reply = True
+
+
+def _refuse_status_line(text: bytes) -> None:
+    """Refuses a reply that begins within another one.
+
+    Raises:
+        ValueError: If the text contains a status line; the HTTP parser passes it on.
+    """
+    if STATUS_LINE.search(text) is not None:
+        raise ValueError("a reply begins within the head of another one")
