Refuse replies without a length from nodes

A reply with neither a length nor chunks from the address of another node counted as that node's whole reply: with status 200 as its parts or as the answer to a handed-over request, with status 503 as a promise that nothing had run, after which a non-idempotent request goes to another node.

Cause: the clients for parts and handed-over requests get the bounds of the upstreams' pools, which let a reply end with its connection. No node sends such a reply.

Evidence: test_reply_of_a_node_without_a_length_may_have_run failed before for parts and handover, each with 200 (`Ok` instead of `Err`) and 503 (`sent` was False). The other ten tests of test_truncated_heads passed before as well: they cut replies at every byte, for both programs.

Why it works: HttpClient, whose servers all state a length or send chunks, no longer passes `unframed` to its connections, so that the end of the stream is a broken reply that may have run. After the change test_truncated_heads and test_http_client passed (22 tests, 13.3 s).

--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -8,6 +8,7 @@
 from typing import Final
 
 from msgspec import Struct
+from msgspec.structs import replace
 from result import Err, Ok, Result
 
 from sequoiapulley.runtime import Clock, TimerHandle, TimerQueue
@@ -149,14 +150,16 @@
             reactor: Reports readiness of the sockets.
             clock: Clock of the event loop.
             timers: Timers of the same event loop.
-            bounds: Size limits of a reply; None for the defaults.
+            bounds: Size limits of a reply; None for the defaults. `unframed` has no effect: a reply
+                with neither a length nor chunks fails.
             max_connections: Maximum number of connections to one server.
         """
         self._reactor = reactor
         self._max_connections = max_connections
         self._clock = clock
         self._timers = timers
-        self._bounds = bounds or ReplyBounds()
+        # The servers state a length or send chunks: a reply without either has broken off.
+        self._bounds = replace(bounds or ReplyBounds(), unframed=False)
         self._servers: dict[tuple[str, int], _Server] = {}
         self._sweep_timer: TimerHandle | None = None
 
--- a/tests/test_upstream_path.py
+++ b/tests/test_upstream_path.py
@@ -49,8 +49,8 @@
 class Home:
     """A dispatcher and a transport on one event loop, without the daemon's circuits components."""
 
-    def __init__(self, ports: dict[str, int]) -> None:
-        self.loop = Loop()
+    def __init__(self, ports: dict[str, int], loop: Loop | None = None) -> None:
+        self.loop = loop or Loop()
         self.log = MemoryLog()
         self.dispatcher = Dispatcher(HttpExchangeCodec(), self.log, seed=1)
         self.transport = UpstreamTransport(
