Answer every request before a node that shuts down ends

Cause: after the signal a node accepted requests until 0.85 of its grace period as if it had all of their time limits left, then waited for the upstreams without a limit, and was killed while it waited. No part of the node knew when it would end. The class of fault: work is accepted without regard to the time in which it can be completed, and nothing ends it when that time is over.

The forwarder knows the end now. A request that cannot be expected to end before it is refused at once as not run, so that the caller turns to another node: an idempotent one if the goal of its route does not fit, another one if four times the goal do not, as its outcome would be unknown. At 0.9 of the grace period all requests in progress are answered, with 502 if they may have run and 503 otherwise. The node ends when no request, also of other nodes, is open and the callers have closed, at 0.97 of the grace period in any case. Requests that were received before the last answer of a connection are answered, and a connection whose last answer is on its way is left to its caller, as a close with unread data resets it. A handover of late requests was not added: the answer would still go through this node.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -35,6 +35,7 @@
     NODE_LEAVING,
     NODE_STARTED,
     NODE_STOPPED,
+    REQUESTS_ENDED,
 )
 from sequoiapulley.forward.messages import Answer
 from sequoiapulley.forward.metrics import (
@@ -83,7 +84,7 @@
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.observe.metric import Metric
 from sequoiapulley.observe.metrics import CONFIG_VERSION, IN_FLIGHT, UPTIME_SECONDS
-from sequoiapulley.runtime import SystemClock, TimerQueue
+from sequoiapulley.runtime import SystemClock, TimerHandle, TimerQueue
 from sequoiapulley.runtime.heap_freeze import freeze_initial_heap
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.http_connection import ReplyBounds
@@ -158,6 +159,8 @@
         self._settings_task = SettingsTask(cfg, watch, self._timers, log, self._on_settings)
         self._lifecycle = NodeLifecycle()
         self._running = True
+        self._shutdown_timer: TimerHandle | None = None
+        """Ends all requests of a node that shuts down."""
         self._roles = (False, False)
         """Whether this node is an entry node, and whether it is the store reader."""
         self._started_at = self._clock.now()
@@ -354,6 +357,13 @@
             now, self._settings_task.cfg.grace, len(self._callers_server.connections)
         ):
             self._close_callers()
+        leaving = self._lifecycle.state is NodeState.LEAVING
+        if (
+            self._running
+            and leaving
+            and self._lifecycle.must_stop(now, self._settings_task.cfg.grace)
+        ):
+            self._stop()
 
     def _check_contact(self) -> None:
         """Checks the links to the upstreams if cut-off peers may need this node."""
@@ -459,6 +469,8 @@
         self._sources.seeds = cfg.seeds
         self._directory.drain = cfg.drain
         self._entry_port.max_ttl = cfg.most_entry_ttl
+        if self._lifecycle.state is NodeState.LEAVING:
+            self._schedule_shutdown_end()
 
     def _on_scrape(self, req: ServerRequest) -> None:
         """Answers a metrics scrape; the first one loads the metrics library."""
@@ -490,6 +502,7 @@
             return
         self._callers_server.shutting_down = True
         self._log.log(NODE_LEAVING, in_flight=self._callers_server.busy)
+        self._schedule_shutdown_end()
         self._heartbeats.send_now()
         self._registration.stop()
 
@@ -503,9 +516,25 @@
                 parts=self._parts_port.in_flight,
             )
         self._callers_server.close_idle()
-        if not self._callers_server.busy:
+        in_flight = self._forwarder.in_flight + self._parts_port.in_flight
+        # Open connections are busy, or closing with an answer that is on its way.
+        if not in_flight and not self._callers_server.connections:
             self._stop()
 
+    def _schedule_shutdown_end(self) -> None:
+        """Sets the time at which this node, which shuts down, answers all open requests."""
+        if self._shutdown_timer is not None:
+            self._shutdown_timer.cancel()
+        end = self._lifecycle.answer_end(self._settings_task.cfg.grace)
+        self._forwarder.shutdown_end = end
+        self._shutdown_timer = self._timers.call_at(end, self._end_requests)
+
+    def _end_requests(self) -> None:
+        """Answers all open requests, as the node would be terminated while they wait."""
+        ended = self._forwarder.end_jobs()
+        if ended:
+            self._log.log(REQUESTS_ENDED, requests=ended)
+
     def _stop(self) -> None:
         """Ends the event loop and closes every port."""
         self._running = False
--- a/src/sequoiapulley/daemon/node_lifecycle.py
+++ b/src/sequoiapulley/daemon/node_lifecycle.py
@@ -9,6 +9,10 @@
 MAX_DRAIN_FRACTION: Final = 0.85
 """Fraction of the grace period after which a node that shuts down stops accepting callers even if
 connections are open."""
+ANSWER_FRACTION: Final = 0.9
+"""Fraction of the grace period after which a node answers all open requests itself."""
+STOP_FRACTION: Final = 0.97
+"""Fraction of the grace period after which a node stops, whatever is open."""
 MIN_DRAIN_S: Final = 3.0
 """Minimum time for which a node that shuts down accepts callers that have cached its address."""
 
@@ -39,6 +43,23 @@
         self._shutdown_started_at = now
         return True
 
+    def answer_end(self, grace: float) -> float:
+        """Returns the clock reading at which a node that shuts down answers all open requests.
+
+        Args:
+            grace: Seconds between the signal to stop and the forced termination.
+        """
+        return self._shutdown_started_at + ANSWER_FRACTION * grace
+
+    def must_stop(self, now: float, grace: float) -> bool:
+        """Returns whether a node that shuts down must stop before it is terminated.
+
+        Args:
+            now: Clock reading in seconds.
+            grace: Seconds between the signal to stop and the forced termination.
+        """
+        return now - self._shutdown_started_at >= STOP_FRACTION * grace
+
     def may_stop_accepting(self, now: float, grace: float, connections: int) -> bool:
         """Returns whether the node is shutting down and may stop accepting callers.
 
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -26,6 +26,9 @@
 """Time for which a node that has just started queues requests until it has read its state, which
 takes some ten milliseconds while the store is available."""
 FIRST_FAILURE_STATUS: Final = 500
+NON_IDEMPOTENT_GOALS: Final = 4
+"""Time that a node that shuts down must have left to accept a non-idempotent request, as a multiple
+of the route's goal. One that is given up on while it runs leaves its outcome unknown."""
 
 
 class Job:
@@ -107,8 +110,12 @@
 
     def time_out(self) -> None:
         """Answers with a timeout error."""
+        self.give_up(Reason.TIMEOUT)
+
+    def give_up(self, reason: Reason) -> None:
+        """Cancels the calls and answers with an error."""
         may_have_run = self._stop()
-        self.finish(error_answer(Reason.TIMEOUT, may_have_run), Reason.TIMEOUT)
+        self.finish(error_answer(reason, may_have_run), reason)
 
     def finish(self, answer: Answer, reason: Reason | None) -> None:
         """Answers the caller, once.
@@ -148,6 +155,9 @@
         self._pending: list[Job] = []
         self._jobs: set[Job] = set()
         """Requests in progress."""
+        self.shutdown_end: float | None = None
+        """Clock reading at which the node gives up on all requests; None if it does not shut
+        down."""
         self.handover: HandoverClient | None = None
         """Hands requests over to other nodes; None if there are none."""
 
@@ -252,10 +262,32 @@
         if self._ctx.clock.now() >= end:
             _refuse(job, Reason.EXPIRED)
             return
+        if not self._may_end_in_time(route, end):
+            _refuse(job, Reason.SHUTDOWN_NEAR)
+            return
         job.set_timer(self._ctx.timers.call_at(end, job.time_out))
         job.deadline = end
         job.begin(self._make_handler(job, req, route, end))
 
+    def end_jobs(self) -> int:
+        """Answers all requests in progress with an error; returns their number."""
+        jobs = tuple(self._jobs)
+        for job in jobs:
+            job.give_up(Reason.SHUTDOWN)
+        return len(jobs)
+
+    def _may_end_in_time(self, route: Route, end: float) -> bool:
+        """Returns whether a request is likely to be answered before the node shuts down.
+
+        Args:
+            route: Route of the request.
+            end: Clock reading at which the request times out.
+        """
+        if self.shutdown_end is None:
+            return True
+        usual = route.goal if route.idempotent else NON_IDEMPOTENT_GOALS * route.goal
+        return min(end, self._ctx.clock.now() + usual) <= self.shutdown_end
+
     def hand_over_jobs(self) -> None:
         """Hands the requests in progress over that have no chance here, after a loss of contact.
 
--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -330,6 +330,14 @@
     "A node that is shutting down accepts no more connections of callers; `in_flight` requests on "
     "`connections` connections, and `parts` requests of other nodes, are not answered yet.",
 )
+REQUESTS_ENDED: Final = define_event(
+    2551,
+    "shutdown_ended_requests",
+    Severity.WARNING,
+    "A node that is shutting down answered `requests` requests itself, shortly before the end of "
+    "its grace period, as upstreams had not answered them.",
+    "Look for slow upstreams (SP2515); the requests have a line SP2503 with reason `shutdown`.",
+)
 DUTIES_CHANGED: Final = define_event(
     2545,
     "duties_changed",
--- a/src/sequoiapulley/forward/refusal.py
+++ b/src/sequoiapulley/forward/refusal.py
@@ -40,6 +40,10 @@
     """The node is cut off from the upstreams, and no other node served the request."""
     CRASHES_UPSTREAMS = "quarantined"
     """The request has crashed upstreams."""
+    SHUTDOWN_NEAR = "shutdown_near"
+    """The request came so late in the node's shutdown that its answer may not come in time."""
+    SHUTDOWN = "shutdown"
+    """The node ends before the upstreams have answered."""
 
 
 _STATUS: Final = {
@@ -54,6 +58,8 @@
     Reason.EXPIRED: 503,
     Reason.CUT_OFF: 503,
     Reason.CRASHES_UPSTREAMS: 503,
+    Reason.SHUTDOWN_NEAR: 503,
+    Reason.SHUTDOWN: 503,
 }
 """Statuses for requests that have not run; `error_answer` adjusts them for those that may have."""
 _RETRY_AFTER: Final = {
@@ -65,6 +71,8 @@
     Reason.EXPIRED: BUSY_RETRY_AFTER_S,
     Reason.CUT_OFF: BUSY_RETRY_AFTER_S,
     Reason.CRASHES_UPSTREAMS: BUSY_RETRY_AFTER_S,
+    Reason.SHUTDOWN_NEAR: 0.0,
+    Reason.SHUTDOWN: 0.0,
 }
 NOT_EXECUTED_STATUS: Final = 503
 BAD_GATEWAY: Final = 502
--- a/src/sequoiapulley/wire/http_server.py
+++ b/src/sequoiapulley/wire/http_server.py
@@ -110,10 +110,14 @@
         return True
 
     def close_idle(self) -> None:
-        """Serves the requests that have arrived, then closes connections that are not busy."""
+        """Serves the requests that have arrived, then closes connections that are not busy.
+
+        Those that are closing are left to their callers: a close with unread data would reset the
+        connection, and the caller might not receive its answer.
+        """
         for conn in tuple(self.connections):
             conn.read_pending()
-            if not conn.busy:
+            if not conn.busy and not conn.closing:
                 conn.close()
 
     def _add_connection(self, sock: socket) -> None:
--- a/src/sequoiapulley/wire/server_connection.py
+++ b/src/sequoiapulley/wire/server_connection.py
@@ -127,6 +127,11 @@
         waiting = self._current is not None or bool(self._queue)
         return waiting or bool(self._unsent) or (self._parser.in_message and not self._closing)
 
+    @property
+    def closing(self) -> bool:
+        """Whether the connection closes once the caller has received the last answer."""
+        return self._closing
+
     @property
     def undelivered(self) -> bool:
         """Whether the caller's kernel has not acknowledged everything that was written.
@@ -181,9 +186,9 @@
             return
         self._current = None
         self._timeout_start = self._server.reactor.clock.now()
-        persistent = (
-            req.parsed.keep_alive and not self._server.shutting_down and self._request_error is None
-        )
+        # Requests that were received before the last answer are answered, too.
+        last = self._server.shutting_down and not self._queue
+        persistent = req.parsed.keep_alive and not last and self._request_error is None
         self._closing = not persistent
         if self._closing:
             self._queue.clear()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -158,6 +158,29 @@
         with self.assertRaises(ConnectionRefusedError):
             create_connection(("127.0.0.1", self.server.port))
 
+    # Guards against requests that were received before a shutdown and dropped by the first answer.
+    def test_server_that_shuts_down_answers_pipelined_requests(self) -> None:
+        sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" * 3)
+        self.server.shutting_down = True
+        for number in range(3):
+            self.answer(number)
+        data = self.received(sock)
+        self.assertEqual((data.count(b"HTTP/1.1 200"), data[-5:]), (3, b"<end>"))
+        self.assertEqual(data.count(b"Connection: close"), 1)
+
+    # Guards against an answer that a reset destroys, as its connection is closed with unread data.
+    def test_connection_that_is_closing_is_left_to_its_caller(self) -> None:
+        sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.server.shutting_down = True
+        self.answer(0, b"x" * 1_500)
+        self.server.close_idle()
+        self.assertEqual(len(self.server.connections), 1)
+        sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+        self.assertEqual(self.received(sock).count(b"x"), 1_500)
+        sock.close()
+        self.loop.settle()
+        self.assertEqual((len(self.server.connections), len(self.requests)), (0, 1))
+
     def test_answer_is_delivered_when_more_requests_follow_the_last_one(self) -> None:
         sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         sock.sendall(b"GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -6,12 +6,16 @@
 from threading import Thread
 from time import monotonic, sleep
 from typing import Final
+from unittest import TestCase
 
 from msgspec import Struct, json
 
+from sequoiapulley.forward.exchange import Exchange
+from sequoiapulley.forward.messages import ExchangeReply
 from standins.platform_fleet import CALLERS_PORT, FleetSettings, PlatformFleet
 from standins.platform_upstream import PlatformUpstream
 from tests.node_process_case import TIMEOUT_S, NodeProcessCase
+from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, plain_route, success
 
 GRACE_S: Final = 6.0
 UPSTREAMS: Final = 4
@@ -27,6 +31,10 @@
 NOT_RUN_STATUS: Final = 503
 
 
+WORK_OF_SIMULATED_S: Final = 0.5
+GOAL_OF_SIMULATED_S: Final = 0.2
+
+
 class Outcome(Struct, frozen=True):
     """A request and how it ended."""
 
@@ -155,3 +163,48 @@
                 self.assertEqual(self.runs(outcome.name), 0, outcome)
             if not outcome.idempotent:
                 self.assertLessEqual(self.runs(outcome.name), 1, outcome)
+
+
+class ShutdownEndTest(TestCase):
+    """A forwarder of a node that ends two seconds from now, with an upstream that needs 0.5 s."""
+
+    def setUp(self) -> None:
+        self.net = SimulatedNet(self.behave)
+        self.net.add("a", "s")
+        goal = GOAL_OF_SIMULATED_S
+        self.net.apply(
+            plain_route("s", goal=goal), plain_route("s", idempotent=False, goal=goal, prefix="/o/")
+        )
+        self.net.forwarder.shutdown_end = self.net.clock.now() + 2.0
+
+    def behave(
+        self, _pool: SimulatedUpstream, _exchange: Exchange, _now: float
+    ) -> tuple[float, ExchangeReply]:
+        return WORK_OF_SIMULATED_S, success(b"ok")
+
+    def statuses(self, path: str, time_left: float = 5.0) -> tuple[int, int]:
+        """Returns the status of a request's answer and the number of requests that were sent."""
+        before = sum(len(pool.arrivals) for pool in self.net.pools.values())
+        answers = self.net.ask(path, time_left)
+        self.net.run(WORK_OF_SIMULATED_S + 0.1)
+        after = sum(len(pool.arrivals) for pool in self.net.pools.values())
+        return answers[0][1].status, after - before
+
+    # Guards against requests that are forwarded so late that the node ends before their answer.
+    def test_request_that_is_too_late_is_refused_as_not_run(self) -> None:
+        self.assertEqual(self.statuses("/p/1"), (200, 1))
+        # A non-idempotent request needs four times the goal of 0.2 s: 0.8 of the 1.4 s left.
+        self.assertEqual(self.statuses("/o/1"), (200, 1))
+        self.net.advance(0.1)
+        answers = self.net.ask("/o/2")
+        self.assertEqual(answers[0][1].status, NOT_RUN_STATUS)
+        self.assertEqual(self.statuses("/p/2"), (200, 1))
+        self.assertEqual(self.statuses("/p/3"), (NOT_RUN_STATUS, 0))
+
+    # Guards against requests without an answer: upstreams that have not replied when the node ends.
+    def test_requests_in_progress_are_answered_at_the_end(self) -> None:
+        answers = [self.net.ask(path) for path in ("/p/1", "/o/1")]
+        self.net.run(0.1)
+        self.assertEqual(self.net.forwarder.end_jobs(), 2)
+        self.assertEqual([found[0][1].status for found in answers], [502, 502])
+        self.assertEqual((self.net.forwarder.in_flight, self.net.forwarder.end_jobs()), (0, 0))
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -45,7 +45,7 @@
     Break(
         3,
         "platform/platform_contract.py",
-        "return previous_seal is None or _header(reply.headers, SEAL) != previous_seal",
+        "return not history.has_seal(_header(reply.headers, SEAL))",
         "return True",
         ("test_upstream_pool",),
     ),
@@ -73,8 +73,8 @@
     Break(
         3,
         "wire/reply_parser.py",
-        "if self._has_extra_data or self._has_unaccepted_reply or self._headers or self._body:",
-        "if self._has_extra_data or self._headers or self._body:",
+        "if self._has_extra_data or self._has_unaccepted_reply:",
+        "if self._has_extra_data:",
         ("test_upstream_pool",),
     ),
     Break(
@@ -109,8 +109,8 @@
     Break(
         7,
         "wire/server_connection.py",
-        " and not self._server.shutting_down",
-        "",
+        " and not last and self._request_error is None",
+        " and self._request_error is None",
         ("test_http_server",),
     ),
     Break(
