Skip replies without an id on connections whose replies state ids

A copy without the attempt's id was only recognised by the seal of an earlier reply, so a copy whose first reply the node had not recorded answered the next request.

Upstreams return the id of each attempt. Once a reply on a connection has stated its id, one without it answers nothing there. The new test failed before: ExchangeEnd.REPLY is not None.

--- a/src/sequoiapulley/forward/attempt_history.py
+++ b/src/sequoiapulley/forward/attempt_history.py
@@ -14,11 +14,13 @@
 class AttemptHistory:
     """The last attempts on one connection, with the seals of their replies."""
 
-    __slots__ = ("_seals",)
+    __slots__ = ("_seals", "states_ids")
 
     def __init__(self) -> None:
         """Initialise without attempts."""
         self._seals: dict[RequestId, bytes | None] = {}
+        self.states_ids = False
+        """Whether a reply has stated its attempt's id, so that all further ones should."""
 
     def has_carried(self, attempt: RequestId) -> bool:
         """Returns whether an attempt was sent on the connection."""
--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -92,13 +92,14 @@
         """Returns whether a reply answers the request.
 
         Upstreams return the attempt's id, so that a late reply to an earlier request is detected.
-        A copy of an earlier reply that lacks the id is detected by its seal, which is another one
-        for each request.
+        A copy that lacks the id is detected if an earlier reply on the connection has stated its
+        id, or else by its seal, which is another one for each request.
         """
         attempt = _header(reply.headers, ATTEMPT_ID)
         if attempt is not None:
+            history.states_ids = history.states_ids or attempt == req.id.encode("latin-1")
             return attempt == req.id.encode("latin-1")
-        return not history.has_seal(_header(reply.headers, SEAL))
+        return not history.states_ids and not history.has_seal(_header(reply.headers, SEAL))
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
         """Classifies a complete reply: executed, not executed, wrong upstream or malformed."""
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -142,6 +142,17 @@
         assert found is not None
         self.assertEqual((found.body, found.keep_alive), (b"second", False))
 
+    # Guards against an answer of another request: a late copy of a reply that lacks its id.
+    def test_reply_without_an_id_is_skipped_if_earlier_ones_had_theirs(self) -> None:
+        conn = self.first()
+        copy = reply(b"copy").replace(b"X-Attempt-Id: r1\r\n", b"").replace(b"Seal: ", b"Seal: x")
+        self.assertIsNone(self.exchange("r1", conn, copy))
+        conn.sendall(reply(b"mine", b"r1"))
+        self.loop.settle()
+        found = self.ends["r1"].reply
+        assert found is not None
+        self.assertEqual((found.body, found.keep_alive), (b"mine", False))
+
     # Guards against an order that runs twice: a late copy of its refusal answers its second send.
     def test_attempt_is_not_sent_again_on_a_connection_that_has_carried_it(self) -> None:
         self.pool.connection_limit = 1
