Stop nodes in the soak as the platform does and copy replies

Callers of the incident saw connections that ended without an answer around planned stops, and answers of other requests; the soak could find neither. A stop now ends with SIGKILL after the grace period of the node's settings. New faults: rolling stops, SIGHUP with rewritten settings, slow services, second copies of replies; truncated replies end at a random byte. Callers use a connection until it ends, and some leave it idle for seconds. New checks: requests without an answer around planned work (soak/loss.py), bytes without a request, the seal, status and attempt id of each answer.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -17,15 +17,24 @@
 
 from msgspec import json
 
-from soak.checker import Answer, Passage, ResultChecker
+from soak.checker import Answer, Passage, RequestKind, ResultChecker
+from soak.loss import LostRequest
 from standins.platform_fleet import CALLERS_PORT, DIRECTORY_PORT
 
 HOST: Final = "soak.example"
-DEADLINE_S: Final = 2.0
+DEADLINES_S: Final = (2.0, 3.5)
+ROUTE_TIMEOUT_S: Final = 3.5
 ANSWER_GRACE_S: Final = 1.5
 """Time for which the caller still waits for an answer after the deadline."""
 CONNECT_TIMEOUT_S: Final = 1.0
-MERGED_REQUEST_SHARE: Final = 0.7
+KIND_WEIGHTS: Final = {
+    RequestKind.MERGED: 5,
+    RequestKind.SINGLE: 2,
+    RequestKind.NON_IDEMPOTENT: 3,
+}
+SURPLUS_WAIT_S: Final = 0.001
+SURPLUS_BYTES: Final = 4_096
+HTTP_START: Final = b"HTTP/1.1 "
 EXCHANGE_ERRORS: Final = (OSError, IncompleteReadError, LimitOverrunError, ValueError)
 
 
@@ -57,7 +66,7 @@
         self._count = 0
 
     async def run(self, seconds: float, pause: float) -> None:
-        """Sends requests with exponentially distributed pauses.
+        """Sends requests with pauses of random length.
 
         Args:
             seconds: Duration.
@@ -66,40 +75,54 @@
         end = get_running_loop().time() + seconds
         while get_running_loop().time() < end:
             await self._send_one()
-            await sleep(self._random.expovariate(1.0 / pause))
+            await sleep(self._random.uniform(0.0, 2.0 * pause))
         self._close_connection()
 
     async def _send_one(self) -> None:
         """Sends one request, then records its outcome and checks its answer."""
         self._count += 1
         request = f"{self._name}-{self._count}"
-        merged = self._random.random() < MERGED_REQUEST_SHARE
-        if not merged:
+        kind = self._random.choices(tuple(KIND_WEIGHTS), tuple(KIND_WEIGHTS.values()))[0]
+        deadline = self._random.choice(DEADLINES_S)
+        if kind is RequestKind.NON_IDEMPOTENT:
             self._checker.non_idempotent.add(request)
-        started_at = get_running_loop().time()
+        clock = get_running_loop().time
+        started_at = clock()
         try:
             reader, writer = await self._connection()
-            writer.write(_encode(request, merged))
-            answer = await wait_for(read_answer(reader), DEADLINE_S + ANSWER_GRACE_S)
+        except (*EXCHANGE_ERRORS, TimeoutError):
+            self._checker.record_outcome("no connection", started_at, False)
+            return
+        started_at = clock()
+        try:
+            writer.write(_encode(request, kind, deadline))
+            answer = await wait_for(read_answer(reader), deadline + ANSWER_GRACE_S)
         except TimeoutError:
             self._close_connection()
             self._checker.record_outcome("no answer in time", started_at, False)
             return
-        except EXCHANGE_ERRORS:
+        except (OSError, IncompleteReadError):
             self._close_connection()
             self._checker.record_outcome("connection lost", started_at, False)
+            limit = min(deadline, ROUTE_TIMEOUT_S)
+            self._checker.lost.append(LostRequest(request, self._host, started_at, clock(), limit))
             return
-        self._checker.record_outcome(str(answer.status), started_at, answer.status == 200)
-        self._checker.check_answer(request, merged, answer)
-        ended_at = get_running_loop().time()
-        self._checker.passages[request] = Passage(self._host, started_at, ended_at)
-        if answer.headers.get("connection") == "close":
+        except (LimitOverrunError, ValueError) as exc:
             self._close_connection()
+            self._checker.record_outcome("malformed answer", started_at, False)
+            self._checker.add_violation("an answer is HTTP", request, repr(exc))
+            return
+        self._checker.record_outcome(str(answer.status), started_at, answer.status == 200)
+        self._checker.check_answer(request, kind, answer)
+        self._checker.passages[request] = Passage(self._host, started_at, clock())
+        # A connection that the node says it closes is used until it is closed.
+        await self._check_surplus()
 
     async def _connection(self) -> tuple[StreamReader, StreamWriter]:
         """Returns the open connection, or opens one to a random node of the directory."""
         if get_running_loop().time() >= self._addresses_expire_at:
             await self._refresh_addresses()
+        await self._check_surplus()
         if self._conn is None:
             if not self._addresses:
                 raise ConnectionError("no node address available from the directory")
@@ -108,6 +131,21 @@
             self._host = host
         return self._conn
 
+    async def _check_surplus(self) -> None:
+        """Checks that nothing arrived without a request; drops the connection if it has ended."""
+        if self._conn is None:
+            return
+        try:
+            data = await wait_for(self._conn[0].read(SURPLUS_BYTES), SURPLUS_WAIT_S)
+        except TimeoutError:
+            return
+        except OSError:
+            data = b""
+        self._close_connection()
+        if data and (not data.startswith(HTTP_START) or data.startswith(HTTP_START + b"2")):
+            detail = f"{self._host}: {data[:60]!r}"
+            self._checker.add_violation("an answer has its request", self._name, detail)
+
     async def _refresh_addresses(self) -> None:
         """Queries up to three nodes for the directory; keeps the old addresses if all fail."""
         for host in self._random.sample(self._hosts, min(3, len(self._hosts))):
@@ -142,12 +180,11 @@
             self._conn = None
 
 
-def _encode(request: str, merged: bool) -> bytes:
+def _encode(request: str, kind: RequestKind, deadline: float) -> bytes:
     """Encodes one request as HTTP/1.1."""
-    line = "GET /g/x HTTP/1.1" if merged else "POST /o/x HTTP/1.1"
-    head = f"{line}\r\nHost: {HOST}\r\nX-Attempt-Id: {request}\r\n"
-    head += f"X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
-    if merged:
+    head = f"{kind.value} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {request}\r\n"
+    head += f"X-Deadline-Ms: {int(deadline * 1000)}\r\n"
+    if kind is not RequestKind.NON_IDEMPOTENT:
         return f"{head}\r\n".encode()
     body = f"order {request}".encode()
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -4,11 +4,13 @@
 
 from asyncio import get_running_loop
 from collections import Counter
+from enum import Enum
 from typing import Final
 
 from msgspec import Struct
 
 from sequoiapulley.forward.record_merge import RECORD_BYTES
+from soak.loss import LossFinder, LostRequest, Trouble, Work
 from standins.platform_upstream import PlatformUpstream
 
 TOP_K: Final = 5
@@ -23,6 +25,15 @@
 check uses it."""
 
 
+class RequestKind(Enum):
+    """Kind of a request, with its method and path."""
+
+    MERGED = "GET /g/x"
+    SINGLE = "GET /i/x"
+    """Idempotent request to one service."""
+    NON_IDEMPOTENT = "POST /o/x"
+
+
 class Violation(Struct, frozen=True):
     """One violation of a guarantee."""
 
@@ -70,6 +81,8 @@
         """Ids of the non-idempotent requests, which may run at most once."""
         self.passages: dict[str, Passage] = {}
         """Way of each request that was answered, by its id."""
+        self.lost: list[LostRequest] = []
+        """Requests whose connection ended without a complete answer."""
         self.outcomes: Counter[str] = Counter()
         self.violations: list[Violation] = []
         self.availability_samples: list[tuple[float, bool]] = []
@@ -80,21 +93,36 @@
         self.outcomes[outcome] += 1
         self.availability_samples.append((started_at - self._started_at, served))
 
-    def check_answer(self, request: str, merged: bool, answer: Answer) -> None:
+    def check_answer(self, request: str, kind: RequestKind, answer: Answer) -> None:
         """Checks one answer, and notes a refusal that `check_runs` compares with the runs."""
-        if answer.status in NOT_EXECUTED_STATUSES and not merged:
+        if answer.status in NOT_EXECUTED_STATUSES and kind is RequestKind.NON_IDEMPOTENT:
             self._refused_status[request] = answer.status
         if answer.status == 404:
             self.add_violation("known routes are served", request, "404")
-        if answer.status != 200:
-            return
-        if merged:
+        attempt = answer.headers.get("x-attempt-id", request)
+        if attempt != request:
+            self.add_violation("an answer is of its request", request, attempt)
+        if kind is RequestKind.MERGED and answer.status == 200:
             self._check_merged(request, answer)
             return
         seal = answer.headers.get("x-server-seal", "")
+        if not seal and answer.status != 200:
+            # The node's own failure.
+            return
         served = [u for u in self._upstreams if u.seal(request) == seal]
-        if len(served) != 1 or answer.body != served[0].part(request):
-            self.add_violation("an answer is the upstream's own", request, seal)
+        if len(served) != 1 or answer.status not in served[0].statuses.get(request, ()):
+            detail = f"status {answer.status} with seal {seal!r}"
+            self.add_violation("an answer is the upstream's own", request, detail)
+        elif answer.status == 200 and answer.body != served[0].part(request):
+            self.add_violation("a body is the upstream's own", request, seal)
+
+    def check_lost(self, work: list[Work], trouble: list[Trouble]) -> None:
+        """Checks that nodes didn't drop requests around planned work."""
+        finder = LossFinder(self._upstreams, work, trouble)
+        for lost, detail in finder.find(self.lost):
+            at = round(lost.ended_at - self._started_at, 2)
+            promise = "a request ends with an answer"
+            self.violations.append(Violation(at, promise, lost.request, detail))
 
     def check_runs(self) -> None:
         """Compares the requests that upstreams executed with the answers that callers received."""
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -5,6 +5,7 @@
 from asyncio import Task, create_task, gather, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
 
+from soak.loss import Trouble, Work, WorkKind
 from soak.plan import Fault, FaultKind
 from soak.proxy import FaultProxy, ProxyFault
 from soak.testbed import DRAIN_S, Testbed
@@ -23,12 +24,21 @@
 LEAVE_MARGIN_S = 1.5
 """Time beyond `DRAIN_S` for which an upstream that leaves still serves."""
 LIMIT_PER_S = 5.0
+SLOW_FACTOR = 2.0
+"""Factor of the duration of slow upstreams; their requests outlast a grace period at times."""
+ROLLING_INTERVAL_S = 1.5
+"""Time between the signals to two nodes that are stopped one after another."""
+GRACES_S = (6.0, 6.0, 4.0, 8.0)
+"""Grace periods of rewritten settings."""
+STOP_POLL_S = 0.02
+SLOW_SHARE = 0.4
 STORE_AWAY_S = 0.6
 REWRITE_S = 1.0
 """Time within which operators and upstreams write again after the store was restored."""
 PROXY_FAULTS = {
     FaultKind.UPSTREAM_DELAY: ProxyFault.DELAY,
     FaultKind.UPSTREAM_CUT: ProxyFault.CUT,
+    FaultKind.UPSTREAM_COPIES: ProxyFault.COPY,
 }
 STORE_FAULTS = {
     FaultKind.STORE_DOWN: StoreFaults(down=True),
@@ -52,6 +62,8 @@
         """
         self._testbed = testbed
         self._faults = faults
+        self._stopping: set[str] = set()
+        """Addresses of the nodes that are being stopped."""
 
     async def run(self) -> None:
         """Injects every fault at its scheduled time; returns once all are over."""
@@ -75,18 +87,27 @@
                 testbed.upstreams[index], UPSTREAM_FAULTS[kind], fault.lasts
             )
         elif kind in PROXY_FAULTS:
+            trouble = testbed.note_trouble([testbed.upstreams[index].name])
             await _apply_proxy_fault(testbed.proxies[index], PROXY_FAULTS[kind], fault.lasts)
+            _end(trouble)
         elif kind is FaultKind.STORE_CUT:
             await _apply_proxy_fault(testbed.store_proxy, ProxyFault.CUT_REPLIES, fault.lasts)
         elif kind is FaultKind.NODE_PAUSE:
             testbed.note_disturbed([node])
+            trouble = testbed.note_trouble([node.host])
             node.pause()
             await sleep(fault.lasts)
             node.resume()
             testbed.note_disturbed([node])
+            _end(trouble)
         elif kind is FaultKind.NODE_STOP:
-            testbed.note_disturbed([node])
-            await _stop_and_restart(node)
+            await self._stop_and_restart(node)
+        elif kind is FaultKind.ROLLING_STOP:
+            await self._stop_all()
+        elif kind is FaultKind.NODE_RELOAD:
+            self._reload(node, fault.pick // len(testbed.fleet.nodes))
+        elif kind is FaultKind.UPSTREAM_SLOW:
+            await self._slow_service(testbed.upstreams[index].service, fault.lasts * SLOW_FACTOR)
         elif kind is FaultKind.UPSTREAM_DRAINS:
             testbed.register(testbed.upstreams[index], "draining")
             await sleep(fault.lasts)
@@ -118,8 +139,8 @@
             ),
             FaultKind.STORE_FORGETS: testbed.store.compact_history,
             FaultKind.STORE_SILENT: testbed.store_proxy.silence_open,
-            FaultKind.UPSTREAM_SILENT: testbed.proxies[index].silence_open,
-            FaultKind.UPSTREAM_RESET: testbed.proxies[index].reset_all,
+            FaultKind.UPSTREAM_SILENT: lambda: self._silence(index),
+            FaultKind.UPSTREAM_RESET: lambda: self._reset(index),
             FaultKind.CONFIG_CHANGE: testbed.put_configuration,
             FaultKind.CONFIG_STORM: self._write_config_storm,
             FaultKind.FORGED_ENTRY: lambda: testbed.store.put("servers/forged", b"\xff{"),
@@ -158,7 +179,62 @@
     async def _kill_and_restart(self, nodes: list[FleetNode], pause: float) -> None:
         """Kills nodes and restarts them after a pause in seconds."""
         self._testbed.note_disturbed(nodes)
+        trouble = self._testbed.note_trouble(node.host for node in nodes)
         await _kill_and_restart(nodes, pause)
+        _end(trouble)
+
+    def _silence(self, index: int) -> None:
+        """Silences the open connections to an upstream, which stay so."""
+        self._testbed.note_trouble([self._testbed.upstreams[index].name])
+        self._testbed.proxies[index].silence_open()
+
+    def _reset(self, index: int) -> None:
+        """Resets the open connections to an upstream."""
+        _end(self._testbed.note_trouble([self._testbed.upstreams[index].name]))
+        self._testbed.proxies[index].reset_all()
+
+    async def _slow_service(self, service: str, lasts: float) -> None:
+        """Makes the upstreams of a service slow for `lasts` seconds."""
+        faults = UpstreamFaults(slow=SLOW_SHARE)
+        upstreams = [u for u in self._testbed.upstreams if u.service == service]
+        await gather(*(_apply_upstream_faults(u, faults, lasts) for u in upstreams))
+
+    async def _stop_all(self) -> None:
+        """Stops and restarts all nodes, one after another, while the earlier ones still stop."""
+        tasks = []
+        for node in self._testbed.fleet.nodes:
+            tasks.append(create_task(self._stop_and_restart(node)))
+            await sleep(ROLLING_INTERVAL_S)
+        await gather(*tasks)
+
+    async def _stop_and_restart(self, node: FleetNode) -> None:
+        """Stops a node as the platform does and restarts it; a stop in a stop repeats SIGTERM."""
+        loop = get_running_loop()
+        testbed = self._testbed
+        testbed.note_disturbed([node])
+        process = node.process
+        if process is None or node.host in self._stopping:
+            node.terminate()
+            return
+        self._stopping.add(node.host)
+        end = loop.time() + node.grace
+        testbed.work.append(Work(WorkKind.STOP, node.host, loop.time(), node.grace))
+        node.terminate()
+        while process.poll() is None and loop.time() < end:
+            await sleep(STOP_POLL_S)
+        if node.process is process:
+            node.kill()
+        self._stopping.discard(node.host)
+        if not node.is_running:
+            node.start()
+
+    def _reload(self, node: FleetNode, number: int) -> None:
+        """Rewrites a node's settings and sends SIGHUP; a node that stops keeps its grace period."""
+        grace = GRACES_S[number % len(GRACES_S)]
+        node.write_settings(node.grace if node.host in self._stopping else grace)
+        now = get_running_loop().time()
+        self._testbed.work.append(Work(WorkKind.RELOAD, node.host, now, node.grace))
+        node.reload()
 
     async def _write_config_storm(self) -> None:
         """Writes several configuration versions in quick succession."""
@@ -167,6 +243,12 @@
             await sleep(STORM_INTERVAL_S)
 
 
+def _end(trouble: list[Trouble]) -> None:
+    """Records that faults end now."""
+    for item in trouble:
+        item.ended_at = get_running_loop().time()
+
+
 async def _apply_upstream_faults(
     upstream: PlatformUpstream, faults: UpstreamFaults, lasts: float
 ) -> None:
@@ -195,13 +277,3 @@
     for node in nodes:
         if not node.is_running:
             node.start()
-
-
-async def _stop_and_restart(node: FleetNode) -> None:
-    """Sends SIGTERM to a node and restarts it once its process has exited."""
-    node.terminate()
-    process = node.process
-    while process is not None and process.poll() is None and node.process is process:
-        await sleep(0.05)
-    if not node.is_running:
-        node.start()
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,8 @@
 MAX_FAULT_INTERVAL_S: Final = 1.6
 MIN_FAULT_DURATION_S: Final = 0.5
 MAX_FAULT_DURATION_S: Final = 3.0
+PLANNED_SHARE: Final = 0.4
+"""Share of the faults that are planned work, or slow upstreams, at which it goes wrong."""
 
 
 class FaultKind(Enum):
@@ -22,7 +24,11 @@
     NODE_PAUSE = "node_pause"
     """A node's process is suspended."""
     NODE_STOP = "node_stop"
-    """A node is shut down with SIGTERM and restarted once it has exited."""
+    """A node is shut down with SIGTERM, killed at the end of its grace period and restarted."""
+    ROLLING_STOP = "rolling_stop"
+    """All nodes are shut down and restarted, one after another."""
+    NODE_RELOAD = "node_reload"
+    """A node's settings are rewritten, with another grace period or unchanged, before SIGHUP."""
     HERD_KILL = "herd_kill"
     """All nodes are killed at the same time and restarted."""
     STORE_DOWN = "store_down"
@@ -47,6 +53,10 @@
     """Open connections to an upstream stop forwarding data; new connections work."""
     UPSTREAM_RESET = "upstream_reset"
     """Open connections to an upstream are reset once."""
+    UPSTREAM_SLOW = "upstream_slow"
+    """The upstreams of a service take seconds for a share of the requests."""
+    UPSTREAM_COPIES = "upstream_copies"
+    """A share of an upstream's replies arrive twice, whole or in part."""
     UPSTREAM_REFUSES = "upstream_refuses"
     """An upstream refuses a share of the requests before they run."""
     UPSTREAM_FAILS = "upstream_fails"
@@ -72,6 +82,15 @@
     """Another client writes an entry that cannot be decoded."""
 
 
+PLANNED: Final = (
+    FaultKind.NODE_STOP,
+    FaultKind.ROLLING_STOP,
+    FaultKind.NODE_RELOAD,
+    FaultKind.UPSTREAM_SLOW,
+    FaultKind.CONFIG_CHANGE,
+)
+
+
 class Fault(Struct, frozen=True):
     """One scheduled fault."""
 
@@ -98,6 +117,7 @@
     at = MIN_FAULT_INTERVAL_S
     while at < seconds - quiet_period:
         lasts = random.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
-        faults.append(Fault(round(at, 3), random.choice(kinds), lasts, random.randrange(1_000)))
+        kind = random.choice(PLANNED if random.random() < PLANNED_SHARE else kinds)
+        faults.append(Fault(round(at, 3), kind, lasts, random.randrange(1_000)))
         at += random.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S)
     return faults
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -15,11 +15,17 @@
     start_server,
 )
 from enum import Enum
+from random import Random
+from re import IGNORECASE, compile
 from socket import SO_LINGER, SOL_SOCKET
 from struct import pack
 from typing import Final
 
 READ_BYTES: Final = 65_536
+COPIED_SHARE: Final = 0.4
+"""Share of the replies that `ProxyFault.COPY` sends twice."""
+ID_LINE: Final = compile(rb"x-attempt-id:[^\r]*\r\n", IGNORECASE)
+SUCCESS: Final = b"HTTP/1.1 200 "
 
 
 class ProxyFault(Enum):
@@ -32,6 +38,9 @@
     """Data from the server is dropped."""
     CUT = "cut"
     """Data is dropped in both directions."""
+    COPY = "copy"
+    """Some replies are sent twice: at once or after the next request, with or without the attempt's
+    id, whole or cut at a random byte."""
 
 
 class FaultProxy:
@@ -53,6 +62,7 @@
         self.fault = ProxyFault.NONE
         self.delay = 0.0
         """Delay of `ProxyFault.DELAY`, in seconds."""
+        self._random = Random(target_port)
 
     async def open(self) -> None:
         """Listens on a port that the operating system assigns."""
@@ -75,6 +85,20 @@
         for conn in self._connections:
             conn.silent = True
 
+    def copy_reply(self, reply: bytes) -> tuple[bytes, bool]:
+        """Returns the copy of a reply, which may be empty, and whether it is sent late.
+
+        Only copies of a success are cut or lack the id: the beginning of a refusal without it
+        makes a valid refusal of the next reply.
+        """
+        random = self._random
+        if random.random() >= COPIED_SHARE:
+            return b"", False
+        if reply.startswith(SUCCESS):
+            reply = random.choice((reply, ID_LINE.sub(b"", reply)))
+            reply = random.choice((reply, reply[: random.randrange(1, len(reply))]))
+        return reply, random.random() < 0.5
+
     async def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Connects to the server and forwards data in both directions."""
         try:
@@ -99,6 +123,8 @@
         self._client = client
         self._server = server
         self._tasks: list[Task[None]] = []
+        self._late_copy = b""
+        """Copy of a reply that is sent after the next request."""
         self.silent = False
         """Whether all further data is dropped in both directions."""
 
@@ -133,6 +159,7 @@
                     continue
                 writer.write(data)
                 await writer.drain()
+                self._copy(data, replies)
         except (OSError, CancelledError):
             # The connection failed. Aborting the receiving one also ends the other direction.
             writer.transport.abort()
@@ -141,6 +168,19 @@
         if not self._drops(replies):
             writer.close()
 
+    def _copy(self, data: bytes, replies: bool) -> None:
+        """Sends the copy of a reply now, or keeps it until the next request was sent."""
+        if not replies:
+            self._client.write(self._late_copy)
+            self._late_copy = b""
+            return
+        if self._proxy.fault is ProxyFault.COPY:
+            copy, late = self._proxy.copy_reply(data)
+            if late:
+                self._late_copy = copy
+            else:
+                self._client.write(copy)
+
     def _drops(self, replies: bool) -> bool:
         """Returns whether data in this direction is dropped."""
         fault = self._proxy.fault
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,8 +25,8 @@
 RECOVERY_WINDOW_S: Final = 3.0
 """Last part of the quiet period, in which `MIN_SERVED_SHARE` of the requests must be served."""
 MIN_SERVED_SHARE: Final = 0.9
-CALLERS: Final = 6
-MEAN_PAUSE_S: Final = 0.03
+MEAN_PAUSES_S: Final = (*(0.03,) * 6, *(2.5,) * 24)
+"""Mean pause of each caller; those with long ones have connections that are idle during a stop."""
 SEED_RANGE: Final = 1_000_000
 
 
@@ -82,11 +82,13 @@
                 checker,
                 seed + number,
             )
-            for number in range(CALLERS)
+            for number in range(len(MEAN_PAUSES_S))
         ]
-        await gather(*(caller.run(seconds, MEAN_PAUSE_S) for caller in callers))
+        runs = zip(callers, MEAN_PAUSES_S, strict=True)
+        await gather(*(caller.run(seconds, pause) for caller, pause in runs))
         await injection
         checker.check_runs()
+        checker.check_lost(testbed.work, testbed.trouble)
         checker.check_leaves(testbed.disturbed, DRAIN_S)
         served_samples = [
             served
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -4,13 +4,15 @@
 
 from asyncio import Task, create_task, get_running_loop, open_connection, sleep
 from collections import Counter
+from collections.abc import Iterable
 from pathlib import Path
 from shutil import copy
 from typing import Final
 
 from msgspec import json
 
-from soak.caller import HOST, read_answer
+from soak.caller import HOST, ROUTE_TIMEOUT_S, read_answer
+from soak.loss import Trouble, Work
 from soak.proxy import FaultProxy
 from standins.platform_fleet import READY_PORT, FleetNode, FleetSettings, PlatformFleet
 from standins.platform_upstream import PlatformUpstream
@@ -60,6 +62,10 @@
         self.version = VERSION_BEFORE_FIRST
         self.disturbed: list[tuple[str, float]] = []
         """Hosts of the nodes that were killed, stopped or paused, each with the time."""
+        self.work: list[Work] = []
+        """Planned work on the nodes."""
+        self.trouble: list[Trouble] = []
+        """Faults of the nodes and of the links to the upstreams."""
         self._born: Counter[str] = Counter()
         self._states: dict[str, str] = {}
         self._configuration = b""
@@ -128,6 +134,13 @@
         now = get_running_loop().time()
         self.disturbed.extend((node.host, now) for node in nodes)
 
+    def note_trouble(self, names: Iterable[str]) -> list[Trouble]:
+        """Records that a fault of nodes or upstreams begins now; the caller sets its end."""
+        now = get_running_loop().time()
+        begun = [Trouble(name, now) for name in names]
+        self.trouble.extend(begun)
+        return begun
+
     async def _copy_store(self) -> None:
         """Makes copies of the store until it is cancelled."""
         while True:
@@ -140,7 +153,9 @@
         The service of the non-idempotent route alternates between the versions.
         """
         self.version += 2
-        base = {"host": HOST, "timeout_ms": 2_000, "goal_ms": 300, "max_attempts": 2}
+        timeout = int(ROUTE_TIMEOUT_S * 1_000)
+        base = {"host": HOST, "timeout_ms": timeout, "goal_ms": 300, "max_attempts": 2}
+        single = {"name": "i", "prefix": "/i/", "type": "idempotent", "service": SHARDS[1]}
         merged = {
             "name": "g",
             "prefix": "/g/",
@@ -158,7 +173,7 @@
         }
         config = {
             "version": self.version,
-            "routes": [{**base, **merged}, {**base, **non_idempotent}],
+            "routes": [{**base, **merged}, {**base, **single}, {**base, **non_idempotent}],
         }
         self._configuration = json.encode(config)
         self.store.put("op/config", self._configuration)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -4,9 +4,10 @@
 
 import sys
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from subprocess import Popen
 from tempfile import TemporaryDirectory
+from time import monotonic
 from typing import Final
 
 from msgspec import Struct
@@ -19,6 +20,8 @@
 HEARTBEAT_PORT: Final = 7380
 METRICS_PORT: Final = 9464
 STOP_TIMEOUT_S: Final = 10.0
+START_TIME_S: Final = 2.0
+"""Time after the start of a process from which it handles SIGHUP, which ends it before."""
 
 
 class FleetSettings(Struct, frozen=True):
@@ -31,6 +34,7 @@
     failure_domains: dict[str, str]
     """Region of each failure domain."""
     grace: float = 6.0
+    """Seconds between SIGTERM and SIGKILL, until the settings of a node are rewritten."""
     older: Path | None = None
     """Checkout of an older build; every second node starts with it, and each restart of a node
     changes its build. None for the same build on all nodes."""
@@ -56,10 +60,21 @@
         self.region = shape.failure_domains[failure_domain]
         self.log = folder / f"{self.name}.log"
         self.process: Popen[bytes] | None = None
+        self.grace = shape.grace
+        """Seconds between SIGTERM and SIGKILL in its settings."""
+        self._started_at = 0.0
+        self._shape = shape
         self._older = shape.older
         self._runs_older = number % 2 == 0
         self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text(_settings_text(shape, self), encoding="utf-8")
+        self.write_settings(shape.grace)
+
+    def write_settings(self, grace: float) -> None:
+        """Replaces the settings file; `grace` are the seconds between SIGTERM and SIGKILL."""
+        self.grace = grace
+        new = self._settings.with_suffix(".new")
+        new.write_text(_settings_text(self._shape, self), encoding="utf-8")
+        new.replace(self._settings)
 
     @property
     def is_running(self) -> bool:
@@ -77,6 +92,7 @@
         """Starts the process, with the other build than before if there are two."""
         root = self._older if self._older is not None and self._runs_older else ROOT
         self._runs_older = not self._runs_older
+        self._started_at = monotonic()
         with self.log.open("ab") as log:
             self.process = Popen(
                 [sys.executable, "deploy/node.py", "--metrics-port", str(METRICS_PORT)],
@@ -95,6 +111,11 @@
         """Starts a graceful shutdown with SIGTERM."""
         self.send_signal(SIGTERM)
 
+    def reload(self) -> None:
+        """Sends SIGHUP, unless the process is still starting."""
+        if monotonic() > self._started_at + START_TIME_S:
+            self.send_signal(SIGHUP)
+
     def kill(self) -> None:
         """Kills the process with SIGKILL and waits for its exit."""
         self.send_signal(SIGKILL)
@@ -163,7 +184,7 @@
 cpu_share = 1.0
 cores = 1
 [bounds]
-grace_s = {shape.grace}
+grace_s = {node.grace}
 retry_ratio = 0.2
 retry_window_s = 10
 retry_slack = 200
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -17,6 +17,10 @@
 RECORDS_PER_PART: Final = 8
 
 SEAL_PREFIX: Final = "seal"
+MIN_SLOW_S: Final = 1.0
+MAX_SLOW_S: Final = 3.0
+MAX_CUT_BYTES: Final = 240
+"""Number of bytes at which a truncated reply ends at the latest, which is within its body."""
 CRASHED_S: Final = 0.6
 """Time for which a crashed upstream refuses connections."""
 
@@ -26,6 +30,8 @@
 
     work: float = 0.003
     """Service time of a request in seconds."""
+    slow: float = 0.0
+    """Share of requests, 0 to 1, whose service time is `MIN_SLOW_S` to `MAX_SLOW_S`."""
     refuse: float = 0.0
     """Share of requests, 0 to 1, refused before they run."""
     lose: float = 0.0
@@ -82,6 +88,14 @@
         marks the beginning of each announcement."""
         self.reports = 0
         """Number of records that were returned, which is the number in the last one."""
+        self.received: set[str] = set()
+        """Attempt ids of all requests that arrived."""
+        self.broken_off: set[str] = set()
+        """Attempt ids of the requests that had no complete reply, as a fault made it end early."""
+        self.statuses: dict[str, set[int]] = {}
+        """Statuses of the signed replies to each request, by attempt id."""
+        self.last_run_ended_at: dict[str, float] = {}
+        """Event-loop time at the end of the last run of each request, by attempt id."""
         self.last_run_at: dict[str, float] = {}
         """Event-loop time at the start of the last run of each request, by attempt id."""
         self._random = Random(seed)
@@ -157,6 +171,7 @@
             return Response(200, b"", (("x-instance-id", self.name),))
         attempt = request.headers.get("x-attempt-id", "")
         self.arrivals.append(get_running_loop().time())
+        self.received.add(attempt)
         echo: tuple[tuple[str, str], ...] = (
             ("x-attempt-id", attempt),
             ("x-server-load", "1,0,4"),
@@ -176,11 +191,32 @@
         self.runs[attempt] += 1
         self.last_run_at[attempt] = get_running_loop().time()
         self.requests[attempt] = (request.method, request.path, request.body)
+        self.last_run_ended_at.pop(attempt, None)
         try:
-            await sleep(3_600.0 if self.faults.silent else self.faults.work)
+            await sleep(self._service_time())
         except CancelledError:
             # The caller closed its connection. A real upstream would stop the run as well.
             raise
+        finally:
+            self.last_run_ended_at[attempt] = get_running_loop().time()
+        response = self._respond(request, attempt, echo)
+        if response.drop or response.cut_to is not None or response.endless is not None:
+            self.broken_off.add(attempt)
+        self.statuses.setdefault(attempt, set()).add(response.status)
+        return response
+
+    def _service_time(self) -> float:
+        """Returns the service time of the next request in seconds."""
+        if self.faults.silent:
+            return 3_600.0
+        if self._random.random() < self.faults.slow:
+            return self._random.uniform(MIN_SLOW_S, MAX_SLOW_S)
+        return self.faults.work
+
+    def _respond(
+        self, request: Request, attempt: str, echo: tuple[tuple[str, str], ...]
+    ) -> Response:
+        """Returns the reply to a request that ran, applying the faults."""
         if request.path == self.faults.crash_path:
             self._crash()
             return Response(0, drop=True)
@@ -191,6 +227,7 @@
             return Response(200, b"", sealed, endless=self.faults.endless)
         if self._random.random() < self.faults.fail:
             return Response(500, b"failed", sealed)
-        # The head is longer than 90 bytes, so that a truncated reply ends within its head.
-        cut = 90 if self._random.random() < self.faults.cut else None
+        cut = None
+        if self._random.random() < self.faults.cut:
+            cut = self._random.randrange(1, MAX_CUT_BYTES)
         return Response(200, self.part(attempt), sealed, cut_to=cut)
