--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -32,10 +32,10 @@
     "cut_off": "The node was cut off from all upstreams, and no other node served the request.",
     "quarantined": "The same request has crashed upstreams one after the other, so that all nodes "
     "refuse it. Status 503 means that it has not run this time.",
-    "shutdown_near": "The node was shutting down, and the request came so late that its answer might "
-    "not have come in time. The request has not run; another node serves it.",
-    "shutdown": "The node was shutting down, and the upstreams had not answered shortly before the "
-    "end of its grace period. Status 503 means that the request has not run.",
+    "shutdown_near": "The node was shutting down, and the request came so late that its answer "
+    "might not have come in time. The request has not run; another node serves it.",
+    "shutdown": "The node was shutting down, and the upstreams had not answered shortly before "
+    "the end of its grace period. Status 503 means that the request has not run.",
 }
 
 
