Accept the refusal of a request that has no id

An upstream refuses a request without an attempt's id, and that refusal has none either. Since it was skipped on a connection whose earlier replies had stated ids, and the request ended at its time limit. A reply must state an id only if the request has one. The new test failed before: None is not ExchangeEnd.NOT_RUN.

--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -93,13 +93,15 @@
 
         Upstreams return the attempt's id, so that a late reply to an earlier request is detected.
         A copy that lacks the id is detected if an earlier reply on the connection has stated its
-        id, or else by its seal, which is another one for each request.
+        id, or else by its seal, which is another one for each request. Upstreams refuse a request
+        without an id, and that refusal has none either.
         """
         attempt = _header(reply.headers, ATTEMPT_ID)
         if attempt is not None:
             history.states_ids = history.states_ids or attempt == req.id.encode("latin-1")
             return attempt == req.id.encode("latin-1")
-        return not history.states_ids and not history.has_seal(_header(reply.headers, SEAL))
+        missing = history.states_ids and bool(req.id)
+        return not missing and not history.has_seal(_header(reply.headers, SEAL))
 
     def classify(self, reply: ParsedReply) -> ExchangeReply:
         """Classifies a complete reply: executed, not executed, wrong upstream or malformed."""
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -64,7 +64,7 @@
 
     def send(self, name: str = "r1", may_reuse_idle: bool = True) -> Exchange:
         now = self.loop.clock.now()
-        headers = ((b"X-Attempt-Id", name.encode()),)
+        headers = ((b"X-Attempt-Id", name.encode()),) if name else ()
         req = CallerRequest(RequestId(name), b"GET", b"/x?y", "h", headers, b"", 1.0, now)
         exchange = Exchange(req, now + 1.0, may_reuse_idle, self._recorder(name))
         self.exchanges[name] = exchange
@@ -153,6 +153,13 @@
         assert found is not None
         self.assertEqual((found.body, found.keep_alive), (b"mine", False))
 
+    # Guards against a refusal that is waited for: upstreams refuse a request without an id.
+    def test_reply_to_a_request_without_an_id_has_none(self) -> None:
+        conn = self.first()
+        refusal = reply(extra=b"X-Not-Executed: 1\r\n").replace(b"200 OK", b"400 Bad Request")
+        refusal = refusal.replace(b"X-Attempt-Id: r1\r\n", b"").replace(SEAL, b"")
+        self.assertIs(self.exchange("", conn, refusal), ExchangeEnd.NOT_RUN)
+
     # Guards against an order that runs twice: a late copy of its refusal answers its second send.
     def test_attempt_is_not_sent_again_on_a_connection_that_has_carried_it(self) -> None:
         self.pool.connection_limit = 1
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -45,7 +45,7 @@
     Break(
         3,
         "platform/platform_contract.py",
-        "return not history.states_ids and not history.has_seal(_header(reply.headers, SEAL))",
+        "return not missing and not history.has_seal(_header(reply.headers, SEAL))",
         "return True",
         ("test_upstream_pool",),
     ),
