Answer requests of a stopping node that were received in part

The last answer of a connection closed it although a further request had been received in part; what came then was dropped. The connection is kept until that request is answered. Found by review. The new test failed before: the connection ended after the first answer.

--- a/src/sequoiapulley/wire/server_connection.py
+++ b/src/sequoiapulley/wire/server_connection.py
@@ -186,8 +186,9 @@
             return
         self._current = None
         self._timeout_start = self._server.reactor.clock.now()
-        # Requests that were received before the last answer are answered, too.
-        last = self._server.shutting_down and not self._queue
+        # Requests that were received before the last answer, also in part, are answered, too.
+        received = bool(self._queue) or self._parser.in_message
+        last = self._server.shutting_down and not received
         persistent = req.parsed.keep_alive and not last and self._request_error is None
         self._closing = not persistent
         if self._closing:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -168,6 +168,17 @@
         self.assertEqual((data.count(b"HTTP/1.1 200"), data[-5:]), (3, b"<end>"))
         self.assertEqual(data.count(b"Connection: close"), 1)
 
+    # Guards against a request that was received in part and is dropped by the answer before it.
+    def test_server_that_shuts_down_answers_a_request_received_in_part(self) -> None:
+        sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHo")
+        self.server.shutting_down = True
+        self.answer(0)
+        self.assertNotIn(b"<end>", self.received(sock))
+        sock.sendall(b"st: h\r\n\r\n")
+        self.loop.settle()
+        self.answer(1)
+        self.assertEqual(self.received(sock)[-5:], b"<end>")
+
     # Guards against an answer that a reset destroys, as its connection is closed with unread data.
     def test_connection_that_is_closing_is_left_to_its_caller(self) -> None:
         sock = self.connect(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
