Stop at the end of the grace period by a timer of its own

It has a timer now. A new grace period that is read during the shutdown no longer moves the end, as the platform measures the one that applied at its signal. The node also waits until its replies to other nodes are acknowledged, within that time.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -84,7 +84,7 @@
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.observe.metric import Metric
 from sequoiapulley.observe.metrics import CONFIG_VERSION, IN_FLIGHT, UPTIME_SECONDS
-from sequoiapulley.runtime import SystemClock, TimerHandle, TimerQueue
+from sequoiapulley.runtime import SystemClock, TimerQueue
 from sequoiapulley.runtime.heap_freeze import freeze_initial_heap
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.http_connection import ReplyBounds
@@ -159,8 +159,6 @@
         self._settings_task = SettingsTask(cfg, watch, self._timers, log, self._on_settings)
         self._lifecycle = NodeLifecycle()
         self._running = True
-        self._shutdown_timer: TimerHandle | None = None
-        """Ends all requests of a node that shuts down."""
         self._roles = (False, False)
         """Whether this node is an entry node, and whether it is the store reader."""
         self._started_at = self._clock.now()
@@ -283,9 +281,10 @@
             cfg.most_entry_ttl,
         )
         self._callers_server = self._listen(cfg.callers, self._on_caller_request)
-        self._other_servers = [
-            self._listen(cfg.peers, self._on_peer_request, ServerLimits(quick_acks=True))
-        ]
+        self._peer_server = self._listen(
+            cfg.peers, self._on_peer_request, ServerLimits(quick_acks=True)
+        )
+        self._other_servers = [self._peer_server]
         for address in (cfg.readiness, cfg.directory):
             if address is not None:
                 self._other_servers.append(self._listen(address, self._entry_port.serve))
@@ -357,13 +356,6 @@
             now, self._settings_task.cfg.grace, len(self._callers_server.connections)
         ):
             self._close_callers()
-        leaving = self._lifecycle.state is NodeState.LEAVING
-        if (
-            self._running
-            and leaving
-            and self._lifecycle.must_stop(now, self._settings_task.cfg.grace)
-        ):
-            self._stop()
 
     def _check_contact(self) -> None:
         """Checks the links to the upstreams if cut-off peers may need this node."""
@@ -469,8 +461,6 @@
         self._sources.seeds = cfg.seeds
         self._directory.drain = cfg.drain
         self._entry_port.max_ttl = cfg.most_entry_ttl
-        if self._lifecycle.state is NodeState.LEAVING:
-            self._schedule_shutdown_end()
 
     def _on_scrape(self, req: ServerRequest) -> None:
         """Answers a metrics scrape; the first one loads the metrics library."""
@@ -518,16 +508,20 @@
         self._callers_server.close_idle()
         in_flight = self._forwarder.in_flight + self._parts_port.in_flight
         # Open connections are busy, or closing with an answer that is on its way.
-        if not in_flight and not self._callers_server.connections:
+        is_delivered = not self._callers_server.connections and not self._peer_server.undelivered
+        if not in_flight and is_delivered:
             self._stop()
 
     def _schedule_shutdown_end(self) -> None:
-        """Sets the time at which this node, which shuts down, answers all open requests."""
-        if self._shutdown_timer is not None:
-            self._shutdown_timer.cancel()
-        end = self._lifecycle.answer_end(self._settings_task.cfg.grace)
+        """Sets when this node, which shuts down, answers all open requests, and when it stops.
+
+        The platform measures the grace period that applied when it sent the signal.
+        """
+        grace = self._settings_task.cfg.grace
+        end = self._lifecycle.answer_end(grace)
         self._forwarder.shutdown_end = end
-        self._shutdown_timer = self._timers.call_at(end, self._end_requests)
+        self._timers.call_at(end, self._end_requests)
+        self._timers.call_at(self._lifecycle.stop_end(grace), self._stop)
 
     def _end_requests(self) -> None:
         """Answers all open requests, as the node would be terminated while they wait."""
@@ -537,6 +531,8 @@
 
     def _stop(self) -> None:
         """Ends the event loop and closes every port."""
+        if not self._running:
+            return
         self._running = False
         self._log.log(
             NODE_STOPPED,
--- a/src/sequoiapulley/daemon/node_lifecycle.py
+++ b/src/sequoiapulley/daemon/node_lifecycle.py
@@ -51,14 +51,13 @@
         """
         return self._shutdown_started_at + ANSWER_FRACTION * grace
 
-    def must_stop(self, now: float, grace: float) -> bool:
-        """Returns whether a node that shuts down must stop before it is terminated.
+    def stop_end(self, grace: float) -> float:
+        """Returns the clock reading at which a node that shuts down stops, whatever is open.
 
         Args:
-            now: Clock reading in seconds.
             grace: Seconds between the signal to stop and the forced termination.
         """
-        return now - self._shutdown_started_at >= STOP_FRACTION * grace
+        return self._shutdown_started_at + STOP_FRACTION * grace
 
     def may_stop_accepting(self, now: float, grace: float, connections: int) -> bool:
         """Returns whether the node is shutting down and may stop accepting callers.
