Drop the trailers of chunked requests and replies

Cause: both parsers stored a trailer, which follows the last chunk of a body, among the headers. A trailer `X-Attempt-Id` or `X-Server-Seal` was then forwarded as if the head had stated it.

Change: headers that arrive after the end of the head are dropped, in the reply parser of both programs and in the request parser of the forwarding node.

--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -66,6 +66,7 @@
         "_expected_body_bytes",
         "_has_extra_data",
         "_has_unaccepted_reply",
+        "_head_complete",
         "_headers",
         "_max_body_bytes",
         "_max_header_bytes",
@@ -104,6 +105,8 @@
         self._done: ParsedReply | None = None
         self._accepts: Callable[[ParsedReply], bool] | None = None
         self._has_unaccepted_reply = False
+        self._head_complete = False
+        """Whether the headers have ended, so that further ones are trailers."""
         self._unframed = False
 
     def expect(self, accepts: Callable[[ParsedReply], bool] | None) -> None:
@@ -209,19 +212,22 @@
         if self._done is not None:
             raise ValueError("more bytes follow the reply")
         self._reason = b""
+        self._head_complete = False
 
     def on_status(self, part: bytes) -> None:
         """Stores a part of the reason phrase."""
         self._reason += part
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header."""
+        """Stores one header; drops a trailer, which must not replace or add to the headers."""
         if PROTOCOL in value:
             _refuse_status_line(value)
-        self._headers.append((name.lower(), value))
+        if not self._head_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Records whether the body ends with the connection; refuses a length over the limit."""
+        self._head_complete = True
         if PROTOCOL in self._reason:
             _refuse_status_line(self._reason)
         status = self._parser.get_status_code()
--- a/src/sequoiapulley/wire/request_parser.py
+++ b/src/sequoiapulley/wire/request_parser.py
@@ -49,6 +49,7 @@
         "_body",
         "_body_bytes",
         "_done",
+        "_head_complete",
         "_headers",
         "_max_body_bytes",
         "_max_header_bytes",
@@ -71,6 +72,8 @@
         self._max_body_bytes = max_body_bytes
         self._parser = HttpRequestParser(self)
         self._target = b""
+        self._head_complete = False
+        """Whether the headers have ended, so that further ones are trailers."""
         self._headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -119,6 +122,7 @@
         """Starts a new request."""
         self.in_message = True
         self._target = b""
+        self._head_complete = False
         self._headers = []
         self._body = []
         self._body_bytes = 0
@@ -129,11 +133,17 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores one header."""
+        """Stores one header; drops a trailer, which must not replace or add to the headers."""
+        if self._head_complete:
+            return
         self._headers.append((name, value))
         if name.lower() == b"expect" and value.lower() == b"100-continue":
             self.expects_continue = True
 
+    def on_headers_complete(self) -> None:
+        """Ends the headers."""
+        self._head_complete = True
+
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body."""
         self.expects_continue = False
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
 from socket import create_connection, socket
 from unittest import TestCase
 
@@ -239,6 +240,20 @@
         self.assertEqual([req.body for req in found], bodies)
         self.assertFalse(parser.in_message)
 
+    # Guards against a request whose id or time limit was replaced after its body.
+    @given(st.lists(st.integers(1, 120), max_size=3))
+    def test_trailer_is_no_header(self, cuts: list[int]) -> None:
+        trailer = b"0\r\nX-Attempt-Id: other\r\nExpect: 100-continue\r\n\r\n"
+        first = _encode(b"ab", True).removesuffix(b"0\r\n\r\n") + trailer
+        stream = first + _encode(b"cd", True)
+        parser = RequestParser(1_024, 100)
+        found = []
+        for start, end in pairwise(sorted({0, len(stream), *cuts})):
+            found.extend(parser.feed(stream[start:end]))
+        names = [[name for name, _ in req.headers] for req in found]
+        self.assertEqual(names, [[b"Host", b"Transfer-Encoding"]] * 2)
+        self.assertFalse(parser.expects_continue)
+
     @given(st.binary(max_size=300))
     def test_arbitrary_bytes_give_requests_or_an_error(self, data: bytes) -> None:
         parser = RequestParser(200, 100)
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -102,6 +102,16 @@
         replies, _ = feed(b"HTTP/1.1 100 x\r\n\r\n" + encode(200, b"ab", False), [25])
         self.assertEqual([reply.body for reply in replies], [b"ab"])
 
+    # Guards against a reply whose headers were added or replaced after its body.
+    @given(st.lists(st.integers(0, 999), max_size=3))
+    def test_trailer_is_no_header(self, cuts: list[int]) -> None:
+        trailer = b"0\r\nX-Load: 1.0\r\nX-Server-Seal: other\r\n\r\n"
+        stream = encode(200, b"ab", True).removesuffix(b"0\r\n\r\n") + trailer
+        replies, _ = feed(stream, cuts)
+        names = [name for name, _ in replies[0].headers]
+        self.assertEqual(names, [b"x-load", b"transfer-encoding"])
+        self.assertEqual((replies[0].body, replies[0].keep_alive), (b"ab", True))
+
     # Guards against a reply that begins with bytes left over from the one before it.
     @given(st.sampled_from(FURTHER_BYTES), st.integers(0, 999), st.lists(st.integers(0, 999)))
     def test_any_byte_after_a_reply_ends_the_use_of_the_connection(
