Refuse interim replies that state a body

Cause: an interim (1xx) reply ends with its head. If it states a body, the bytes of that body were parsed as the next reply, so a reply inside of it answered the exchange.

Change: such a reply is not valid HTTP; the exchange ends as malformed and its connection closes.

Both programs use this parser.

--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -231,7 +231,10 @@
         if PROTOCOL in self._reason:
             _refuse_status_line(self._reason)
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS or status in BODYLESS_STATUSES:
+        if status < FIRST_FINAL_STATUS:
+            _refuse_interim_body(self._headers)
+            return
+        if status in BODYLESS_STATUSES:
             return
         self._unframed = True
         for name, value in self._headers:
@@ -300,3 +303,14 @@
     """
     if STATUS_LINE.search(text) is not None:
         raise ValueError("a reply begins within the head of another one")
+
+
+def _refuse_interim_body(headers: list[tuple[bytes, bytes]]) -> None:
+    """Refuses an interim reply that states a body, whose bytes would be read as the next reply.
+
+    Raises:
+        ValueError: If the headers state a body; the HTTP parser passes it on.
+    """
+    for name, value in headers:
+        if name == b"transfer-encoding" or (name == b"content-length" and value != b"0"):
+            raise ValueError(f"an interim reply states a body: {name.decode('latin-1')}")
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -102,6 +102,15 @@
         replies, _ = feed(b"HTTP/1.1 100 x\r\n\r\n" + encode(200, b"ab", False), [25])
         self.assertEqual([reply.body for reply in replies], [b"ab"])
 
+    # Guards against an answer that is the body of an interim reply.
+    @given(st.lists(st.integers(0, 999), max_size=3))
+    def test_interim_reply_with_a_body_is_refused(self, cuts: list[int]) -> None:
+        inner = encode(200, b"inner", False)
+        for stated in (b"Content-Length: %d" % len(inner), b"Transfer-Encoding: chunked"):
+            stream = b"HTTP/1.1 102 x\r\n%b\r\n\r\n" % stated + inner
+            with self.assertRaisesRegex(ReplyError, "interim"):
+                feed(stream + encode(200, b"own", False), cuts)
+
     # Guards against a reply whose headers were added or replaced after its body.
     @given(st.lists(st.integers(0, 999), max_size=3))
     def test_trailer_is_no_header(self, cuts: list[int]) -> None:
