Look for unread bytes on a connection before it carries the next request

Cause: bytes that reach an idle connection close it once the reactor reads them. A request that was sent before that read took them for the beginning of its reply: a further reply without an id answered another caller's request, and the clients of the store and of nodes, which match replies by their order, took a second copy for the reply to the next call.

Change: a connection that has had a reply is used again only if its socket holds neither bytes nor a close; otherwise it is closed and another one is used. This holds in the pools of both programs and in `HttpClient`. New connections are not checked: one that is closed at once is a failed request, as before, and not a reason to open the next one.

--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -226,6 +226,9 @@
             history = self._histories.get(conn)
             if history is not None and history.has_carried(exchange.req.id):
                 continue
+            if conn.has_input:
+                self._discard(conn)
+                continue
             self._idle.remove(conn)
             return conn
         return None
--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -105,7 +105,7 @@
             pending.submitted_at = self._clock.now()
             pending.suspect = longest_unanswered(self.conns)
             self.queue.fresh.append(pending)
-        elif not self.idle or self.queue.normal:
+        elif self.queue.normal or not self._drop_unusable_idle():
             self.queue.normal.append(pending)
         elif request.path == RUN_PATH and not self._was_recently_used(self.idle[-1]):
             # The upstream may be closing the connection; it would then be unknown whether the
@@ -209,7 +209,7 @@
     def pump(self) -> None:
         """Sends queued requests on idle connections and opens connections for the others."""
         queue = self.queue
-        while queue.normal and self.idle:
+        while queue.normal and self._drop_unusable_idle():
             self._start(queue.normal.popleft(), self.idle.pop())
         for _ in range(len(queue) - len(self._connecting)):
             if len(self.conns) >= self.settings.allowance and not self._free_connection_slot():
@@ -224,6 +224,8 @@
         if reply.kind is _MALFORMED:
             self._on_malformed()
             conn.close()
+        elif conn.state is not _CLOSED and conn.has_input:
+            conn.close()
         if conn.state is _CLOSED:
             self._remove(conn)
             self.pump()
@@ -332,6 +334,18 @@
         self._silence.on_abandoned(conn)
         self._discard(conn)
 
+    def _drop_unusable_idle(self) -> bool:
+        """Discards the idle connections in front of the next one that can carry a request.
+
+        Returns:
+            Whether there is one; it is the last one in `idle`.
+        """
+        while self.idle:
+            if not self.idle[-1].has_input:
+                return True
+            self._discard(self.idle[-1])
+        return False
+
     def _was_recently_used(self, conn: HttpConnection) -> bool:
         """Returns whether an idle connection was used within `run_max_idle_s`."""
         return self._clock.now() - conn.last_used <= self._policy.run_max_idle_s
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -278,11 +278,11 @@
     def _pop_idle(self, server: _Server) -> HttpConnection | None:
         """Removes and returns the most recently used idle connection, or None.
 
-        Stale connections that it finds are closed.
+        Connections that it finds stale or with unread bytes are closed.
         """
         while server.idle:
             conn = server.idle.pop()
-            if not self._is_stale(conn):
+            if not self._is_stale(conn) and not conn.has_input:
                 return conn
             server.open.discard(conn)
             conn.close()
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -9,6 +9,7 @@
     AF_INET,
     AF_INET6,
     IPPROTO_TCP,
+    MSG_PEEK,
     SO_ERROR,
     SO_KEEPALIVE,
     SOCK_STREAM,
@@ -176,6 +177,23 @@
         """Which part of the expected reply has been received, for error messages."""
         return self._parser.progress if self._parser.in_message else "no reply"
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes, or a close, have arrived after a reply and were not read yet.
+
+        They belong to no request. False before the first reply: a connection that is closed at
+        once must be reported as failed, and not be opened again and again.
+        """
+        if not self.replies:
+            return False
+        try:
+            self._sock.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     def send(self, data: bytes, accepts: Callable[[ParsedReply], bool] | None = None) -> None:
         """Sends a complete request on an idle connection.
 
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -67,6 +67,21 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    # Guards against a reply of the store or a node that answers the call after its own.
+    def test_bytes_received_before_a_call_do_not_answer_it(self) -> None:
+        self.call()
+        conn = self.server.accept()
+        conn.recv(RECEIVE_BYTES)
+        conn.sendall(reply_bytes(1))
+        self.loop.settle()
+        conn.sendall(reply_bytes(1))
+        self.call()
+        self.loop.settle()
+        self.assertEqual(len(self.results), 1)
+        self.server.accept().sendall(reply_bytes(2))
+        self.loop.settle()
+        self.assertIn(b'"request_id":2', self.results[-1].unwrap().body)
+
     # Guards against CONFIG of issue 25: reads of a large configuration were cut off and repeated
     # while their replies were arriving.
     def test_reply_that_keeps_arriving_may_take_longer_than_the_timeout(self) -> None:
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -226,6 +226,30 @@
         self.assertNotIn("r2", self.ends)
         self.assertEqual(self.pool.opened, 2)
 
+    # Guards against an answer of another request, unread in the socket when the next one is sent.
+    def test_bytes_received_before_a_request_do_not_answer_it(self) -> None:
+        unnamed = reply(b"copy", b"r1").replace(b"X-Attempt-Id: r1\r\n", b"")
+        self.send("r0")
+        conn = self.accept()
+        conn.sendall(unnamed)
+        self.loop.settle()
+        for number, stray in enumerate((unnamed.replace(b"Seal: s", b"Seal: t"), b"H"), 1):
+            self.accepted[-1].sendall(stray)
+            self.send(f"r{number}")
+            self.assertNotIn(f"r{number}", self.ends)
+            self.accept().sendall(unnamed.replace(b"copy", b"mine"))
+            self.loop.settle()
+            found = self.ends[f"r{number}"].reply
+            assert found is not None
+            self.assertEqual((found.body, self.pool.opened), (b"mine", 1 + number))
+
+    # Guards against a request that fails on a connection which its upstream has already closed.
+    def test_connection_closed_before_a_request_does_not_carry_it(self) -> None:
+        self.first().close()
+        self.send("r1", may_reuse_idle=False)
+        self.assertNotIn("r1", self.ends)
+        self.assertEqual(self.pool.opened, 2)
+
     def test_reply_without_a_length_ends_with_an_orderly_close(self) -> None:
         unframed = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n" + SEAL + b"\r\nall of it"
         for orderly in (True, False):
--- a/tests/test_upstream_transport.py
+++ b/tests/test_upstream_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from random import Random
+from socket import socket
 from unittest import TestCase
 
 from sequoiapulley.ids import ShardId
@@ -12,7 +13,7 @@
 from sequoiapulley.upstream.pool_settings import PoolPolicy
 from standins.upstream_spec import UpstreamSpec
 from standins.upstreams import UpstreamsStandIn
-from tests.wire_support import Loop, Recorder
+from tests.wire_support import Loop, Recorder, ScriptedServer, reply_bytes
 
 
 class UpstreamTransportTest(TestCase):
@@ -116,3 +117,30 @@
         self.assertEqual(sorted(recorder.outcomes), sorted(set(range(400)) - cancelled))
         self.assertGreater(len(set(recorder.losses.values())), 1)
         self.assertLessEqual(self.upstreams.counters("u").peak_connections, 8)
+
+
+class StrayBytesTest(TestCase):
+    """Bytes that follow a reply, on a server whose writes the test controls."""
+
+    def setUp(self) -> None:
+        self.loop = Loop()
+        self.server = ScriptedServer(self.loop)
+        self.addCleanup(self.server.close)
+        self.recorder = Recorder(self.loop, self.server.port, allowance=2)
+        self.addCleanup(self.recorder.transport.close)
+
+    def first(self) -> socket:
+        """Returns a connection that has carried one exchange."""
+        self.recorder.send(1)
+        conn = self.server.accept()
+        conn.sendall(reply_bytes(1))
+        self.recorder.until_outcomes(1)
+        return conn
+
+    # Guards against a reply that is lost to bytes which lay in the socket before the request.
+    def test_bytes_received_before_a_request_do_not_answer_it(self) -> None:
+        self.first().sendall(reply_bytes(1))
+        self.recorder.send(2)
+        self.server.accept().sendall(reply_bytes(2))
+        self.recorder.until_outcomes(2)
+        self.assertEqual(self.recorder.replies[2].kind, ReplyKind.OK)
