Close a connection of sequoiapulleyd whose reply states no id of the request

Cause: a reply with an unlisted status and a body that does not decode counted as the error of the exchange on the connection, which stayed in use. Such a reply may be the late second copy of an earlier one; the reply to the request then followed it, and all later replies were shifted by one place.

Change: replies state whether they contain the id of their request; a connection whose reply does not is closed.

Evidence: `test_connection_with_an_error_that_states_no_id_is_closed` fails on the commit before, which sends the next request on the same connection, and passes now.

--- a/src/sequoiapulley/upstream/connection_pool.py
+++ b/src/sequoiapulley/upstream/connection_pool.py
@@ -223,8 +223,8 @@
         """Assigns the next exchange to a connection whose reply is complete, or makes it idle."""
         if reply.kind is _MALFORMED:
             self._on_malformed()
-            conn.close()
-        elif conn.state is not _CLOSED and conn.has_input:
+        if not reply.identified or conn.has_input:
+            # The reply may be a copy, and the one to this request may follow it.
             conn.close()
         if conn.state is _CLOSED:
             self._remove(conn)
--- a/src/sequoiapulley/upstream/http_contract.py
+++ b/src/sequoiapulley/upstream/http_contract.py
@@ -250,9 +250,9 @@
             snapshot = _parse_snapshot(envelope.snapshot) if envelope.snapshot else None
             available = _parse_snapshots(envelope.available)
         except ValueError:
-            return UpstreamReply(_ERROR if kind is _ERROR else _MALFORMED)
+            return UpstreamReply(_ERROR if kind is _ERROR else _MALFORMED, identified=False)
         if envelope.request_id != exchange_id:
-            return UpstreamReply(_MALFORMED)
+            return UpstreamReply(_MALFORMED, identified=False)
         draining = kind is _DRAINING
         load = None
         for name, value in parsed.headers:
--- a/src/sequoiapulley/upstream/messages.py
+++ b/src/sequoiapulley/upstream/messages.py
@@ -79,6 +79,9 @@
     """Whether the upstream reported that it is draining and accepts no new work."""
     load: float | None = None
     """Load that the upstream reports, 0 to 1; a hint that may be stale or wrong."""
+    identified: bool = True
+    """Whether the reply contains the id of its request, which a late copy of an earlier reply does
+    not."""
 
 
 class LossKind(Enum):
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -184,7 +184,7 @@
         They belong to no request. False before the first reply: a connection that is closed at
         once must be reported as failed, and not be opened again and again.
         """
-        if not self.replies:
+        if not self.replies or self.state is _CLOSED:
             return False
         try:
             self._sock.recv(1, MSG_PEEK)
--- a/tests/test_upstream_transport.py
+++ b/tests/test_upstream_transport.py
@@ -144,3 +144,18 @@
         self.server.accept().sendall(reply_bytes(2))
         self.recorder.until_outcomes(2)
         self.assertEqual(self.recorder.replies[2].kind, ReplyKind.OK)
+
+    # Guards against replies that shift by one: a late copy of an error states no id of a request.
+    def test_connection_with_an_error_that_states_no_id_is_closed(self) -> None:
+        error = b"HTTP/1.1 500 Error\r\ncontent-length: 6\r\n\r\nfailed"
+        conn = self.first()
+        self.recorder.send(2)
+        self.loop.settle()
+        conn.sendall(error)
+        self.recorder.until_outcomes(2)
+        self.assertEqual(self.recorder.replies[2].kind, ReplyKind.ERROR)
+        self.recorder.send(3)
+        second = self.server.accept()
+        second.sendall(reply_bytes(3))
+        self.recorder.until_outcomes(3)
+        self.assertEqual(self.recorder.replies[3].kind, ReplyKind.OK)
