--- a/src/sequoiapulley/daemon/config_task.py
+++ b/src/sequoiapulley/daemon/config_task.py
@@ -213,6 +213,8 @@
 
     def _execute(self, actions: Iterable[ConfigAction]) -> None:
         """Executes actions and sets the timer of the next step."""
-        for action in actions:
-            self._action_handlers[type(action)](action)
-        self._wake_up.rearm()
+        try:
+            for action in actions:
+                self._action_handlers[type(action)](action)
+        finally:
+            self._wake_up.rearm()
--- a/src/sequoiapulley/daemon/fleet_task.py
+++ b/src/sequoiapulley/daemon/fleet_task.py
@@ -147,10 +147,11 @@
 
     def _fetch_vm_list(self) -> None:
         """Fetches the VM list and schedules the next fetch."""
-        self._vm_list.fetch(self._on_vm_list)
+        # The next fetch is scheduled first, so that an unexpected error does not end the series.
         has_no_peers = len(self._membership.members()) == 1
         period = VM_LIST_FIRST_PERIOD_S if has_no_peers else VM_LIST_PERIOD_S
         self._timers.call_later(period * self._random.uniform(0.8, 1.2), self._fetch_vm_list)
+        self._vm_list.fetch(self._on_vm_list)
 
     def _on_vm_list(self, reply: VmListReply) -> None:
         """Passes the list to the membership; logs only the first failure in a row."""
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -326,11 +326,14 @@
         position = self._sources.position
         if position != NO_POSITION and changes.era > position.era:
             self._registration.check_after_restore()
-        self._shared_state.apply_changes(changes, after_outage)
-        self._sources.position = max(self._sources.position, changes.position)
-        self._update_readiness()
-        self._forwarder.serve_pending()
-        self._peer_port.wake()
+        try:
+            self._shared_state.apply_changes(changes, after_outage)
+        finally:
+            # One change that fails must not keep the others from callers and peers.
+            self._sources.position = max(self._sources.position, changes.position)
+            self._update_readiness()
+            self._forwarder.serve_pending()
+            self._peer_port.wake()
 
     def _update_readiness(self) -> None:
         """Applies the active configuration's limits on callers and marks the node as ready."""
--- a/src/sequoiapulley/daemon/leave_task.py
+++ b/src/sequoiapulley/daemon/leave_task.py
@@ -70,10 +70,12 @@
 
     def _poll(self) -> None:
         """Stops the process once nothing is in flight, or when the drain timeout expires."""
+        # The next poll is scheduled first, so that an unexpected error does not end the series.
+        next_poll = self._timers.call_later(POLL_PERIOD_S, self._poll)
         left = self._in_flight()
         if left and self._timers.clock.now() < self._deadline:
-            self._timers.call_later(POLL_PERIOD_S, self._poll)
             return
+        next_poll.cancel()
         if left:
             self._log.log(LEAVE_TIMED_OUT, in_flight=left)
         self._log.log(NODE_STOPPED)
--- a/src/sequoiapulley/daemon/search_task.py
+++ b/src/sequoiapulley/daemon/search_task.py
@@ -177,12 +177,16 @@
 
     def _execute_entry(self, actions: Iterable[SearchAction]) -> None:
         """Executes the entry's actions and sets its timer."""
-        for action in actions:
-            self._action_handlers[type(action)](action)
-        self._entry_wake_up.rearm()
+        try:
+            for action in actions:
+                self._action_handlers[type(action)](action)
+        finally:
+            self._entry_wake_up.rearm()
 
     def _execute_home(self, actions: Iterable[HomeAction]) -> None:
         """Executes the home's actions and sets its timer."""
-        for action in actions:
-            self._action_handlers[type(action)](action)
-        self._home_wake_up.rearm()
+        try:
+            for action in actions:
+                self._action_handlers[type(action)](action)
+        finally:
+            self._home_wake_up.rearm()
--- a/src/sequoiapulley/daemon/upstream_task.py
+++ b/src/sequoiapulley/daemon/upstream_task.py
@@ -165,9 +165,11 @@
 
     def _execute(self, actions: Iterable[Action]) -> None:
         """Executes actions in order and sets the timer of the next step."""
-        for action in actions:
-            self._action_handlers[type(action)](action)
-        self._wake_up.rearm()
+        try:
+            for action in actions:
+                self._action_handlers[type(action)](action)
+        finally:
+            self._wake_up.rearm()
 
 
 def _ignore(_action: Action) -> None:
--- a/src/sequoiapulley/fleet/udp_component.py
+++ b/src/sequoiapulley/fleet/udp_component.py
@@ -201,16 +201,21 @@
         self._execute(self._membership.tick(self._timers.clock.now()))
 
     def _execute(self, actions: list[MembershipAction]) -> None:
-        for action in actions:
-            if isinstance(action, SendDatagram):
-                self._send(action)
-            elif isinstance(action, MemberChanged):
-                self.fire(self.MemberChangedEvent(action.member, action.previous_state))
-            elif isinstance(action, BroadcastReceived):
-                self.fire(self.BroadcastReceivedEvent(action.kind, action.body, action.origin))
-            elif isinstance(action, PeerVersionReceived):
-                self.fire(self.PeerVersionReceivedEvent(action.node, action.version))
-        self._wake_up.rearm()
+        try:
+            for action in actions:
+                self._execute_one(action)
+        finally:
+            self._wake_up.rearm()
+
+    def _execute_one(self, action: MembershipAction) -> None:
+        if isinstance(action, SendDatagram):
+            self._send(action)
+        elif isinstance(action, MemberChanged):
+            self.fire(self.MemberChangedEvent(action.member, action.previous_state))
+        elif isinstance(action, BroadcastReceived):
+            self.fire(self.BroadcastReceivedEvent(action.kind, action.body, action.origin))
+        elif isinstance(action, PeerVersionReceived):
+            self.fire(self.PeerVersionReceivedEvent(action.node, action.version))
 
     def _send(self, action: SendDatagram) -> None:
         signed = self._keys.sign(action.payload, self._timers.clock.now())
--- a/src/sequoiapulley/forward/shared_state.py
+++ b/src/sequoiapulley/forward/shared_state.py
@@ -85,6 +85,9 @@
             changes: The changes.
             after_outage: Whether the changes follow an outage or a restoration of the store, so
                 that a removed entry may have expired or be missing in the copy.
+
+        Raises:
+            ExceptionGroup: If changes could not be applied; all others are.
         """
         if changes.era > self._change_log.position.era:
             self._directory.era = changes.era
@@ -92,8 +95,12 @@
         if changes.whole:
             self._change_log.restart(changes.position)
         revision = changes.revision
+        errors: list[Exception] = []
         for change in changes.changes:
-            self._apply(change, after_outage, revision)
+            try:
+                self._apply(change, after_outage, revision)
+            except Exception as exc:
+                errors.append(exc)
         if changes.whole:
             named = {
                 change.record.name
@@ -103,6 +110,8 @@
             for name in self._directory.names() - named:
                 self._remove(UpstreamRemoval(name, after_outage), revision)
         self._change_log.advance(changes.position)
+        if errors:
+            raise ExceptionGroup(f"changes up to revision {revision} not applied", errors)
 
     def full_state(self, age: float) -> ChangeSet:
         """Returns the full state of this node, for a peer.
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -16,6 +16,7 @@
     STORE_REGAINED,
     STORE_RESTORED,
 )
+from sequoiapulley.forward.pending_read import PendingRead
 from sequoiapulley.forward.state import (
     ChangeSet,
     ChangesReply,
@@ -126,6 +127,7 @@
         """Latest era that began by a restoration, 0 if there was none; earlier state is ignored."""
         self._read_started_at = 0.0
         self._next_read: TimerHandle | None = None
+        self._pending: PendingRead | None = None
         self._plan: ReadPlan | None = None
         self._stopped = False
 
@@ -156,6 +158,8 @@
             self._request()
         except Exception:
             # The feed goes on; the event loop logs the error.
+            if self._pending is not None:
+                self._pending.cancel()
             self._retry()
             raise
 
@@ -163,16 +167,16 @@
         """Requests the state or its changes from the selected source."""
         plan = self._plan = self._choose(self._failures)
         timeout = min(MAX_TIMEOUT_S, INITIAL_TIMEOUT_S * 2**self._failures)
+        read = self._pending = PendingRead(self._timers, lambda reply: self._on_reply(plan, reply))
         if self._needs_full_read or plan.whole:
-            plan.source.read_all(self._exact, timeout, self._on_reply)
+            plan.source.read_all(self._exact, timeout, read.finish)
         else:
             wait = plan.wait if self._held is None else 0.0
-            plan.source.read_changes(self.position, wait, timeout, self._on_reply)
+            plan.source.read_changes(self.position, wait, timeout, read.finish)
 
-    def _on_reply(self, reply: ChangesReply) -> None:
+    def _on_reply(self, plan: ReadPlan, reply: ChangesReply) -> None:
         """Applies the changes of a read, or schedules another read after an error."""
-        plan = self._plan
-        if self._stopped or plan is None:
+        if self._stopped:
             return
         if isinstance(reply, Err):
             self._on_error(plan, reply.err_value)
--- a/src/sequoiapulley/forward/upstream_contact.py
+++ b/src/sequoiapulley/forward/upstream_contact.py
@@ -155,6 +155,9 @@
             return
         upstreams = self._upstreams()
         if len(upstreams) < MIN_SAMPLE:
+            if self.cut_off:
+                # Entries that have expired may return.
+                self._schedule_recheck()
             return
         chosen = self._random.sample(upstreams, min(sample, len(upstreams)))
         check = self._check = _Check(len(chosen))
@@ -183,12 +186,17 @@
         if self.cut_off:
             if check.share >= MIN_SHARE_IF_REGAINED:
                 self._set(False, check)
-                return
-            self._timers.call_later(RECHECK_INTERVAL_S, lambda: self._start_check(RECHECK_SAMPLE))
+            else:
+                self._schedule_recheck()
             return
         if check.share <= MAX_SHARE_IF_CUT_OFF:
+            # Scheduled first, so that an unexpected error does not leave the node cut off.
+            self._schedule_recheck()
             self._set(True, check)
-            self._timers.call_later(RECHECK_INTERVAL_S, lambda: self._start_check(RECHECK_SAMPLE))
+
+    def _schedule_recheck(self) -> None:
+        """Schedules the next check of a node that is cut off."""
+        self._timers.call_later(RECHECK_INTERVAL_S, lambda: self._start_check(RECHECK_SAMPLE))
 
     def _set(self, cut_off: bool, check: _Check) -> None:
         """Changes whether this node is cut off, and logs it."""
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -268,9 +268,14 @@
 def _decode_change(item: KvItem) -> Change | None:
     """Decodes one item that was written."""
     try:
-        return decode_item(item.key, item.content())
+        content = item.content()
     except ValueError as exc:
         return unreadable_entry(item.key, f"value is not base64: {exc}")
+    try:
+        return decode_item(item.key, content)
+    except Exception as exc:
+        # The other entries hold, whatever a decoder does not expect of this one.
+        return unreadable_entry(item.key, f"unexpected error: {exc!r}")
 
 
 def _lease_reply(reply: KvReply | KvWriteReply, lease: LeaseId) -> AnnounceReply:
--- a/src/sequoiapulley/runtime/wake_up.py
+++ b/src/sequoiapulley/runtime/wake_up.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Final
 
 from sequoiapulley.runtime.timer_queue import TimerHandle, TimerQueue
 
+ERROR_PAUSE_S: Final = 0.05
+"""Minimum time from a tick that raised an unexpected error to the next one."""
+
 
 class WakeUpTimer:
     """Calls the tick function of a state machine when it is due.
@@ -38,9 +42,14 @@
         A pending timer with an earlier due time is kept: if no work is due when it fires, it only
         sets the next timer.
         """
+        self._rearm(float("-inf"))
+
+    def _rearm(self, earliest: float) -> None:
+        """Sets the timer to the time of the next work, or to a later one."""
         due = self._next_due()
         if due is None:
             return
+        due = max(due, earliest)
         if self._handle is not None and self._handle.due <= due:
             return
         self.cancel()
@@ -55,7 +64,13 @@
     def _fire(self) -> None:
         """Calls the tick function if work is due, and sets the next timer."""
         self._handle = None
+        now = self._timers.clock.now()
         due = self._next_due()
-        if due is not None and due <= self._timers.clock.now():
-            self._tick()
+        if due is not None and due <= now:
+            try:
+                self._tick()
+            except Exception:
+                # The state machine goes on; the event loop logs the error.
+                self._rearm(now + ERROR_PAUSE_S)
+                raise
         self.rearm()
--- a/src/sequoiapulley/upstream/transport.py
+++ b/src/sequoiapulley/upstream/transport.py
@@ -214,10 +214,11 @@
 
     def _sweep(self) -> None:
         """Sweeps all pools periodically and drops retired ones that are empty."""
+        # The next sweep is scheduled first, so that an unexpected error does not end the series.
+        self._sweep_timer = self._timers.call_later(SWEEP_INTERVAL_S, self._sweep)
         for pool in (*self._pools.values(), *self._retired):
             pool.sweep()
         self._retired = [pool for pool in self._retired if pool.exchanges or pool.conns]
-        self._sweep_timer = self._timers.call_later(SWEEP_INTERVAL_S, self._sweep)
 
     def _check_drained(self) -> None:
         """Reports the end of a drain, or schedules the next check."""
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -294,6 +294,8 @@
 
     def _sweep(self) -> None:
         """Closes stale idle connections and removes servers without connections or calls."""
+        # The next sweep is scheduled first, so that an unexpected error does not end the series.
+        next_sweep = self._sweep_timer = self._timers.call_later(SWEEP_INTERVAL_S, self._sweep)
         for address, server in tuple(self._servers.items()):
             for conn in [conn for conn in server.idle if self._is_stale(conn)]:
                 server.idle.remove(conn)
@@ -301,9 +303,9 @@
                 conn.close()
             if not server.open and not server.waiting:
                 del self._servers[address]
-        self._sweep_timer = None
-        if self._servers:
-            self._sweep_timer = self._timers.call_later(SWEEP_INTERVAL_S, self._sweep)
+        if not self._servers:
+            next_sweep.cancel()
+            self._sweep_timer = None
 
     def _connect(self, server: _Server, host: str, port: int) -> None:
         """Opens a connection; if that fails at once, fails one waiting call by a timer."""
