Give a read of several stale pages the position of the oldest one

Cause: a full read took the revision of its first page. With stale reads a later page may come from an older replica. A removal between the two is in no page, and the watch that follows starts after it, so the node never learns of it. Nodes that read from this one received the entry in a full state whose revision was later than the removal that they had applied themselves, and took the upstream into use again.

Change: the position is that of the oldest page. The changes after it are those that any page lacks, and a full state is not taken for newer than it is: peers that have read further ignore it.

The stand-in of the store has replicas that lag.

--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -173,9 +173,10 @@
 class _RangeRead:
     """Reads all items, page by page.
 
-    The pages are not a consistent snapshot. The result therefore has the revision of the first
-    page, so that the watch that follows reports every change made after it. All pages are of one
-    era: if the store is restored meanwhile, the read starts again.
+    The pages are not a consistent snapshot, and with stale reads a later page may be older than the
+    first one. The result therefore has the revision of the oldest page, so that the watch that
+    follows reports every change that a page lacks. All pages are of one era: if the store is
+    restored meanwhile, the read starts again.
     """
 
     def __init__(
@@ -192,12 +193,12 @@
         self._items: list[KvItem] = []
         self._restarts = 0
 
-    def read_page(self, after: str, first: StorePosition | None) -> None:
+    def read_page(self, after: str, oldest: StorePosition | None) -> None:
         """Requests the page that follows a key.
 
         Args:
             after: Last key that was read; empty for the first page.
-            first: Position of the first page; None when requesting that page.
+            oldest: Position of the oldest page so far; None when requesting the first page.
         """
         path = f"{STORE_RANGE_PATH}?prefix={ALL_KEYS}"
         if not self._exact:
@@ -210,11 +211,13 @@
                 self._done(Err(_source_error(reply.err_value)))
                 return
             page, era = reply.ok_value.body, reply.ok_value.era
-            if first is not None and era != first.era:
-                self._restart(first.era, era)
+            if oldest is not None and era != oldest.era:
+                self._restart(oldest.era, era)
                 return
             self._items.extend(page.items)
-            position = first or StorePosition(era, Revision(page.at))
+            position = StorePosition(era, Revision(page.at))
+            if oldest is not None:
+                position = min(position, oldest)
             if page.has_more and page.items:
                 self.read_page(page.items[-1].key, position)
                 return
--- a/standins/kv_state.py
+++ b/standins/kv_state.py
@@ -40,6 +40,7 @@
     revision: int
     history: list[Item | DeleteEvent]
     compacted_revision: int
+    compacted_items: dict[str, Item]
     next_lease: int
 
 
@@ -55,6 +56,8 @@
         self.history: list[Item | DeleteEvent] = []
         self.compacted_revision = FIRST_REVISION
         """Revision up to which the history has been compacted."""
+        self._compacted_items: dict[str, Item] = {}
+        """Items as of that revision."""
         self.era = FIRST_ERA
         """Number of restorations, from `FIRST_ERA`."""
         self._next_lease = 1
@@ -116,6 +119,7 @@
         """Compacts the history up to the current revision."""
         self.history.clear()
         self.compacted_revision = self.revision
+        self._compacted_items = dict(self.items)
         self._notify_watches()
 
     def events(self, prefix: str, after: int) -> list[Item | DeleteEvent]:
@@ -126,6 +130,20 @@
             if event.revision > after and event.key.startswith(prefix)
         ]
 
+    def items_at(self, revision: int) -> dict[str, Item]:
+        """Returns the items as of a revision, or the current ones if that was compacted."""
+        if revision < self.compacted_revision:
+            return self.items
+        items = dict(self._compacted_items)
+        for event in self.history:
+            if event.revision > revision:
+                break
+            if isinstance(event, Item):
+                items[event.key] = event
+            else:
+                items.pop(event.key, None)
+        return items
+
     def save(self) -> None:
         """Makes a copy of the state, from which `restore` starts a new era."""
         self._copy = _Copy(
@@ -134,6 +152,7 @@
             self.revision,
             list(self.history),
             self.compacted_revision,
+            self._compacted_items,
             self._next_lease,
         )
 
@@ -151,6 +170,7 @@
         self.revision = copy.revision
         self.history = list(copy.history)
         self.compacted_revision = copy.compacted_revision
+        self._compacted_items = copy.compacted_items
         self._next_lease = copy.next_lease
         self.era += 1
         self._notify_watches()
--- a/standins/store.py
+++ b/standins/store.py
@@ -45,6 +45,9 @@
     is dropped."""
     era_text: str = ""
     """Value of the era header of each reply instead of the era, if set; `OMIT_ERA` for none."""
+    stale_lags: tuple[int, int] = (0, 0)
+    """Numbers of revisions by which the replicas of stale reads lag: that of first pages, and that
+    of further ones."""
     refuse_with: int = 0
     """Status with which every call is refused, or 0 to serve calls."""
 
@@ -150,10 +153,15 @@
         """Returns one page of the items with a prefix."""
         prefix = request.query.get("prefix", "")
         after = request.query.get("after", "")
-        found = sorted(key for key in self.state.items if key.startswith(prefix) and key > after)
-        items = [self.state.items[key] for key in found[:PAGE_ITEMS]]
+        revision, items = self.state.revision, self.state.items
+        if request.query.get("allow_stale") == "1" and any(self.faults.stale_lags):
+            lag = self.faults.stale_lags[bool(after)]
+            revision = max(self.state.compacted_revision, revision - lag)
+            items = self.state.items_at(revision)
+        found = sorted(key for key in items if key.startswith(prefix) and key > after)
+        page = [items[key] for key in found[:PAGE_ITEMS]]
         more = len(found) > PAGE_ITEMS
-        return reply_json(200, {"items": items, "has_more": more, "at": self.state.revision})
+        return reply_json(200, {"items": page, "has_more": more, "at": revision})
 
     async def _watch(self, request: Request) -> Response:
         """Long-polls for events after a revision; replies 410 if they have been compacted."""
--- a/tests/test_kv_source.py
+++ b/tests/test_kv_source.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from unittest import TestCase
 
 from msgspec import json
@@ -79,6 +80,37 @@
         self.assertEqual((kinds.count(TableChange), found.whole), (1, True))
         self.assertEqual(self.server.calls, {"kv-range": 3})
 
+    # Guards against DRAIN of review case 4: a removal between the ages of two pages was never seen.
+    def test_pages_of_different_ages_miss_no_change(self) -> None:
+        random = Random(4)
+        for lags in ((0, 30), (30, 0), (30, 60), (60, 30), (0, 1), (0, 0)) * 3:
+            with self.subTest(lags=lags):
+                self.server.faults.stale_lags = (0, 0)
+                self.put_upstreams(PAGE_ITEMS + 20)
+                for _ in range(80):
+                    name = f"u{random.randrange(PAGE_ITEMS + 20):04}"
+                    if random.random() < 0.5:
+                        self.server.remove(f"servers/{name}")
+                    else:
+                        self.server.put(f"servers/{name}", json.encode(UPSTREAM))
+                expected = self.registered(self.read_all(), set())
+                self.server.faults.stale_lags = lags
+                self.source.read_all(False, TIMEOUT_S, self.replies.append)
+                stale = self.next_reply().unwrap()
+                found = self.registered(stale, set())
+                since = self.read_changes(stale.revision, wait=0.0).unwrap()
+                self.assertEqual(self.registered(since, found), expected)
+
+    def registered(self, found: ChangeSet, before: set[str]) -> set[str]:
+        """Returns the names of the upstreams after changes."""
+        names = set(before)
+        for change in found.changes:
+            if isinstance(change, UpstreamChange):
+                names.add(str(change.record.name))
+            elif isinstance(change, UpstreamRemoval):
+                names.discard(str(change.name))
+        return names
+
     def test_watch_returns_the_changes_after_a_revision(self) -> None:
         self.put_upstreams(2)
         start = self.read_all().revision
