Refuse numbers in the store that peers cannot be told

Cause: JSON has integers of any size, and msgspec decodes them. An entry whose `born`, `sequence` or `max_concurrency` has 30 digits was an upstream in use, and each reply with it to a peer raised OverflowError, so that the peers of the node could not follow it. The same held for the version of a configuration in both programs, and for a refused request, which heartbeats carry: a node whose heartbeats cannot be encoded is taken as lost.

Change: what was read from the store as JSON is unreadable if it cannot be encoded for peers. The numbers of an upstream's entry have ranges: at least one slot, and no negative start or report number.

--- a/src/sequoiapulley/decoding.py
+++ b/src/sequoiapulley/decoding.py
@@ -80,6 +80,20 @@
         raise DecodingError(shortened(str(exc))) from exc
 
 
+def check_encodable(message: object) -> None:
+    """Checks that a message which was read as JSON can be passed on as MessagePack.
+
+    JSON has numbers of any size, MessagePack integers of 64 bits.
+
+    Raises:
+        DecodingError: If a number is too large.
+    """
+    try:
+        msgpack.encode(message)
+    except OverflowError as exc:
+        raise DecodingError(f"a number has more than 64 bits: {exc}") from exc
+
+
 def shortened(text: str) -> str:
     """Returns a text of at most `MAX_DETAIL_CHARS` characters, for logs and errors."""
     if len(text) <= MAX_DETAIL_CHARS:
--- a/src/sequoiapulley/fleet/config_record.py
+++ b/src/sequoiapulley/fleet/config_record.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from sequoiapulley.decoding import DecodingError, decode_json
+from sequoiapulley.decoding import DecodingError, check_encodable, decode_json
 from sequoiapulley.ids import ConfigVersion, EditId
 
 CONFIG_KEY: Final = "sequoiapulley/configuration"
@@ -58,6 +58,8 @@
         BadConfigRecordError: If the value is not a valid record.
     """
     try:
-        return decode_json(value, ConfigRecord)
+        record = decode_json(value, ConfigRecord)
+        check_encodable(record)
+        return record
     except DecodingError as exc:
         raise BadConfigRecordError(f"configuration record is not valid: {exc}") from exc
--- a/src/sequoiapulley/platform/documents.py
+++ b/src/sequoiapulley/platform/documents.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from ipaddress import IPv4Address
-from typing import Final
+from typing import Annotated, Final
 
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 from msgspec.json import encode
 
-from sequoiapulley.decoding import decode_json, shortened
+from sequoiapulley.decoding import check_encodable, decode_json, shortened
 from sequoiapulley.forward.addresses import check_addresses, check_port
 from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.route_table import (
@@ -42,6 +42,8 @@
 IDEMPOTENT: Final = "idempotent"
 READY: Final = "ready"
 DRAINING: Final = "draining"
+MAX_INT32: Final = 2**31 - 1
+MAX_INT64: Final = 2**63 - 1
 
 
 class _SplitPart(Struct):
@@ -106,11 +108,11 @@
     address: str
     zone: str
     state: str
-    max_concurrency: int
-    cold_left_ms: float = 0.0
-    born: int = 0
+    max_concurrency: Annotated[int, Meta(ge=1, le=MAX_INT32)]
+    cold_left_ms: Annotated[float, Meta(le=MAX_INT32)] = 0.0
+    born: Annotated[int, Meta(ge=0, le=MAX_INT64)] = 0
     """Start time of the upstream, in Unix milliseconds."""
-    sequence: int = 0
+    sequence: Annotated[int, Meta(ge=0, le=MAX_INT64)] = 0
     """Number of the entry's writes since the upstream's start."""
 
 
@@ -158,7 +160,7 @@
         host=host,
         port=int(port),
         failure_domain=FailureDomainName(doc.zone),
-        slots=max(1, doc.max_concurrency),
+        slots=doc.max_concurrency,
         draining=doc.state == DRAINING,
         cold_for=max(0.0, doc.cold_left_ms / MS_PER_S),
         started_ms=doc.born,
@@ -169,18 +171,29 @@
 def decode_item(key: str, value: bytes) -> Change | None:
     """Decodes one item of the store; returns None for a key that no node uses."""
     try:
-        if key == CONFIGURATION_KEY:
-            return TableChange(decode_table(value))
-        if key.startswith(UPSTREAMS_PREFIX):
-            return UpstreamChange(decode_upstream(upstream_name(key), value))
-        if key.startswith(NODES_PREFIX):
-            record = decode_json(value, NodeRecord)
-            check_addresses(record)
-            return NodeChange(record)
-        if key.startswith(REFUSALS_PREFIX):
-            return decode_json(value, RequestRefusal)
+        change = _decode_change(key, value)
+        check_encodable(change)
     except ValueError as exc:
         return unreadable_entry(key, str(exc))
+    return change
+
+
+def _decode_change(key: str, value: bytes) -> Change | None:
+    """Decodes one item of the store; returns None for a key that no node uses.
+
+    Raises:
+        ValueError: If the value is not what its key holds.
+    """
+    if key == CONFIGURATION_KEY:
+        return TableChange(decode_table(value))
+    if key.startswith(UPSTREAMS_PREFIX):
+        return UpstreamChange(decode_upstream(upstream_name(key), value))
+    if key.startswith(NODES_PREFIX):
+        record = decode_json(value, NodeRecord)
+        check_addresses(record)
+        return NodeChange(record)
+    if key.startswith(REFUSALS_PREFIX):
+        return decode_json(value, RequestRefusal)
     return None
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -16,7 +16,7 @@
 from sequoiapulley.cli.exit_code import CliError
 from sequoiapulley.cli.log_records import read_records
 from sequoiapulley.cli.node_client import Answer
-from sequoiapulley.daemon.state_reply import StateReplyError, decode_state
+from sequoiapulley.daemon.state_reply import StateReplyError, decode_state, encode_state
 from sequoiapulley.decoding import MAX_DETAIL_CHARS, DecodingError, decode_json, decode_msgpack
 from sequoiapulley.entry.operators_messages import EditRequest
 from sequoiapulley.fleet._datagram import BadDatagramError, decode_datagram
@@ -28,7 +28,7 @@
     UnreadableEntry,
     UpstreamChange,
 )
-from sequoiapulley.ids import ExchangeId, LeaseId, Revision, ShardId
+from sequoiapulley.ids import ConfigVersion, ExchangeId, LeaseId, Revision, ShardId
 from sequoiapulley.link.frame_codec import BadFrameError, decode_frame, decode_hello
 from sequoiapulley.platform.boot_settings import load_boot_settings
 from sequoiapulley.platform.http_store import HttpStore
@@ -52,7 +52,7 @@
 from standins.store import StoreStandIn
 from tests.node_process_case import NodeProcessCase
 from tests.state_fixtures import node, position
-from tests.test_platform_documents import UPSTREAM
+from tests.test_platform_documents import CONFIGURATION, UPSTREAM
 from tests.wire_support import Loop, ScriptedServer
 
 TIMEOUT_S: Final = 10.0
@@ -78,6 +78,17 @@
     "bare": b"[" * LEVELS,
     "in an entry": json.encode(UPSTREAM)[:-1] + b"," + nested_json(LEVELS)[1:],
 }
+LARGE_NUMBERS: Final = (b"1" + b"0" * 30, b"-" + b"9" * 30, b"9" * 5_000, b"1e400")
+NUMBERS: Final = (
+    ("servers/odd", ("max_concurrency", "sequence", "born"), UPSTREAM),
+    ("op/config", ("version",), CONFIGURATION),
+    (
+        "refusals/" + "f" * 32,
+        ("strikes", "expires_ms"),
+        {"type": "refusal", "fingerprint": "f" * 32},
+    ),
+)
+"""Keys, their fields that hold numbers, and an entry to which these are added."""
 ODD_VALUES: Final = tuple(NESTED.values())
 NESTED_MSGPACK: Final = b"\x91" * LEVELS + b"\x01"
 
@@ -139,6 +150,21 @@
                         self.assertEqual(keys, [key] if key != "other/odd" else [])
                         self.server.remove(key)
 
+    # Guards against peers that cannot be told the state: a number in it did not fit their messages.
+    def test_entry_with_a_number_too_large_leaves_the_others_in_force(self) -> None:
+        for key, fields, base in NUMBERS:
+            for number in LARGE_NUMBERS:
+                value = json.encode({**base, **dict.fromkeys(fields, 0)})
+                for field in fields:
+                    with self.subTest(key=key, field=field, number=number):
+                        odd = value.replace(
+                            b'"%b":0' % field.encode(), b'"%b":%b' % (field.encode(), number)
+                        )
+                        self.assertNotEqual(odd, value)
+                        for changes in self.assert_others_hold(key, odd):
+                            body = encode_state(changes, ConfigVersion(0), lambda _base: None)
+                            self.assertEqual(decode_state(body, None), changes)
+
     # Guards against a node that never registers again: its own key held such an entry.
     def test_nested_entry_under_the_own_key_is_no_registration(self) -> None:
         record = node("odd")
