Refuse entries with a text, an address or a size that nodes cannot use

Cause: the text of an entry was used as it is. - The name of an upstream, from its key, is a header of each request to it: one outside of Latin-1 raised an error for every request that was to be sent there, one with a line break added a header. - `0.0.0.0` as an address leads to the node's own VM; a port in digits of another script was read. - A zone or service of 700 kB was kept and passed on to every peer. A refused request is told in heartbeats, which are datagrams of 2 kB: one with a long fingerprint makes them unreadable. - A record under another key than its own took the place of that node's record, and was never removed.

Names have 200 characters at most, as keys do.

Evidence: `test_entry_with_an_odd_address_or_name_leaves_the_others_in_force`, `test_huge_entry_leaves_the_others_in_force` and `test_entry_that_is_not_about_its_key_is_unreadable` fail without the change and pass with it.

--- a/src/sequoiapulley/platform/documents.py
+++ b/src/sequoiapulley/platform/documents.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from ipaddress import IPv4Address
+from re import compile as compile_pattern
 from typing import Annotated, Final
 
 from msgspec import Meta, Struct, field
 from msgspec.json import encode
 
 from sequoiapulley.decoding import check_encodable, decode_json, shortened
-from sequoiapulley.forward.addresses import check_addresses, check_port
+from sequoiapulley.forward.addresses import check_addresses, check_host, check_port
 from sequoiapulley.forward.messages import UpstreamRecord
 from sequoiapulley.forward.route_table import (
     MS_PER_S,
@@ -42,10 +42,16 @@
 IDEMPOTENT: Final = "idempotent"
 READY: Final = "ready"
 DRAINING: Final = "draining"
+DIGITS: Final = compile_pattern(r"[0-9]{1,5}")
+MAX_NAME_CHARS: Final = 200
+"""Maximum length of a name, as that of a key: nodes keep and pass on each one that they read."""
 MAX_INT32: Final = 2**31 - 1
 MAX_INT64: Final = 2**63 - 1
 
 
+_Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
+
+
 class _SplitPart(Struct):
     """One weighted service of a route that splits its requests."""
 
@@ -104,10 +110,10 @@
 class _Upstream(Struct):
     """An upstream's entry in the store."""
 
-    service: str
-    address: str
-    zone: str
-    state: str
+    service: _Name
+    address: _Name
+    zone: _Name
+    state: _Name
     max_concurrency: Annotated[int, Meta(ge=1, le=MAX_INT32)]
     cold_left_ms: Annotated[float, Meta(le=MAX_INT32)] = 0.0
     born: Annotated[int, Meta(ge=0, le=MAX_INT64)] = 0
@@ -146,13 +152,16 @@
     """Decodes an upstream's entry.
 
     Raises:
-        ValueError: If the value is not a valid entry, or its state or address is invalid.
+        ValueError: If the value is not a valid entry, or its name, state or address is invalid.
     """
+    if not name or not name.isascii() or not name.isprintable():
+        # The name is a header of each request to the upstream.
+        raise ValueError(f"the name {name!r} cannot be a header")
     doc = decode_json(value, _Upstream)
     host, _, port = doc.address.rpartition(":")
-    if doc.state not in (READY, DRAINING) or not port.isdecimal() or not doc.service:
-        raise ValueError(f"invalid state {doc.state!r} or address {doc.address!r}, or no service")
-    IPv4Address(host)
+    if doc.state not in (READY, DRAINING) or not DIGITS.fullmatch(port):
+        raise ValueError(f"invalid state {doc.state!r} or address {doc.address!r}")
+    check_host(host)
     check_port(int(port))
     return UpstreamRecord(
         name=name,
@@ -189,14 +198,30 @@
     if key.startswith(UPSTREAMS_PREFIX):
         return UpstreamChange(decode_upstream(upstream_name(key), value))
     if key.startswith(NODES_PREFIX):
-        record = decode_json(value, NodeRecord)
-        check_addresses(record)
-        return NodeChange(record)
+        return NodeChange(_decode_node(key, value))
     if key.startswith(REFUSALS_PREFIX):
-        return decode_json(value, RequestRefusal)
+        refusal = decode_json(value, RequestRefusal)
+        if refusal_key(refusal) != key:
+            raise ValueError(f"the entry is about the request {refusal.fingerprint!r}")
+        return refusal
     return None
 
 
+def _decode_node(key: str, value: bytes) -> NodeRecord:
+    """Decodes a node's record.
+
+    Raises:
+        ValueError: If the value is not the record of the node that the key names.
+    """
+    record = decode_json(value, NodeRecord)
+    check_addresses(record)
+    if node_key(record) != key:
+        raise ValueError(f"the record is about the node {record.name!r}")
+    if max(len(record.failure_domain), len(record.region)) > MAX_NAME_CHARS:
+        raise ValueError(f"a name has more than {MAX_NAME_CHARS} characters")
+    return record
+
+
 def unreadable_entry(key: str, detail: str) -> UnreadableEntry:
     """Returns the change for an item that does not decode."""
     upstream = upstream_name(key) if key.startswith(UPSTREAMS_PREFIX) else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -89,6 +89,18 @@
     ),
 )
 """Keys, their fields that hold numbers, and an entry to which these are added."""
+ODD_TEXTS: Final = {
+    "address": (
+        *("10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1: 80"),
+        *("10.0.0.1:" + "9" * 5_000, "10.0.0.1:\u0663\u0663", "10.0.0.1", ":80", "", "host:80"),
+        *("0.0.0.0:80", "224.0.0.1:80", "255.255.255.255:80", "[::1]:80", "10.0.0.1\r\n:80"),
+    ),
+    "state": ("", "READY", "gone", "ready\u0000"),
+    "service": ("",),
+}
+ODD_NAMES: Final = ("", "a\r\nX-Attempt-Id: b", "\u0142", "\u00e9", "a\u0000", "a\u2028b")
+HUGE_CHARS: Final = 700_000
+"""Size of a value near the store's limit of a megabyte."""
 ODD_VALUES: Final = tuple(NESTED.values())
 NESTED_MSGPACK: Final = b"\x91" * LEVELS + b"\x01"
 
@@ -165,6 +177,47 @@
                             body = encode_state(changes, ConfigVersion(0), lambda _base: None)
                             self.assertEqual(decode_state(body, None), changes)
 
+    # Guards against requests that cannot be sent, or go to the node itself, because of an entry.
+    def test_entry_with_an_odd_address_or_name_leaves_the_others_in_force(self) -> None:
+        for field, texts in ODD_TEXTS.items():
+            for text in texts:
+                with self.subTest(field=field, text=text[:40]):
+                    self.assert_others_hold("servers/odd", json.encode({**UPSTREAM, field: text}))
+        for name in ODD_NAMES:
+            with self.subTest(name=name):
+                self.assert_others_hold(f"servers/{name}", json.encode(UPSTREAM))
+                self.server.remove(f"servers/{name}")
+
+    # Guards against memory and messages that one entry of the largest size fills on every node.
+    def test_huge_entry_leaves_the_others_in_force(self) -> None:
+        for field in ("service", "zone", "state", "address"):
+            value = json.encode({**UPSTREAM, field: "x" * HUGE_CHARS})
+            for changes in self.assert_others_hold("servers/odd", value):
+                self.assertLess(
+                    len(encode_state(changes, ConfigVersion(0), lambda _base: None)), 2_000
+                )
+        record = json.encode(node("odd"))
+        for position_of_text in (2, 3):
+            fields = json.decode(record)
+            fields[4] = "10.0.0.1"
+            fields[position_of_text] = "x" * HUGE_CHARS
+            self.assert_others_hold("nodes/odd", json.encode(fields))
+
+    # Guards against a record of another writer that takes the place of a node's, or of a request's.
+    def test_entry_that_is_not_about_its_key_is_unreadable(self) -> None:
+        fields = json.decode(json.encode(node("other")))
+        fields[4] = "10.0.0.1"
+        refusal = {"type": "refusal", "fingerprint": "f" * 32, "strikes": 3, "expires_ms": 1}
+        for key, value in (("nodes/odd", fields), ("refusals/odd", refusal)):
+            for changes in self.assert_others_hold(key, json.encode(value)):
+                kinds = [
+                    type(change)
+                    for change in changes.changes
+                    if not isinstance(change, UpstreamChange)
+                ]
+                self.assertEqual(kinds, [UnreadableEntry], key)
+            self.server.remove(key)
+
     # Guards against a node that never registers again: its own key held such an entry.
     def test_nested_entry_under_the_own_key_is_no_registration(self) -> None:
         record = node("odd")
