Follow the list of VMs beside odd records in it

Cause: the list was decoded as a whole, so that one record of another type made all of it unreadable.

Change: records are decoded one by one; those that are no record, or have no usable address, are left out and logged (SP7006). The membership socket drops a datagram to a port out of range as it drops any that the system refuses.

Evidence: `test_odd_records_leave_the_others_in_force` needs the new type of the reply; with the records decoded as a whole, as before, the reply is an error ("VM list does not decode").

--- a/src/sequoiapulley/daemon/fleet_task.py
+++ b/src/sequoiapulley/daemon/fleet_task.py
@@ -11,7 +11,7 @@
 from result import Err
 from xxhash import xxh64_intdigest
 
-from sequoiapulley.daemon.log_events import VM_LIST_UNREADABLE
+from sequoiapulley.daemon.log_events import VM_LIST_UNREADABLE, VM_RECORDS_UNREADABLE
 from sequoiapulley.daemon.node_events import (
     MembersChanged,
     MemberStarted,
@@ -70,6 +70,8 @@
         self._on_peer_version = on_peer_version
         self._random = Random(seed)
         self._vm_list_readable = True
+        self._unreadable: tuple[str, ...] = ()
+        """What is wrong with records of the latest list."""
         self._change_pending = False
         self._incarnations: dict[NodeId, Incarnation] = {}
         """Incarnation of each member that this node has seen alive."""
@@ -154,11 +156,20 @@
         self._vm_list.fetch(self._on_vm_list)
 
     def _on_vm_list(self, reply: VmListReply) -> None:
-        """Passes the list to the membership; logs only the first failure in a row."""
+        """Passes the list to the membership; logs the first of equal failures in a row."""
         if isinstance(reply, Err):
             if self._vm_list_readable:
                 self._log.log(VM_LIST_UNREADABLE, error=reply.err_value)
             self._vm_list_readable = False
             return
         self._vm_list_readable = True
-        self._membership.update_vm_list(reply.ok_value)
+        listing = reply.ok_value
+        if listing.unreadable and listing.unreadable != self._unreadable:
+            self._log.log(
+                VM_RECORDS_UNREADABLE,
+                unreadable=len(listing.unreadable),
+                listed=len(listing.vms),
+                error=listing.unreadable[0],
+            )
+        self._unreadable = listing.unreadable
+        self._membership.update_vm_list(listing.vms)
--- a/src/sequoiapulley/daemon/log_events.py
+++ b/src/sequoiapulley/daemon/log_events.py
@@ -87,3 +87,11 @@
     "The platform's VM list could not be fetched; the last one fetched remains in use.",
     "Check the platform's VM list service.",
 )
+VM_RECORDS_UNREADABLE: Final = define_event(
+    7006,
+    "vm_records_unreadable",
+    Severity.WARNING,
+    "Records in the platform's VM list cannot be decoded or have no usable address; the others "
+    "are used. `error` is about the first of them.",
+    "Look for who wrote the records.",
+)
--- a/src/sequoiapulley/fleet/udp_component.py
+++ b/src/sequoiapulley/fleet/udp_component.py
@@ -221,8 +221,9 @@
         signed = self._keys.sign(action.payload, self._timers.clock.now())
         try:
             self._sock.sendto(signed, action.address)
-        except OSError:
-            # The protocol tolerates this in the same way as a datagram lost by the network.
+        except (OSError, OverflowError):
+            # The protocol tolerates this in the same way as a datagram lost by the network. The
+            # latter error is that of a port out of range.
             return
         self.datagrams_sent += 1
         self.bytes_sent += len(signed)
--- a/src/sequoiapulley/platform/http_vm_list.py
+++ b/src/sequoiapulley/platform/http_vm_list.py
@@ -1,15 +1,16 @@
-"""HTTP adapter for the platform's list of VMs, whose items are decoded directly to `VmRecord`."""
+"""HTTP adapter for the platform's list of VMs, whose items are decoded one by one."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Final
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 from result import Err, Ok
 
 from sequoiapulley.decoding import DecodingError, decode_json
-from sequoiapulley.platform.vm_list import VmListReply, VmRecord
+from sequoiapulley.forward.addresses import check_host, check_port
+from sequoiapulley.platform.vm_list import VmListing, VmListReply, VmRecord
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
 
 LIST_PATH: Final = "/v1/vms"
@@ -20,7 +21,7 @@
 class _ListBody(Struct):
     """Body of the reply with the list."""
 
-    vms: tuple[VmRecord, ...]
+    vms: list[Raw]
 
 
 class HttpVmList:
@@ -56,6 +57,26 @@
     if reply.status != STATUS_OK:
         return Err(f"VM list: server replied with status {reply.status}")
     try:
-        return Ok(decode_json(reply.body, _ListBody).vms)
+        items = decode_json(reply.body, _ListBody).vms
     except DecodingError as exc:
         return Err(f"VM list does not decode: {exc}")
+    vms: list[VmRecord] = []
+    unreadable: list[str] = []
+    for item in items:
+        try:
+            vms.append(_decode_record(bytes(item)))
+        except ValueError as exc:
+            unreadable.append(str(exc))
+    return Ok(VmListing(tuple(vms), tuple(unreadable)))
+
+
+def _decode_record(item: bytes) -> VmRecord:
+    """Decodes one item of the list.
+
+    Raises:
+        ValueError: If it is no record, or its address is not that of one VM.
+    """
+    record = decode_json(item, VmRecord)
+    check_host(record.host)
+    check_port(record.port)
+    return record
--- a/src/sequoiapulley/platform/vm_list.py
+++ b/src/sequoiapulley/platform/vm_list.py
@@ -31,7 +31,14 @@
     state: VmState
 
 
-VmListReply = Result[tuple[VmRecord, ...], str]
+class VmListing(Struct, frozen=True):
+    """The records of the list, and what is wrong with those that cannot be used."""
+
+    vms: tuple[VmRecord, ...]
+    unreadable: tuple[str, ...] = ()
+
+
+VmListReply = Result[VmListing, str]
 
 
 class VmList(Protocol):
--- a/tests/test_platform_adapters.py
+++ b/tests/test_platform_adapters.py
@@ -108,4 +108,35 @@
         vm_list.fetch(replies.append)
         loop.until(lambda: bool(replies))
         assert isinstance(replies[0], Ok)
-        self.assertEqual(replies[0].ok_value[0].state, VmState.LEAVING)
+        self.assertEqual(replies[0].ok_value.vms[0].state, VmState.LEAVING)
+
+    # Guards against a list that is followed no longer, and against sends to a port out of range.
+    def test_odd_records_leave_the_others_in_force(self) -> None:
+        vm = {"name": "v", "host": "127.0.0.1", "port": 7, "place": "p", "state": "live"}
+        nested: object = 1
+        for _ in range(200):
+            nested = [nested]
+        odd: list[object] = [
+            {**vm, "port": 65_536},
+            {**vm, "port": 0},
+            {**vm, "port": 10**18},
+            {**vm, "port": "7"},
+            {**vm, "host": "example"},
+            {**vm, "host": "0.0.0.0"},
+            {**vm, "state": "gone"},
+            {"name": "v"},
+            {**vm, "name": nested},
+            nested,
+        ]
+        server = VmListStandIn(vms=[*odd, vm])  # type: ignore[list-item]
+        server.start()
+        self.addCleanup(server.stop)
+        loop = Loop()
+        replies: list[VmListReply] = []
+        client = HttpClient(loop.reactor, loop.clock, loop.timers)
+        self.addCleanup(client.close)
+        HttpVmList(client, server.host, server.port).fetch(replies.append)
+        loop.until(lambda: bool(replies))
+        listing = replies[0].unwrap()
+        self.assertEqual([record.port for record in listing.vms], [7])
+        self.assertEqual(len(listing.unreadable), len(odd))
