Treat a port out of range as a failed connect, and as an error of the settings

What callers saw: nothing yet; found while looking for ports out of range in everything that a node reads.

Cause: `socket.connect` raises OverflowError for such a port, which is no OSError. A call to it had no result, and the task that waits for one stopped. Only addresses from the settings file reached a socket unchecked: those of the store and of the seeds.

Change: opening a connection raises OSError in this case, which every caller handles; an address in the settings needs a port from 1 to 65535.

Evidence: `test_port_out_of_range_is_a_failed_connect` ends with OverflowError without the change.

--- a/src/sequoiapulley/platform/boot_settings.py
+++ b/src/sequoiapulley/platform/boot_settings.py
@@ -9,6 +9,7 @@
 from msgspec import Struct, convert, field
 from result import Err, Ok, Result
 
+from sequoiapulley.forward.addresses import check_port
 from sequoiapulley.forward.node_settings import Address, NodeSettings
 from sequoiapulley.forward.retry_quota import QuotaSettings
 from sequoiapulley.forward.route_table import MS_PER_S
@@ -138,11 +139,12 @@
     """Decodes an address of the form `IP:PORT`.
 
     Raises:
-        ValueError: If the text is not of that form.
+        ValueError: If the text is not of that form, or the port is out of range.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal():
         raise ValueError(f"address {text!r} is not IP:PORT")
+    check_port(int(port))
     return Address(host, int(port))
 
 
--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -351,4 +351,7 @@
     except OSError:
         sock.close()
         raise
+    except OverflowError as exc:
+        sock.close()
+        raise OSError(f"port {port} is out of range") from exc
     return sock
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -67,6 +67,15 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    # Guards against an error in place of a result: sockets raise another one for such a port.
+    def test_port_out_of_range_is_a_failed_connect(self) -> None:
+        call = HttpCall("127.0.0.1", 70_000, "GET", "/")
+        self.client.request(call, self.results.append)
+        self.loop.advance(0.0)
+        self.assertEqual(
+            (self.failure().kind, self.failure().sent), (HttpFailureKind.CONNECT, False)
+        )
+
     # Guards against a reply of the store or a node that answers the call after its own.
     def test_bytes_received_before_a_call_do_not_answer_it(self) -> None:
         self.call()
