Write several sorts of odd entries in the soak

The soak wrote one entry that was no JSON. It now writes one that nests deep, one with a number of 30 digits, one with a port out of range, one with a negative start, one with a huge name and one that names a real service beside a field that nests deep.

--- a/soak/inject.py
+++ b/soak/inject.py
@@ -45,6 +45,20 @@
     FaultKind.STORE_RESET: StoreFaults(unreachable=True),
     FaultKind.STORE_SLOW: StoreFaults(slow_ms=300.0),
 }
+ODD_ENTRY = (
+    b'{"service":"orders-1","address":"127.0.0.1:%b","zone":"p","max_concurrency":%b'
+    b',"state":"ready"%b}'
+)
+ODD_ENTRIES = (
+    b"\xff{",
+    b'{"labels":' + b"[" * 1_500 + b"]" * 1_500 + b"}",
+    ODD_ENTRY % (b"1", b"9" * 30, b""),
+    ODD_ENTRY % (b"70000", b"4", b""),
+    ODD_ENTRY % (b"1", b"4", b',"born":-1'),
+    (ODD_ENTRY % (b"1", b"4", b"")).replace(b"orders-1", b"x" * 400_000),
+    ODD_ENTRY % (b"1", b"4", b',"labels":' + b'{"a":' * 3_000 + b"1" + b"}" * 3_000),
+)
+"""Entries of another writer; none names an upstream."""
 PROXY_DELAY_S = 0.2
 STORM_VERSIONS = 6
 STORM_INTERVAL_S = 0.1
@@ -143,7 +157,7 @@
             FaultKind.UPSTREAM_RESET: lambda: self._reset(index),
             FaultKind.CONFIG_CHANGE: testbed.put_configuration,
             FaultKind.CONFIG_STORM: self._write_config_storm,
-            FaultKind.FORGED_ENTRY: lambda: testbed.store.put("servers/forged", b"\xff{"),
+            FaultKind.FORGED_ENTRY: lambda: self._forge_entry(fault.pick),
         }
         pending = actions[fault.kind]()
         if pending is not None:
@@ -183,6 +197,11 @@
         await _kill_and_restart(nodes, pause)
         _end(trouble)
 
+    def _forge_entry(self, pick: int) -> None:
+        """Writes an odd entry, of which the store keeps one of each sort."""
+        number = pick % len(ODD_ENTRIES)
+        self._testbed.store.put(f"servers/forged-{number}", ODD_ENTRIES[number])
+
     def _silence(self, index: int) -> None:
         """Silences the open connections to an upstream, which stay so."""
         self._testbed.note_trouble([self._testbed.upstreams[index].name])
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -79,7 +79,7 @@
     CONFIG_STORM = "config_storm"
     """Several configuration versions are written in quick succession."""
     FORGED_ENTRY = "forged_entry"
-    """Another client writes an entry that cannot be decoded."""
+    """Another client writes an entry that cannot be decoded or names no usable upstream."""
 
 
 PLANNED: Final = (
