Serve handed-over requests with the version that callers have seen

Cause: a request was handed over without the version that its node had shown, and the receiver served it with whatever it had. The sender learned of a newer version with the answer at the earliest, long after the upstream had seen its effect.

Change: a node remembers the latest version that its callers have seen (`ShownVersion`), by itself or through others, and states it with each request. - A receiver with that version serves the request. - One with a later version states it and serves nothing; the sender remembers it and sends again. - One with an earlier version waits for it, for a second or half of the time left, and then refuses as not run, so that another node is used. Nodes that are known to have the version come first. - A node that its callers have seen ahead of itself hands over until it has caught up, also when it is in contact again, and also for a path that it has no route for. Alone, it serves by itself.

Why it works: no request is served with a version that the sender does not know, and the sender never states an older one, so the versions that callers of a node see do not go back. Parts that other nodes collect need nothing of the kind: their request names the upstreams.

Nodes of earlier builds ignore the new field and state no version; requests from and to them are served as before (docs/design/builds.md).

`Job` has a module of its own, and the client of hand-overs too: both files had more than one job. The test that compares defaults of new fields called `NODEFAULT`, as no field with a plain default had been added before; it compares the same values now.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -10,7 +10,8 @@
 from sequoiapulley.daemon.entry_port import CallerCodec, EntryPort
 from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
-from sequoiapulley.daemon.handover_port import HANDOVER_PATH, HandoverPort, HttpHandoverClient
+from sequoiapulley.daemon.handover_client import HttpHandoverClient
+from sequoiapulley.daemon.handover_port import HANDOVER_PATH, HandoverPort
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
 from sequoiapulley.daemon.heartbeat_task import HeartbeatTask
 from sequoiapulley.daemon.node_lifecycle import NodeLifecycle
@@ -219,8 +220,10 @@
         handover_client = HttpClient(
             self._reactor, self._clock, self._timers, reply_bounds, MAX_HANDOVER_CONNECTIONS
         )
-        self._forwarder.handover = HttpHandoverClient(handover_client, self._peers, self._clock)
-        self._handover_port = HandoverPort(self._forwarder, self._contact, self._clock, log)
+        self._forwarder.handover = HttpHandoverClient(
+            handover_client, self._peers, self._clock, self._forwarder.shown
+        )
+        self._handover_port = HandoverPort(self._forwarder, self._contact, self._timers, log)
         changes = ChangeLog()
         history = TableHistory()
         self._shared_state = SharedState(
@@ -334,6 +337,7 @@
             self._update_readiness()
             self._forwarder.serve_pending()
             self._peer_port.wake()
+            self._handover_port.wake()
 
     def _update_readiness(self) -> None:
         """Applies the active configuration's limits on callers and marks the node as ready."""
--- a/src/sequoiapulley/daemon/handover_port.py
+++ b/src/sequoiapulley/daemon/handover_port.py
@@ -7,30 +7,30 @@
 
 from msgspec import Struct
 from msgspec.msgpack import Decoder, encode
-from result import Err, Ok
 
 from sequoiapulley.daemon.parts_port import MAX_REQUEST_TIME_S, STATUS_BAD_REQUEST
 from sequoiapulley.daemon.peer_source import MSGPACK_HEADERS, STATUS_OK, STATUS_UNAVAILABLE
-from sequoiapulley.decoding import CheckedDecoder, DecodingError, decode_msgpack
+from sequoiapulley.decoding import CheckedDecoder
 from sequoiapulley.forward.forwarder import Forwarder
-from sequoiapulley.forward.handover import Cancel, HandoverFailure, HandoverResult
 from sequoiapulley.forward.log_events import HANDOVER_UNREADABLE
 from sequoiapulley.forward.messages import Answer, CallerRequest, Headers
-from sequoiapulley.forward.peer_table import PeerTable
-from sequoiapulley.forward.roles import nodes_by_distance
-from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.forward.upstream_contact import UpstreamContact
-from sequoiapulley.ids import NodeId, RequestId
+from sequoiapulley.ids import ConfigVersion, RequestId
 from sequoiapulley.observe.log_event import LogSink
-from sequoiapulley.runtime import Clock
-from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+from sequoiapulley.runtime import TimerHandle, TimerQueue
 from sequoiapulley.wire.server_connection import ServerRequest
 
 HANDOVER_PATH: Final = "/v1/handover"
-NODES_IN_ROTATION: Final = 4
-"""Number of nodes among which a cut-off node spreads its callers' requests."""
-ACK_TIMEOUT_S: Final = 0.25
-"""Timeout for a node's kernel to acknowledge a request: several round trips between regions."""
+
+
+NOT_STATED: Final = ConfigVersion(-1)
+STATUS_OTHER_VERSION: Final = 409
+"""Answer of a node that has a later version, which it states; the request was not served."""
+MAX_VERSION_WAIT_S: Final = 1.0
+"""Longest time for which a request waits for its version at a node that has an earlier one. All
+nodes apply a version within the read interval of the store."""
+MAX_VERSION_WAIT_SHARE: Final = 0.5
+"""Share of the time left that a request may wait; another node can then still serve it."""
 
 
 class HandoverRequest(Struct, frozen=True, array_like=True):
@@ -44,6 +44,9 @@
     body: bytes
     time_left: float
     """Seconds until the caller's deadline."""
+    version: ConfigVersion = NOT_STATED
+    """Version that the sender's callers have seen, with which the request is to be served;
+    `NOT_STATED` by nodes of earlier builds."""
 
 
 class HandoverReply(Struct, frozen=True, array_like=True):
@@ -55,84 +58,43 @@
     body: bytes
 
 
-class HttpHandoverClient:
-    """Implements `HandoverClient` over HTTP."""
+class _Waiter:
+    """A request that waits for its version to be applied."""
 
-    def __init__(self, client: HttpClient, peers: PeerTable, clock: Clock) -> None:
-        """Initialise the client.
+    __slots__ = ("begin", "req", "timer", "version")
 
-        Args:
-            client: Sends the requests.
-            peers: The other nodes.
-            clock: Source of time.
-        """
-        self._client = client
-        self._peers = peers
-        self._clock = clock
-        self._round_robin_index = 0
-
-    @property
-    def available(self) -> bool:
-        """Whether any node is in contact with upstreams."""
-        return bool(self._peers.in_contact(self._clock.now()))
-
-    def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
-        """Returns the next of the closest nodes that are in contact with upstreams, or None."""
-        in_contact = self._peers.in_contact(self._clock.now())
-        usable = [node for node in in_contact if node.name not in excluded]
-        closest = nodes_by_distance(usable, self._peers.local_node)[:NODES_IN_ROTATION]
-        if not closest:
-            return None
-        self._round_robin_index += 1
-        return closest[self._round_robin_index % len(closest)]
-
-    def hand_over(
-        self,
-        node: NodeRecord,
-        req: CallerRequest,
-        time_left: float,
-        done: Callable[[HandoverResult], None],
-    ) -> Cancel:
-        """Sends a request; `done` receives the answer or the failure."""
-        body = encode(
-            HandoverRequest(
-                req.id, req.method, req.target, req.host, req.headers, req.body, time_left
-            )
-        )
-        call = HttpCall(
-            node.host,
-            node.peers_port,
-            "POST",
-            HANDOVER_PATH,
-            body=body,
-            timeout=time_left,
-            ack_timeout=ACK_TIMEOUT_S,
-        )
-        return self._client.request(call, lambda result: done(_decode(result, req.id)))
+    def __init__(
+        self, req: ServerRequest, version: ConfigVersion, begin: Callable[[], None]
+    ) -> None:
+        self.req = req
+        self.version = version
+        self.begin = begin
+        self.timer: TimerHandle | None = None
 
 
 class HandoverPort:
     """Serves the callers' requests that other nodes hand over."""
 
     def __init__(
-        self, forwarder: Forwarder, contact: UpstreamContact, clock: Clock, log: LogSink
+        self, forwarder: Forwarder, contact: UpstreamContact, timers: TimerQueue, log: LogSink
     ) -> None:
         """Initialise the port.
 
         Args:
             forwarder: Serves the requests.
             contact: Tells whether this node is cut off as well.
-            clock: Source of time.
+            timers: Timers of the event loop.
             log: Receives an event for each request that does not decode.
         """
         self._forwarder = forwarder
         self._contact = contact
-        self._clock = clock
+        self._timers = timers
         self._log = log
+        self._waiters: list[_Waiter] = []
         self._decoder = CheckedDecoder(Decoder(HandoverRequest))
 
     def serve(self, req: ServerRequest) -> None:
-        """Decodes a request, serves it and answers it."""
+        """Decodes a request, and serves it once this node has the version that it asks for."""
         try:
             request = self._decoder.decode(req.parsed.body)
             if not 0.0 < request.time_left <= MAX_REQUEST_TIME_S:
@@ -144,6 +106,47 @@
         if self._contact.cut_off:
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return
+        if request.version <= self._forwarder.version:
+            self._begin(req, request)
+            return
+        arrived = self._timers.clock.now()
+        waiter = _Waiter(req, request.version, lambda: self._begin(req, request, arrived))
+        wait = min(MAX_VERSION_WAIT_S, MAX_VERSION_WAIT_SHARE * request.time_left)
+        waiter.timer = self._timers.call_later(wait, lambda: self._end_wait(waiter))
+        self._waiters.append(waiter)
+        req.on_disconnect = lambda: self._forget(waiter)
+
+    def wake(self) -> None:
+        """Serves the requests whose version this node has now."""
+        version = self._forwarder.version
+        for waiter in [waiter for waiter in self._waiters if waiter.version <= version]:
+            self._forget(waiter)
+            if self._contact.cut_off:
+                waiter.req.answer(STATUS_UNAVAILABLE, (), b"")
+                continue
+            waiter.begin()
+
+    def _end_wait(self, waiter: _Waiter) -> None:
+        """Refuses a request for whose version it has waited, so that another node is used."""
+        if waiter in self._waiters:
+            self._forget(waiter)
+            waiter.req.answer(STATUS_UNAVAILABLE, (), b"")
+
+    def _forget(self, waiter: _Waiter) -> None:
+        """Ends the wait of a request."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        if waiter.timer is not None:
+            waiter.timer.cancel()
+
+    def _begin(
+        self, req: ServerRequest, request: HandoverRequest, arrived: float | None = None
+    ) -> None:
+        """Serves a request, or states the version of this node if that is a later one."""
+        version = self._forwarder.version
+        if request.version not in (NOT_STATED, version):
+            req.answer(STATUS_OTHER_VERSION, MSGPACK_HEADERS, encode(version))
+            return
 
         def on_answer(answer: Answer) -> None:
             reply = HandoverReply(request.id, answer.status, answer.headers, answer.body)
@@ -157,24 +160,7 @@
             headers=request.headers,
             body=request.body,
             time_left=request.time_left,
-            arrived=self._clock.now(),
+            arrived=self._timers.clock.now() if arrived is None else arrived,
         )
         job = self._forwarder.handle(caller_req, on_answer, may_hand_over=False)
         req.on_disconnect = job.disconnect
-
-
-def _decode(result: HttpResult, request: RequestId) -> HandoverResult:
-    """Decodes a node's reply to a request, or classifies its failure."""
-    if isinstance(result, Err):
-        return Err(HandoverFailure(result.err_value.sent, result.err_value.detail))
-    reply = result.ok_value
-    if reply.status != STATUS_OK:
-        # Status 503 is that of a node that is cut off as well and has not served the request.
-        return Err(HandoverFailure(reply.status != STATUS_UNAVAILABLE, f"status {reply.status}"))
-    try:
-        answer = decode_msgpack(reply.body, HandoverReply)
-    except DecodingError as exc:
-        return Err(HandoverFailure(True, f"reply does not decode: {exc}"))
-    if answer.id != request:
-        return Err(HandoverFailure(True, f"reply to request {answer.id} instead of {request}"))
-    return Ok(Answer(answer.status, answer.headers, answer.body))
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -9,14 +9,15 @@
 from sequoiapulley.forward.gather import Gather
 from sequoiapulley.forward.handover import Handover, HandoverClient
 from sequoiapulley.forward.initial_time_left import InitialTimeLeft
+from sequoiapulley.forward.job import Job
 from sequoiapulley.forward.log_events import CALLER_LEFT, REQUEST_ANSWERED, REQUEST_GIVEN_UP
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.refusal import Reason, error_answer
 from sequoiapulley.forward.relay import Relay
 from sequoiapulley.forward.route_table import Route, RouteIndex, RouteTable
+from sequoiapulley.forward.shown_version import ShownVersion
 from sequoiapulley.forward.split_shares import SplitShares
 from sequoiapulley.ids import ConfigVersion
-from sequoiapulley.runtime import TimerHandle
 
 CALLER_ROUND_TRIP_S: Final = 0.012
 """Time that a request and its answer spend between caller and node: 3 ms each way, as stated by the
@@ -26,119 +27,13 @@
 """Time for which a node that has just started queues requests until it has read its state, which
 takes some ten milliseconds while the store is available."""
 FIRST_FAILURE_STATUS: Final = 500
+UNROUTED_TIMEOUT_S: Final = 1.0
+"""Time limit of a request that is handed over without a route and states none."""
 NON_IDEMPOTENT_GOALS: Final = 4
 """Time that a node that shuts down must have left to accept a non-idempotent request, as a multiple
 of the route's goal. One that is given up on while it runs leaves its outcome unknown."""
 
 
-class Job:
-    """One request of a caller in progress."""
-
-    __slots__ = (
-        "_forwarder",
-        "_handler",
-        "_on_answer",
-        "_timer",
-        "deadline",
-        "may_hand_over",
-        "req",
-        "route",
-    )
-
-    def __init__(
-        self,
-        forwarder: Forwarder,
-        req: CallerRequest,
-        on_answer: Callable[[Answer], None],
-        may_hand_over: bool,
-    ) -> None:
-        """Initialise a job that has not been started.
-
-        Args:
-            forwarder: The forwarder that created the job.
-            req: The request.
-            on_answer: Called once with the answer.
-            may_hand_over: Whether another node may serve the request.
-        """
-        self._forwarder = forwarder
-        self.deadline = 0.0
-        """Clock reading at which the request ends, once its route is selected."""
-        self.req = req
-        self.route: Route | None = None
-        """Route of the request, once it is selected."""
-        self._on_answer: Callable[[Answer], None] | None = on_answer
-        self._handler: Gather | Relay | Handover | None = None
-        self.may_hand_over = may_hand_over
-        self._timer: TimerHandle | None = None
-
-    @property
-    def done(self) -> bool:
-        """Whether the request was answered or cancelled."""
-        return self._on_answer is None
-
-    def set_timer(self, timer: TimerHandle) -> None:
-        """Sets the timer that ends the request."""
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = timer
-
-    def begin(self, handler: Gather | Relay | Handover) -> None:
-        """Starts to process the request.
-
-        Args:
-            handler: Calls the upstreams.
-        """
-        self._handler = handler
-        handler.start()
-
-    @property
-    def handed_over(self) -> bool:
-        """Whether another node serves the request."""
-        return isinstance(self._handler, Handover)
-
-    def stop_calls(self) -> bool:
-        """Cancels the calls; returns whether an upstream may have run the request."""
-        return self._handler.stop() if self._handler is not None else False
-
-    def disconnect(self) -> None:
-        """Cancels the request, as its caller has disconnected."""
-        if self._on_answer is None:
-            return
-        self._on_answer = None
-        self._stop()
-        self._forwarder.record_disconnect(self)
-
-    def time_out(self) -> None:
-        """Answers with a timeout error."""
-        self.give_up(Reason.TIMEOUT)
-
-    def give_up(self, reason: Reason) -> None:
-        """Cancels the calls and answers with an error."""
-        may_have_run = self._stop()
-        self.finish(error_answer(reason, may_have_run), reason)
-
-    def finish(self, answer: Answer, reason: Reason | None) -> None:
-        """Answers the caller, once.
-
-        Args:
-            answer: The answer.
-            reason: Why the node generated the answer itself; None for an upstream's answer.
-        """
-        on_answer, self._on_answer = self._on_answer, None
-        if self._timer is not None:
-            self._timer.cancel()
-        if on_answer is None:
-            return
-        self._forwarder.record_answer(self, answer, reason)
-        on_answer(answer)
-
-    def _stop(self) -> bool:
-        """Cancels the calls and the timer; returns whether an upstream may have run the request."""
-        if self._timer is not None:
-            self._timer.cancel()
-        return self.stop_calls()
-
-
 class Forwarder:
     """Selects the route of each request and starts a relay or a gather for it."""
 
@@ -160,6 +55,8 @@
         down."""
         self.handover: HandoverClient | None = None
         """Hands requests over to other nodes; None if there are none."""
+        self.shown = ShownVersion()
+        """Version that this node's callers may have seen."""
 
     @property
     def in_flight(self) -> int:
@@ -251,7 +148,7 @@
         req = job.req
         route = index.select(req.host, req.target.decode("latin-1"))
         if route is None:
-            _refuse(job, Reason.NO_ROUTE)
+            self._handle_unrouted(job)
             return
         job.route = route
         refused_for = self._ctx.crash_guard.refused_for(req)
@@ -269,6 +166,17 @@
         job.deadline = end
         job.begin(self._make_handler(job, req, route, end))
 
+    def _handle_unrouted(self, job: Job) -> None:
+        """Refuses a request without a route, unless callers have seen a later configuration."""
+        if self.handover is None or not self._is_behind or not self._may_hand_over(job):
+            _refuse(job, Reason.NO_ROUTE)
+            return
+        req = job.req
+        end = req.arrived + (req.time_left or UNROUTED_TIMEOUT_S)
+        job.set_timer(self._ctx.timers.call_at(end, job.time_out))
+        job.deadline = end
+        job.begin(Handover(self._ctx, self.handover, req, False, end, job.finish))
+
     def end_jobs(self) -> int:
         """Answers all requests in progress with an error; returns their number."""
         jobs = tuple(self._jobs)
@@ -307,7 +215,7 @@
                     self._ctx,
                     self.handover,
                     job.req,
-                    route,
+                    route.idempotent,
                     job.deadline,
                     job.finish,
                     may_have_run,
@@ -315,17 +223,29 @@
             )
 
     def _may_hand_over(self, job: Job) -> bool:
-        """Returns whether another node should serve a request."""
-        if self.handover is None or not self._ctx.contact.cut_off or not job.may_hand_over:
+        """Returns whether another node should serve a request.
+
+        That is the case while this node is cut off from the upstreams, and until it has applied the
+        version with which others have served its callers meanwhile.
+        """
+        if self.handover is None or not job.may_hand_over:
+            return False
+        if not self._ctx.contact.cut_off and not self._is_behind:
             return False
         return self.handover.available
 
+    @property
+    def _is_behind(self) -> bool:
+        """Whether callers of this node have seen a version that it has not applied."""
+        return self.shown.version > self.version
+
     def _make_handler(
         self, job: Job, req: CallerRequest, route: Route, end: float
     ) -> Gather | Relay | Handover:
         """Returns the relay or the gather that serves a request, or its handover."""
         if self.handover is not None and self._may_hand_over(job):
-            return Handover(self._ctx, self.handover, req, route, end, job.finish)
+            return Handover(self._ctx, self.handover, req, route.idempotent, end, job.finish)
+        self.shown.record(self.version)
         if route.gather is None:
             service = self._shares.next_service(route)
             return Relay(self._ctx, req, route, service, end, job.finish)
--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -12,7 +12,6 @@
 from sequoiapulley.forward.log_events import HANDOVER_FAILED
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.refusal import NOT_EXECUTED_STATUS, Reason, error_answer
-from sequoiapulley.forward.route_table import Route
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.ids import NodeId
 
@@ -70,7 +69,7 @@
         ctx: ForwardContext,
         client: HandoverClient,
         req: CallerRequest,
-        route: Route,
+        idempotent: bool,
         deadline: float,
         on_done: Callable[[Answer, Reason | None], None],
         may_have_run: bool = False,
@@ -81,7 +80,7 @@
             ctx: Shared components of the node.
             client: Sends the request.
             req: The request.
-            route: Route of the request.
+            idempotent: Whether the request may run more than once.
             deadline: Clock reading at which the caller's deadline passes.
             on_done: Called once with the answer, and with a reason if this node generated it.
             may_have_run: Whether this node has sent the request to an upstream before.
@@ -89,7 +88,7 @@
         self._ctx = ctx
         self._client = client
         self._req = req
-        self._route = route
+        self._idempotent = idempotent
         self._deadline = deadline
         self._on_done: Callable[[Answer, Reason | None], None] | None = on_done
         self._used: list[NodeId] = []
@@ -134,7 +133,7 @@
             self._ctx.log.log(
                 HANDOVER_FAILED, id=self._req.id, peer=node.name, error=failure.detail
             )
-            if failure.sent and not self._route.idempotent:
+            if failure.sent and not self._idempotent:
                 self._fail()
                 return
             self._send()
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -9,8 +9,10 @@
 from unittest import TestCase
 
 from sequoiapulley.forward.messages import Answer
+from sequoiapulley.ids import ConfigVersion
 from tests.partitioned_fleet import Cut, PartitionedFleet
-from tests.simulated_upstreams import add_search_and_portal
+from tests.simulated_upstreams import SimulatedNet, add_search_and_portal, plain_route
+from tests.state_fixtures import node
 
 DOMAINS = ("p", "p", "q", "q", "r", "r")
 SHARDS = 20
@@ -33,6 +35,13 @@
     return sum(answer.status == OK for _, answer in answers) / len(answers)
 
 
+def ask(net: SimulatedNet, path: str) -> int:
+    """Sends a request to one node; returns the status of the answer."""
+    answers = net.ask(path)
+    net.run(1.0)
+    return answers[0][1].status
+
+
 class CutOffNodeTest(TestCase):
     """Callers of nodes that are cut off from all upstreams are served by way of other nodes."""
 
@@ -99,3 +108,29 @@
         fleet = make_fleet()
         fleet.load(4.0)
         self.assertEqual(fleet.handovers(), 0)
+
+    # Guards against CONFIG of review case 5: callers saw an older configuration after a newer one.
+    def test_node_that_is_behind_hands_over_until_it_has_the_version(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        ahead, behind = fleet.nets[1], fleet.nets[0]
+        table = behind.forwarder.table
+        assert table is not None
+        added = plain_route("portal", prefix="/added/")
+        ahead.apply(*table.routes, added, version=table.version + 1)
+        fleet.clients[0].next_node = lambda _excluded: node("n1")  # type: ignore[method-assign]
+        behind.forwarder.shown.record(ahead.forwarder.version)
+        for path in ("/p/1", "/added/1"):
+            self.assertEqual(ask(behind, path), OK, path)
+        self.assertEqual(fleet.clients[0].sent, 2)
+        behind.apply(*table.routes, added, version=table.version + 1)
+        self.assertEqual(ask(behind, "/added/1"), OK)
+        self.assertEqual(fleet.clients[0].sent, 2)
+
+    def test_node_that_is_behind_and_alone_serves_by_itself(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        behind = fleet.nets[0]
+        fleet.clients[0].next_node = lambda _excluded: None  # type: ignore[method-assign]
+        behind.forwarder.shown.record(ConfigVersion(behind.forwarder.version + 1))
+        self.assertEqual([ask(behind, path) for path in ("/p/1", "/added/1")], [OK, 404])
--- a/tests/test_earlier_build.py
+++ b/tests/test_earlier_build.py
@@ -12,7 +12,7 @@
 from typing import Final
 from unittest import TestCase
 
-from msgspec import ValidationError, defstruct
+from msgspec import NODEFAULT, ValidationError, defstruct
 from msgspec.json import decode as decode_json
 from msgspec.msgpack import decode, encode
 from msgspec.structs import fields
@@ -91,7 +91,9 @@
             for field, value in zip(
                 fields(shape)[len(before) :], again[len(before) :], strict=True
             ):
-                default = field.default_factory() if field.default_factory else field.default
+                default = field.default
+                if default is NODEFAULT:
+                    default = field.default_factory()
                 self.assertEqual(value, default, f"{name}: {field.name}")
 
     def test_earlier_build_decodes_messages_of_this_one(self) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,19 +9,21 @@
 from msgspec.structs import replace
 from result import Err, Ok
 
+from sequoiapulley.daemon.handover_client import HttpHandoverClient
 from sequoiapulley.daemon.handover_port import (
     HANDOVER_PATH,
+    MAX_VERSION_WAIT_SHARE,
     HandoverPort,
     HandoverReply,
     HandoverRequest,
-    HttpHandoverClient,
 )
 from sequoiapulley.forward.handover import MAX_NODES, Handover, HandoverFailure, HandoverResult
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.peer_table import MAX_CONTACT_AGE_S, PeerTable
 from sequoiapulley.forward.refusal import Reason
+from sequoiapulley.forward.shown_version import ShownVersion
 from sequoiapulley.forward.state import NodeRecord
-from sequoiapulley.ids import NodeId, RequestId
+from sequoiapulley.ids import ConfigVersion, NodeId, RequestId
 from sequoiapulley.observe.log_event import MemoryLog
 from sequoiapulley.runtime import PausedClock
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
@@ -76,13 +78,12 @@
     def hand_over(self, nodes: ScriptedNodes, idempotent: bool = True) -> Handover:
         self.net = SimulatedNet(lambda *_args: (0.001, success()))
         self.answers: list[tuple[Answer, Reason | None]] = []
-        route = plain_route("s", idempotent)
         deadline = self.net.clock.now() + 1.0
         handover = Handover(
             self.net.ctx,
             nodes,
             self.net.request("/p/1"),
-            route,
+            idempotent,
             deadline,
             lambda answer, reason: self.answers.append((answer, reason)),
         )
@@ -160,7 +161,7 @@
         self.net.apply(plain_route("portal"))
         self.log = MemoryLog()
         self.port = HandoverPort(
-            self.net.forwarder, self.net.ctx.contact, self.loop.clock, self.log
+            self.net.forwarder, self.net.ctx.contact, self.loop.timers, self.log
         )
         self.requests: list[ServerRequest] = []
         self.server = HttpServer(
@@ -171,7 +172,8 @@
         self.addCleanup(self.client.close)
         self.record = replace(node("n2"), host="127.0.0.1", peers_port=self.server.port)
         self.peers = PeerTable(node("n1"), self.log)
-        self.handover = HttpHandoverClient(self.client, self.peers, self.loop.clock)
+        self.shown = ShownVersion()
+        self.handover = HttpHandoverClient(self.client, self.peers, self.loop.clock, self.shown)
         self.results: list[HandoverResult] = []
 
     def serve(self, req: ServerRequest) -> None:
@@ -190,6 +192,71 @@
         self.loop.advance(0.02)
         self.assertEqual(self.results, [Ok(Answer(200, (), b"part"))])
 
+    # Guards against CONFIG of review case 5: the sender learned of a later version with the answer.
+    def test_later_version_of_the_other_node_is_known_before_it_serves(self) -> None:
+        version = self.net.forwarder.version
+        self.shown.record(ConfigVersion(version - 1))
+        self.send()
+        self.assertEqual((self.shown.version, self.results), (version, []))
+        self.assertEqual((len(self.requests), self.net.forwarder.in_flight), (2, 1))
+        self.loop.advance(0.02)
+        self.assertEqual(self.results, [Ok(Answer(200, (), b"part"))])
+
+    # Guards against CONFIG of review case 5: a node served with an older version than callers saw.
+    def test_request_waits_for_the_version_that_callers_have_seen(self) -> None:
+        table = self.net.forwarder.table
+        assert table is not None
+        later = replace(table, version=ConfigVersion(table.version + 1))
+        self.shown.record(later.version)
+        self.send()
+        self.assertEqual(self.net.forwarder.in_flight, 0)
+        self.net.forwarder.apply(later)
+        self.port.wake()
+        self.assertEqual(self.net.forwarder.in_flight, 1)
+        self.loop.advance(0.02)
+        self.assertEqual(self.results, [Ok(Answer(200, (), b"part"))])
+
+    def test_request_whose_version_does_not_come_is_not_served(self) -> None:
+        self.shown.record(ConfigVersion(self.net.forwarder.version + 1))
+        self.send()
+        self.loop.advance(MAX_VERSION_WAIT_SHARE + 0.01)
+        self.assertEqual(self.results, [Err(HandoverFailure(False, "status 503"))])
+        self.port.wake()
+        self.assertEqual(self.net.forwarder.in_flight, 0)
+
+    def test_caller_who_leaves_ends_the_wait_for_a_version(self) -> None:
+        version = ConfigVersion(self.net.forwarder.version + 1)
+        self.shown.record(version)
+        cancel = self.send()
+        cancel()
+        self.loop.settle()
+        table = self.net.forwarder.table
+        assert table is not None
+        self.net.forwarder.apply(replace(table, version=version))
+        self.port.wake()
+        self.assertEqual((self.net.forwarder.in_flight, self.results), (0, []))
+
+    # Guards against an upgrade that stops hand-overs: nodes of earlier builds state no version.
+    def test_request_of_an_earlier_build_is_served(self) -> None:
+        body = encode([RequestId("r"), b"GET", b"/p/1", "h", (), b"", 1.0])
+        results: list[HttpResult] = []
+        call = HttpCall("127.0.0.1", self.server.port, "POST", HANDOVER_PATH, body=body)
+        self.client.request(call, results.append)
+        self.loop.settle()
+        self.loop.advance(0.02)
+        self.assertEqual(results[0].unwrap().status, 200)
+
+    def test_nodes_with_the_version_come_first(self) -> None:
+        now = self.loop.clock.now()
+        for name, version in (("a", 4), ("b", 5), ("c", 6)):
+            beat = replace(heartbeat(node(name), version=version), contact_age=0.1)
+            self.peers.record_heartbeat(beat, now)
+        self.shown.record(ConfigVersion(5))
+        names = {str(found.name) for _ in range(8) if (found := self.handover.next_node([]))}
+        self.assertEqual(names, {"b", "c"})
+        last = self.handover.next_node([NodeId("b"), NodeId("c")])
+        self.assertEqual(last.name if last is not None else "", "a")
+
     def test_route_that_the_other_node_lacks_is_answered_by_it(self) -> None:
         self.send(b"/unknown")
         self.assertEqual(self.results[0].unwrap().status, 404)
--- a/tests/test_truncated_heads.py
+++ b/tests/test_truncated_heads.py
@@ -15,7 +15,8 @@
 from msgspec.structs import replace
 from result import Err, Ok, Result
 
-from sequoiapulley.daemon.handover_port import HandoverReply, HttpHandoverClient
+from sequoiapulley.daemon.handover_client import HttpHandoverClient
+from sequoiapulley.daemon.handover_port import HandoverReply
 from sequoiapulley.daemon.parts_port import HttpPartsClient
 from sequoiapulley.forward.aggregators import PartsReply, PartsRequest, PartsTimeouts
 from sequoiapulley.forward.exchange import Exchange
@@ -28,6 +29,7 @@
     UpstreamRecord,
 )
 from sequoiapulley.forward.peer_table import PeerTable
+from sequoiapulley.forward.shown_version import ShownVersion
 from sequoiapulley.forward.upstream_pool import UpstreamPool
 from sequoiapulley.ids import FailureDomainName, RequestId, ServiceName, UpstreamName
 from sequoiapulley.observe.log_event import MemoryLog
@@ -419,7 +421,7 @@
         """Hands a request over; returns the result."""
         results: list[Result[object, object]] = []
         peers = PeerTable(node("n1"), MemoryLog())
-        client = HttpHandoverClient(self.client, peers, self.loop.clock)
+        client = HttpHandoverClient(self.client, peers, self.loop.clock, ShownVersion())
         client.hand_over(self.record, request_with_id("r1", b"POST"), 1.0, results.append)
         self.until(lambda: results)
         return results[0]
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -375,7 +375,7 @@
     Break(
         5,
         "forward/handover.py",
-        "            if failure.sent and not self._route.idempotent:\n",
+        "            if failure.sent and not self._idempotent:\n",
         "            if False:\n",
         ("test_handover",),
     ),
@@ -388,7 +388,7 @@
     ),
     Break(
         3,
-        "daemon/handover_port.py",
+        "daemon/handover_client.py",
         "    if answer.id != request:\n",
         "    if False:\n",
         ("test_handover",),
@@ -403,8 +403,43 @@
     Break(
         6,
         "daemon/handover_port.py",
-        "        if self._contact.cut_off:\n",
+        "\n        if self._contact.cut_off:\n",
+        "\n        if False:\n",
+        ("test_handover",),
+    ),
+    Break(
+        8,
+        "daemon/handover_port.py",
+        "        if request.version not in (NOT_STATED, version):\n",
         "        if False:\n",
         ("test_handover",),
     ),
+    Break(
+        8,
+        "forward/forwarder.py",
+        "        return self.shown.version > self.version\n",
+        "        return False\n",
+        ("test_cut_off_nodes",),
+    ),
+    Break(
+        6,
+        "platform/kv_source.py",
+        "                position = min(position, oldest)\n",
+        "                position = oldest\n",
+        ("test_kv_source",),
+    ),
+    Break(
+        8,
+        "decoding.py",
+        "_DECODER_ERRORS: Final = (ValueError, RecursionError, OverflowError)\n",
+        "_DECODER_ERRORS: Final = (ValueError, OverflowError)\n",
+        ("test_odd_entries",),
+    ),
+    Break(
+        3,
+        "wire/http_connection.py",
+        "            self._sock.recv(1, MSG_PEEK)\n",
+        "            return False\n",
+        ("test_upstream_pool",),
+    ),
 )
