Bound the pages of the store's stand-in and play more odd entries with processes

The stand-in's pages had 50 items of any size. With entries of 700 kB a page was larger than the node accepts, and the node never became ready: a fault of the stand-in, as the store's pages have a megabyte at most. Its pages end at a megabyte now.

The process test writes a number of 30 digits, ports out of range, an unspecified address and a huge name as well, in every key, before the start and live; both nodes follow the store. The two tests of `KvSource` share their base.

--- a/standins/store.py
+++ b/standins/store.py
@@ -27,6 +27,8 @@
 OMIT_ERA: Final = "omit"
 MAX_VALUE_BYTES: Final = 1_048_576
 PAGE_ITEMS: Final = 50
+PAGE_BYTES: Final = 1_048_576
+"""Size from which a page ends, in bytes of encoded values."""
 MS_PER_S: Final = 1000.0
 WRITE_PATHS: Final = frozenset({"/kv-txn", "/kv-lease"})
 
@@ -159,8 +161,14 @@
             revision = max(self.state.compacted_revision, revision - lag)
             items = self.state.items_at(revision)
         found = sorted(key for key in items if key.startswith(prefix) and key > after)
-        page = [items[key] for key in found[:PAGE_ITEMS]]
-        more = len(found) > PAGE_ITEMS
+        page: list[Item] = []
+        size = 0
+        for key in found[:PAGE_ITEMS]:
+            size += len(items[key].value)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(items[key])
+        more = len(found) > len(page)
         return reply_json(200, {"items": page, "has_more": more, "at": revision})
 
     async def _watch(self, request: Request) -> Response:
--- a/tests/test_kv_source.py
+++ b/tests/test_kv_source.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from random import Random
-from unittest import TestCase
 
 from msgspec import json
 from msgspec.structs import replace
@@ -12,7 +11,6 @@
 from sequoiapulley.forward.state import (
     AnnounceReply,
     ChangeSet,
-    ChangesReply,
     FoundLeaseReply,
     NodeChange,
     RequestRefusal,
@@ -23,42 +21,17 @@
     UpstreamRemoval,
 )
 from sequoiapulley.ids import Fingerprint, Incarnation, LeaseId, NodeId, UpstreamName
-from sequoiapulley.platform.kv_source import KvSource
-from sequoiapulley.wire.http_client import HttpClient
-from standins.store import PAGE_ITEMS, StoreStandIn
-from tests.state_fixtures import node, position
+from standins.store import PAGE_ITEMS
+from tests.kv_source_case import KvSourceCase
+from tests.state_fixtures import node
 from tests.test_platform_documents import CONFIGURATION, UPSTREAM
-from tests.wire_support import Loop
 
-TIMEOUT_S = 10.0
 RECORD = replace(node("n"), host="127.0.0.1")
 
 
-class KvSourceTest(TestCase):
+class KvSourceTest(KvSourceCase):
     """Full reads, watches and node registrations."""
 
-    def setUp(self) -> None:
-        self.server = StoreStandIn()
-        self.server.start()
-        self.addCleanup(self.server.stop)
-        self.loop = Loop()
-        self.client = HttpClient(self.loop.reactor, self.loop.clock, self.loop.timers)
-        self.addCleanup(self.client.close)
-        self.source = KvSource(self.client, self.server.host, self.server.port)
-        self.replies: list[ChangesReply] = []
-
-    def next_reply(self) -> ChangesReply:
-        self.loop.until(lambda: bool(self.replies))
-        return self.replies.pop(0)
-
-    def read_all(self) -> ChangeSet:
-        self.source.read_all(True, TIMEOUT_S, self.replies.append)
-        return self.next_reply().unwrap()
-
-    def read_changes(self, after: int, wait: float = 5.0) -> ChangesReply:
-        self.source.read_changes(position(after), wait, TIMEOUT_S, self.replies.append)
-        return self.next_reply()
-
     def test_refused_request_is_kept_and_read(self) -> None:
         refusal = RequestRefusal(Fingerprint("f" * 32), 3, 1_700_000_000_000)
         done: list[AnnounceReply] = []
@@ -95,8 +68,7 @@
                         self.server.put(f"servers/{name}", json.encode(UPSTREAM))
                 expected = self.registered(self.read_all(), set())
                 self.server.faults.stale_lags = lags
-                self.source.read_all(False, TIMEOUT_S, self.replies.append)
-                stale = self.next_reply().unwrap()
+                stale = self.read_all(exact=False)
                 found = self.registered(stale, set())
                 since = self.read_changes(stale.revision, wait=0.0).unwrap()
                 self.assertEqual(self.registered(since, found), expected)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -23,17 +23,15 @@
 from sequoiapulley.fleet.config_record import BadConfigRecordError, decode_record
 from sequoiapulley.forward.state import (
     ChangeSet,
-    ChangesReply,
     RegisteredReply,
     UnreadableEntry,
     UpstreamChange,
 )
-from sequoiapulley.ids import ConfigVersion, ExchangeId, LeaseId, Revision, ShardId
+from sequoiapulley.ids import ConfigVersion, ExchangeId, LeaseId, ShardId
 from sequoiapulley.link.frame_codec import BadFrameError, decode_frame, decode_hello
 from sequoiapulley.platform.boot_settings import load_boot_settings
 from sequoiapulley.platform.http_store import HttpStore
 from sequoiapulley.platform.http_vm_list import HttpVmList
-from sequoiapulley.platform.kv_source import KvSource
 from sequoiapulley.platform.store import StoreErrorKind, StoreReply
 from sequoiapulley.platform.vm_list import VmListReply
 from sequoiapulley.requests.claim_record import decode_claim
@@ -49,13 +47,12 @@
 from sequoiapulley.wire.reply_parser import ParsedReply
 from standins.platform_fleet import CALLERS_PORT, FleetSettings, PlatformFleet
 from standins.platform_upstream import PlatformUpstream
-from standins.store import StoreStandIn
+from tests.kv_source_case import TIMEOUT_S, KvSourceCase
 from tests.node_process_case import NodeProcessCase
-from tests.state_fixtures import node, position
+from tests.state_fixtures import node
 from tests.test_platform_documents import CONFIGURATION, UPSTREAM
 from tests.wire_support import Loop, ScriptedServer
 
-TIMEOUT_S: Final = 10.0
 LEVELS: Final = 100_000
 """Nesting of the entries; the decoders bear a thousand levels at most."""
 APPLY_S: Final = 3.0
@@ -101,43 +98,34 @@
 ODD_NAMES: Final = ("", "a\r\nX-Attempt-Id: b", "\u0142", "\u00e9", "a\u0000", "a\u2028b")
 HUGE_CHARS: Final = 700_000
 """Size of a value near the store's limit of a megabyte."""
-ODD_VALUES: Final = tuple(NESTED.values())
+ODD_VALUES: Final = (
+    *NESTED.values(),
+    json.encode({**UPSTREAM, "service": "s", "born": 0}).replace(
+        b'"born":0', b'"born":' + b"9" * 30
+    ),
+    json.encode({**UPSTREAM, "service": "s", "address": "127.0.0.1:70000"}),
+    json.encode({**UPSTREAM, "service": "s", "address": "0.0.0.0:80"}),
+    json.encode({**UPSTREAM, "service": "s", "zone": "x" * HUGE_CHARS}),
+)
+"""Values that name no upstream under any key."""
 NESTED_MSGPACK: Final = b"\x91" * LEVELS + b"\x01"
 
 
-class OddEntryTest(TestCase):
+class OddEntryTest(KvSourceCase):
     """The source of a node's state, with an odd entry beside those that hold."""
 
     def setUp(self) -> None:
-        self.server = StoreStandIn()
-        self.server.start()
-        self.addCleanup(self.server.stop)
-        self.loop = Loop()
-        self.client = HttpClient(self.loop.reactor, self.loop.clock, self.loop.timers)
-        self.addCleanup(self.client.close)
-        self.source = KvSource(self.client, self.server.host, self.server.port)
-        self.replies: list[ChangesReply] = []
+        super().setUp()
         self.server.put("servers/whole", json.encode(UPSTREAM))
 
-    def next_reply(self) -> ChangeSet:
-        self.loop.until(lambda: bool(self.replies))
-        return self.replies.pop(0).unwrap()
-
-    def read_both(self, after: Revision) -> list[ChangeSet]:
-        """Returns the changes as a running node reads them, and as one that starts does."""
-        self.source.read_changes(position(after), 0.0, TIMEOUT_S, self.replies.append)
-        live = self.next_reply()
-        self.source.read_all(False, TIMEOUT_S, self.replies.append)
-        return [live, self.next_reply()]
-
     def assert_others_hold(self, key: str, value: bytes) -> list[ChangeSet]:
         """Writes an entry; checks that it names no upstream and that the others are read."""
         self.server.remove("servers/holds")
-        self.source.read_all(True, TIMEOUT_S, self.replies.append)
-        after = self.next_reply().revision
+        after = self.read_all().revision
         self.server.put("servers/holds", json.encode(UPSTREAM))
         self.server.put(key, value)
-        found = self.read_both(after)
+        # As a running node reads it, and as one that starts does.
+        found = [self.read_changes(after, wait=0.0).unwrap(), self.read_all(exact=False)]
         for changes in found:
             named = {
                 str(change.record.name)
