--- a/src/sequoiapulley/daemon/handover_port.py
+++ b/src/sequoiapulley/daemon/handover_port.py
@@ -27,8 +27,8 @@
 STATUS_OTHER_VERSION: Final = 409
 """Answer of a node that has a later version, which it states; the request was not served."""
 MAX_VERSION_WAIT_S: Final = 1.0
-"""Longest time for which a request waits for its version at a node that has an earlier one. All
-nodes apply a version within the read interval of the store."""
+"""Longest time for which a request waits for its version at a node that has an earlier one: about
+the interval at which nodes read the store."""
 MAX_VERSION_WAIT_SHARE: Final = 0.5
 """Share of the time left that a request may wait; another node can then still serve it."""
 
