--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -301,6 +301,7 @@
             ("not toml", "line 1"),
             (SETTINGS.replace('ip = "10.1.0.9"', ""), "ip"),
             (SETTINGS.replace('"10.1.0.9:8104"', '"nowhere"'), "nowhere"),
+            (SETTINGS.replace('"10.1.0.9:8104"', '"10.1.0.9:70000"'), "70000"),
         ):
             result = self.load(text)
             assert isinstance(result, Err)
