Spread a newer configuration among the store readers at once

Cause: each store reader reads at most once a second, at moments of its own, so the other nodes applied a version up to a second apart. Heartbeats state the version, but to other failure domains they are sent each 1.2 s, and a node acts on a newer one only after lagging for a second.

Change: a store reader that applies a newer version sends a heartbeat to the other failure domains at once, and a store reader that hears of a version reads the store at once, one time for each version. Its followers wait for its changes already.

The stand-in of the store in `state_fleet` returned a configuration whose revision was later than that of its reply; a second read at the same revision hid it from the followers.

--- a/src/sequoiapulley/daemon/feed_sources.py
+++ b/src/sequoiapulley/daemon/feed_sources.py
@@ -12,7 +12,6 @@
 from sequoiapulley.forward.forwarder import Forwarder
 from sequoiapulley.forward.node_settings import Address
 from sequoiapulley.forward.peer_table import PeerTable
-from sequoiapulley.forward.roles import choose_store_reader
 from sequoiapulley.forward.state import NodeRecord, StateSource
 from sequoiapulley.forward.state_feed import ReadPlan
 from sequoiapulley.forward.store_position import NO_POSITION
@@ -108,9 +107,7 @@
         store_backing_off = now < self._store_retry_at
         store: list[Address | None] = [] if store_backing_off else [None]
         fallback = self._fallback_addresses() if failures or store_backing_off else []
-        reader = choose_store_reader(
-            self._peers.live_local_nodes(), self._peers.local_node.failure_domain
-        )
+        reader = self._peers.store_reader()
         if reader is None or reader.name == self._peers.local_node.name:
             return [*store, *fallback] or [None]
         # Fallback peers answer at once; a store that does not serve this node may never answer.
--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -22,6 +22,7 @@
 from sequoiapulley.daemon.settings_task import SettingsTask
 from sequoiapulley.daemon.settings_watch import SettingsWatch
 from sequoiapulley.daemon.signal_pipe import SignalPipe
+from sequoiapulley.daemon.version_news import VersionNews
 from sequoiapulley.forward.aggregators import Aggregators
 from sequoiapulley.forward.change_log import ChangeLog
 from sequoiapulley.forward.context import ForwardContext
@@ -59,7 +60,6 @@
 from sequoiapulley.forward.retry_quota import RetryQuota
 from sequoiapulley.forward.roles import (
     ENTRIES_PER_FAILURE_DOMAIN,
-    choose_store_reader,
     limit_share,
     ranked,
     slack_share,
@@ -274,6 +274,9 @@
         self._heartbeats = HeartbeatTask(
             self._heartbeat_port, self._peers, self._timers, self._make_heartbeat
         )
+        self._version_news = VersionNews(
+            self._forwarder, self._peers, self._heartbeats, self._feed.read_soon
+        )
         self._crash_guard.on_news = self._heartbeats.send_soon
         self._crash_guard.on_refusal = RefusalTask(store, self._timers, log).keep
         self._entry_port = EntryPort(
@@ -338,6 +341,7 @@
             self._forwarder.serve_pending()
             self._peer_port.wake()
             self._handover_port.wake()
+            self._version_news.spread()
 
     def _update_readiness(self) -> None:
         """Applies the active configuration's limits on callers and marks the node as ready."""
@@ -406,7 +410,7 @@
         """Logs a change of this node's roles; returns whether it is an entry node."""
         live = self._peers.live_local_nodes()
         entry = self._entry_port.is_entry_node()
-        reader = choose_store_reader(live, self._local_node.failure_domain) is self._local_node
+        reader = self._peers.store_reader() is self._local_node
         if (entry, reader) != self._roles:
             self._roles = (entry, reader)
             self._log.log(DUTIES_CHANGED, entry=entry, reader=reader, live=len(live))
@@ -441,6 +445,7 @@
             if upstream is not None and upstream.record.started_ms == news.started_ms:
                 record_leaving(self._ctx, upstream, f"announced to {heartbeat.record.name}")
         self._crash_guard.hear(heartbeat.strikes, self._directory.service_of, heartbeat.record.name)
+        self._version_news.hear(heartbeat.version)
 
     def _on_caller_request(self, req: ServerRequest) -> None:
         """Forwards a caller's request."""
--- a/src/sequoiapulley/daemon/heartbeat_task.py
+++ b/src/sequoiapulley/daemon/heartbeat_task.py
@@ -53,6 +53,10 @@
         peers = [*self._peers.local_heartbeat_targets(), *self._peers.remote_heartbeat_targets()]
         self._port.send(self._make_heartbeat(), peers)
 
+    def send_remote_now(self) -> None:
+        """Sends a heartbeat to other failure domains at once, for a newer configuration."""
+        self._port.send(self._make_heartbeat(), self._peers.remote_heartbeat_targets())
+
     def send_soon(self) -> None:
         """Sends a heartbeat to all recipients within milliseconds, for news of requests."""
         if self._news_pending:
@@ -74,4 +78,4 @@
     def _send_remote(self) -> None:
         """Sends a heartbeat to other failure domains and schedules the next one."""
         self._timers.call_later(REMOTE_HEARTBEAT_INTERVAL_S, self._send_remote)
-        self._port.send(self._make_heartbeat(), self._peers.remote_heartbeat_targets())
+        self.send_remote_now()
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -9,7 +9,7 @@
 
 from sequoiapulley.forward.crash_guard import StrikeNews
 from sequoiapulley.forward.log_events import PEER_LOST, PEER_SEEN
-from sequoiapulley.forward.roles import ranked
+from sequoiapulley.forward.roles import choose_store_reader, ranked
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.forward.store_position import NO_ERA, StorePosition
 from sequoiapulley.ids import ConfigVersion, Era, FailureDomainName, NodeId, Revision, UpstreamName
@@ -200,6 +200,10 @@
                 members.append(peer.record)
         return members
 
+    def store_reader(self) -> NodeRecord | None:
+        """Returns the node that reads the store for the local failure domain."""
+        return choose_store_reader(self.live_local_nodes(), self.local_node.failure_domain)
+
     def registered(self) -> list[NodeRecord]:
         """Returns the records of all peers."""
         return [peer.record for peer in self._peers.values()]
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -130,6 +130,8 @@
         self._pending: PendingRead | None = None
         self._plan: ReadPlan | None = None
         self._stopped = False
+        self._reads_soon = False
+        """Whether the next read follows the one in progress at once."""
 
     @property
     def age(self) -> float:
@@ -149,6 +151,18 @@
         """Stops reading; the reply to a read in flight is ignored."""
         self._stopped = True
 
+    def read_soon(self) -> None:
+        """Reads at once, or as soon as the read in progress has succeeded.
+
+        After a failed read the next one is due as usual.
+        """
+        if self._failures:
+            return
+        if self._pending is None:
+            self._schedule_read(self._timers.clock.now())
+        else:
+            self._reads_soon = True
+
     def _read(self) -> None:
         """Starts the next read."""
         if self._stopped:
@@ -176,6 +190,7 @@
 
     def _on_reply(self, plan: ReadPlan, reply: ChangesReply) -> None:
         """Applies the changes of a read, or schedules another read after an error."""
+        self._pending = None
         if self._stopped:
             return
         if isinstance(reply, Err):
@@ -329,6 +344,7 @@
         """Schedules the next read after a failed one."""
         delay = min(MAX_RETRY_S, INITIAL_RETRY_S * 2**self._failures)
         self._failures += 1
+        self._reads_soon = False
         self._schedule_read(self._timers.clock.now() + self._jittered(delay))
 
     def _on_store_available(self) -> bool:
@@ -357,4 +373,7 @@
         """Schedules the next read at a clock reading, or at once if that has passed."""
         if self._next_read is not None:
             self._next_read.cancel()
+        if self._reads_soon:
+            self._reads_soon = False
+            due = self._timers.clock.now()
         self._next_read = self._timers.call_at(due, self._read)
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -12,6 +12,7 @@
 
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
 from sequoiapulley.daemon.peer_source import PeerPort
+from sequoiapulley.daemon.version_news import VersionNews
 from sequoiapulley.forward.change_log import ChangeLog
 from sequoiapulley.forward.messages import Headers
 from sequoiapulley.forward.peer_table import (
@@ -77,6 +78,8 @@
         timeout: float,
         done: Callable[[ChangesReply], None],
     ) -> None:
+        self.fleet.store_reads += 1
+
         def read() -> ChangesReply:
             compacted = after.revision < self.fleet.history_from
             return (
@@ -195,6 +198,7 @@
     """
 
     def __init__(self, fleet: Fleet, record: NodeRecord, random: Random) -> None:
+        self.fleet = fleet
         self.record = record
         self.link_in = NarrowLink(fleet.timers, fleet.bytes_per_s)
         self.link_out = NarrowLink(fleet.timers, fleet.bytes_per_s)
@@ -202,6 +206,8 @@
         self.table: RouteTable | None = None
         self.applied: list[ConfigVersion] = []
         """Versions in the order in which they were read."""
+        self.applied_at: dict[ConfigVersion, float] = {}
+        """Clock reading at which each version became active."""
         self.peers = PeerTable(record, MemoryLog())
         self.log = ChangeLog()
         self.history = TableHistory()
@@ -212,6 +218,8 @@
         self.feed = StateFeed(
             self.sources, fleet.timers, MemoryLog(), random, self.apply_changes, StoreAvailability()
         )
+        news = SimpleNamespace(send_remote_now=lambda: fleet.send_heartbeat(self, local=False))
+        self.news = VersionNews(self, self.peers, news, self.feed.read_soon)
         self.port = PeerPort(
             self.log,
             fleet.timers,
@@ -230,12 +238,14 @@
             self.log.append(change, changes_read.revision)
             if change.table.version > self.version:
                 self.version = change.table.version
+                self.applied_at[self.version] = self.fleet.timers.clock.now()
                 self.table = change.table
                 self.history.record(change.table)
             self.applied.append(change.table.version)
         self.log.advance(changes_read.position)
         self.sources.position = changes_read.position
         self.port.wake()
+        self.news.spread()
 
     def full_state(self, age: float) -> ChangeSet:
         assert self.table is not None
@@ -257,6 +267,8 @@
         """
         self.timers = TimerQueue(PausedClock())
         self.bytes_per_s = bytes_per_s
+        self.store_reads = 0
+        """Number of reads of the store's changes by all nodes."""
         self.tables = {1: table(1)}
         """Configurations by version."""
         self.stored_bytes = {1: 0}
@@ -284,6 +296,11 @@
         """Revision of the store; upstreams write all the time."""
         return Revision(int(self.timers.clock.now() * WRITES_PER_S) - self._revisions_lost)
 
+    @property
+    def revision_read(self) -> Revision:
+        """Revision of the store's replies, at least that of the latest configuration."""
+        return max(self.revision, self.versions[-1][0])
+
     def restart(self, name: str) -> None:
         """Replaces a node by a new process without state."""
         old = self.nodes[name]
@@ -318,14 +335,14 @@
     def full_state(self) -> ChangeSet:
         """Returns the store's full state."""
         items = [TableChange(self.tables[version]) for _, version in self.versions[-1:]]
-        return changes(self.revision, *items, whole=True, era=self.era)
+        return changes(self.revision_read, *items, whole=True, era=self.era)
 
     def changes_after(self, after: Revision) -> ChangeSet:
         """Returns the store's changes after a revision."""
         items = [
             TableChange(self.tables[version]) for at, version in self.versions[-1:] if at > after
         ]
-        return changes(self.revision, *items, era=self.era)
+        return changes(self.revision_read, *items, era=self.era)
 
     def stored_size(self, found: ChangeSet) -> int:
         """Returns the size of a reply of the store, which is that of its configurations."""
@@ -339,22 +356,28 @@
         """Sends heartbeats to the nodes of the same failure domain, or to those of others."""
         if self.nodes[sender.record.name] is not sender:
             return
+        self.send_heartbeat(sender, local)
+        self.timers.call_later(period, lambda: self.send_heartbeats(sender, period, local))
+
+    def send_heartbeat(self, sender: FleetNode, local: bool) -> None:
+        """Sends one heartbeat to the nodes of the same failure domain, or to those of others."""
         position = sender.log.position
         message = heartbeat(sender.record, sender.version, position.revision, era=position.era)
         for other in self.nodes.values():
             if (other.record.failure_domain == sender.record.failure_domain) is local:
                 self._send_heartbeat(sender, other, message)
-        self.timers.call_later(period, lambda: self.send_heartbeats(sender, period, local))
 
     def _send_heartbeat(self, sender: FleetNode, other: FleetNode, message: Heartbeat) -> None:
         """Sends a heartbeat behind what the sender's link has to carry already."""
-        if self.bytes_per_s == float("inf"):
+
+        def arrive() -> None:
             other.peers.record_heartbeat(message, self.timers.clock.now())
-            return
-        sender.link_out.send(
-            HEARTBEAT_BYTES,
-            lambda: other.peers.record_heartbeat(message, self.timers.clock.now()),
-        )
+            other.news.hear(message.version)
+
+        if self.bytes_per_s == float("inf"):
+            arrive()
+        else:
+            sender.link_out.send(HEARTBEAT_BYTES, arrive)
 
     def run(self, seconds: float) -> None:
         """Advances the clock and runs the timers that become due."""
--- a/tests/test_state_feed.py
+++ b/tests/test_state_feed.py
@@ -70,6 +70,42 @@
             self.run_for(1.2)
         self.assertEqual(len(self.store.asked), 7)
 
+    # Guards against a version that a peer has and this node reads up to a second later.
+    def test_read_that_is_wanted_soon_does_not_wait_for_the_interval(self) -> None:
+        self.start_with(7)
+        self.store.reply(read(changes(8, upstream_change("a"))))
+        self.run_for(0.1)
+        asked = len(self.store.asked)
+        self.feed.read_soon()
+        self.run_for(0.05)
+        self.assertEqual(len(self.store.asked), asked + 1)
+
+    # Guards against a version that was written just after the store had answered a read.
+    def test_read_that_is_wanted_during_another_one_follows_it_once(self) -> None:
+        self.start_with(7)
+        asked = len(self.store.asked)
+        self.feed.read_soon()
+        self.run_for(0.05)
+        self.assertEqual(len(self.store.asked), asked)
+        for revision in (8, 9):
+            self.store.reply(read(changes(revision, upstream_change("a"))))
+            self.run_for(0.1)
+        self.assertEqual(len(self.store.asked), asked + 1)
+
+    # Guards against calls to a store in an outage for each version that peers state.
+    def test_read_that_is_wanted_soon_keeps_the_delay_after_a_failure(self) -> None:
+        self.start_with(7)
+        self.feed.read_soon()
+        for _ in range(4):
+            self.store.reply(unavailable())
+            self.run_for(MAX_RETRY_S * 2)
+        self.store.reply(unavailable())
+        self.run_for(0.05)
+        asked = len(self.store.asked)
+        self.feed.read_soon()
+        self.run_for(0.05)
+        self.assertEqual(len(self.store.asked), asked)
+
     def test_compacted_history_causes_an_exact_read(self) -> None:
         self.start_with(7)
         self.store.reply(history_compacted())
