Hand over to nodes that compare versions, and to one of an earlier build at most

Cause: nodes of the production build ignore the version that a hand-over states, and the sender used them in turn with the others. It can't know what such a node served with.

Change: - Heartbeats say whether a node compares versions (a new field at the end, which passes over). Such nodes come first. - If there is none in contact, one node of an earlier build serves all requests while it is in contact, as the versions of one node don't go back; one that is known to lack the version that callers have seen is not used. - After the cut such a node may have shown a version that this one has not read. What it showed is at most what the store had then, so requests are handed over until this node's state is as recent as the end of the cut; the store is read at once for that.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -256,6 +256,7 @@
             self._apply_changes,
             self._availability,
         )
+        self._forwarder.state_read_at = lambda: self._feed.read_at
         self._registration = Registration(store, self._timers, self._random, self._local_node)
         self._peer_port = PeerPort(
             changes,
@@ -382,6 +383,9 @@
         self._heartbeats.send_now()
         if self._contact.cut_off:
             self._forwarder.hand_over_jobs()
+        else:
+            self._forwarder.shown.end_cut(self._clock.now())
+            self._feed.read_soon()
 
     def _refresh_shares(self) -> None:
         """Updates this node's shares of the retry quota and of the upstreams' connections."""
@@ -432,6 +436,7 @@
             strikes=self._crash_guard.news(),
             cut_off=self._contact.cut_off,
             contact_age=round(self._contact.age, STATE_AGE_DIGITS),
+            compares_versions=True,
         )
 
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/src/sequoiapulley/daemon/handover_client.py
+++ b/src/sequoiapulley/daemon/handover_client.py
@@ -56,6 +56,8 @@
         self._clock = clock
         self._shown = shown
         self._round_robin_index = 0
+        self._last_earlier: NodeId | None = None
+        """Node of an earlier build that was used last."""
 
     @property
     def available(self) -> bool:
@@ -65,19 +67,35 @@
     def next_node(self, excluded: list[NodeId]) -> NodeRecord | None:
         """Returns the next of the closest nodes that are in contact with upstreams, or None.
 
-        Nodes that are known to have the version that this node's callers have seen come first.
+        Nodes that compare versions come first, and among them those that are known to have the
+        version that this node's callers have seen. Of nodes of earlier builds only those are used
+        that are known to have it.
         """
         in_contact = self._peers.in_contact(self._clock.now())
         usable = [node for node in in_contact if node.name not in excluded]
         before = ConfigVersion(self._shown.version - 1)
         current = {node.name for node in self._peers.with_newer_configuration(before)}
-        usable = [node for node in usable if node.name in current] or usable
+        comparing = {node.name for node in self._peers.comparing_versions()}
+        versioned = [node for node in usable if node.name in comparing]
+        if not versioned:
+            return self._node_of_earlier_build([node for node in usable if node.name in current])
+        usable = [node for node in versioned if node.name in current] or versioned
         closest = nodes_by_distance(usable, self._peers.local_node)[:NODES_IN_ROTATION]
-        if not closest:
-            return None
         self._round_robin_index += 1
         return closest[self._round_robin_index % len(closest)]
 
+    def _node_of_earlier_build(self, usable: list[NodeRecord]) -> NodeRecord | None:
+        """Returns the node that was used last while it is usable, else the closest one, or None.
+
+        Several nodes would serve with different versions.
+        """
+        closest = nodes_by_distance(usable, self._peers.local_node)
+        names = [node.name for node in closest]
+        if self._last_earlier in names:
+            return closest[names.index(self._last_earlier)]
+        self._last_earlier = names[0] if names else None
+        return closest[0] if closest else None
+
     def hand_over(
         self,
         node: NodeRecord,
@@ -86,6 +104,8 @@
         done: Callable[[HandoverResult], None],
     ) -> Cancel:
         """Sends a request; `done` receives the answer or the failure."""
+        if node not in self._peers.comparing_versions():
+            self._shown.record_unknown()
         return _VersionedSend(
             self._client, self._clock, self._shown, node, req, time_left, done
         ).start()
--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -57,6 +57,8 @@
         """Hands requests over to other nodes; None if there are none."""
         self.shown = ShownVersion()
         """Version that this node's callers may have seen."""
+        self.state_read_at: Callable[[], float] = lambda: float("inf")
+        """Returns the clock reading at which the store was in the state that this node has read."""
 
     @property
     def in_flight(self) -> int:
@@ -236,8 +238,8 @@
 
     @property
     def _is_behind(self) -> bool:
-        """Whether callers of this node have seen a version that it has not applied."""
-        return self.shown.version > self.version
+        """Whether callers of this node may have seen a version that it has not applied."""
+        return self.shown.is_ahead(self.version, self.state_read_at())
 
     def _make_handler(
         self, job: Job, req: CallerRequest, route: Route, end: float
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -72,6 +72,9 @@
     """Whether the node is cut off from the upstreams."""
     contact_age: float = float("inf")
     """Seconds since the node's last contact with an upstream; infinite if it states none."""
+    compares_versions: bool = False
+    """Whether the node serves a request of another node's caller only with the configuration
+    version that the request states; nodes of earlier builds serve it with any version."""
 
     @property
     def position(self) -> StorePosition:
@@ -242,6 +245,14 @@
             if last_heartbeat.version > version
         ]
 
+    def comparing_versions(self) -> list[NodeRecord]:
+        """Returns the live peers that compare the versions of requests handed over to them."""
+        return [
+            peer.record
+            for peer, last_heartbeat in self._live_peers()
+            if last_heartbeat.compares_versions
+        ]
+
     def with_later_position(self, position: StorePosition) -> list[NodeRecord]:
         """Returns the live peers that have read the store beyond a position."""
         return [
--- a/tests/state_fixtures.py
+++ b/tests/state_fixtures.py
@@ -117,7 +117,14 @@
     era: int = 0,
 ) -> Heartbeat:
     """Returns a node's heartbeat."""
-    return Heartbeat(record, state, ConfigVersion(version), Revision(revision), Era(era))
+    return Heartbeat(
+        record,
+        state,
+        ConfigVersion(version),
+        Revision(revision),
+        Era(era),
+        compares_versions=True,
+    )
 
 
 def unavailable(era: int = 0) -> ChangesReply:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -246,6 +246,56 @@
         self.loop.advance(0.02)
         self.assertEqual(results[0].unwrap().status, 200)
 
+    # Guards against CONFIG in an upgrade: a node of an earlier build serves with any version.
+    def test_nodes_that_compare_versions_come_first(self) -> None:
+        now = self.loop.clock.now()
+        for name, compares in (("a", False), ("b", True), ("c", False), ("d", True)):
+            beat = replace(heartbeat(node(name)), contact_age=0.1, compares_versions=compares)
+            self.peers.record_heartbeat(beat, now)
+        names = {str(found.name) for _ in range(8) if (found := self.handover.next_node([]))}
+        self.assertEqual(names, {"b", "d"})
+
+    # Guards against CONFIG in an upgrade: several nodes of an earlier build have several versions.
+    def test_one_node_of_an_earlier_build_serves_while_it_is_in_contact(self) -> None:
+        for name in ("a", "b", "c"):
+            self.hear_earlier(name, version=5)
+        used = [self.handover.next_node([]) for _ in range(6)]
+        first = used[0]
+        assert first is not None
+        self.assertEqual(used, [first] * 6)
+        self.hear_earlier(str(first.name), version=5, cut_off=True)
+        others = [self.handover.next_node([]) for _ in range(6)]
+        self.assertEqual(others, [others[0]] * 6)
+        self.assertNotIn(others[0], (None, first))
+
+    # Guards against CONFIG in an upgrade: callers have seen a version that the other node lacks.
+    def test_node_of_an_earlier_build_without_the_version_is_not_used(self) -> None:
+        self.shown.record(ConfigVersion(5))
+        self.hear_earlier("a", version=4)
+        self.assertIsNone(self.handover.next_node([]))
+        self.hear_earlier("a", version=5)
+        self.assertIsNotNone(self.handover.next_node([]))
+
+    # Guards against CONFIG after a cut in an upgrade: the version that callers have seen is unknown.
+    def test_use_of_a_node_of_an_earlier_build_is_recorded(self) -> None:
+        version = self.net.forwarder.version
+        self.shown.record(version)
+        self.peers.record_heartbeat(heartbeat(self.record), self.loop.clock.now())
+        self.send()
+        self.shown.end_cut(10.0)
+        self.assertFalse(self.shown.is_ahead(version, read_at=9.0))
+        self.hear_earlier("n2", version)
+        self.send()
+        self.shown.end_cut(10.0)
+        self.assertTrue(self.shown.is_ahead(version, read_at=9.0))
+        self.assertFalse(self.shown.is_ahead(version, read_at=10.0))
+
+    def hear_earlier(self, name: str, version: int, cut_off: bool = False) -> None:
+        """Records a heartbeat of a node of an earlier build."""
+        beat = heartbeat(node(name), version=version)
+        beat = replace(beat, contact_age=0.1, compares_versions=False, cut_off=cut_off)
+        self.peers.record_heartbeat(beat, self.loop.clock.now())
+
     def test_nodes_with_the_version_come_first(self) -> None:
         now = self.loop.clock.now()
         for name, version in (("a", 4), ("b", 5), ("c", 6)):
