Let requests without a version wait for the latest one that peers state

Cause: a receiver served a request that states no version with whatever it had, without a look at the versions of its peers.

Change: such a request waits until the node has the latest version that a live peer states, with the limits of the wait for a stated version; then another node is used.

`test_request_without_a_version_waits_for_the_latest_one_that_peers_state` fails without it.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -223,7 +223,9 @@
         self._forwarder.handover = HttpHandoverClient(
             handover_client, self._peers, self._clock, self._forwarder.shown
         )
-        self._handover_port = HandoverPort(self._forwarder, self._contact, self._timers, log)
+        self._handover_port = HandoverPort(
+            self._forwarder, self._contact, self._peers.latest_version, self._timers, log
+        )
         changes = ChangeLog()
         history = TableHistory()
         self._shared_state = SharedState(
--- a/src/sequoiapulley/daemon/handover_port.py
+++ b/src/sequoiapulley/daemon/handover_port.py
@@ -76,18 +76,25 @@
     """Serves the callers' requests that other nodes hand over."""
 
     def __init__(
-        self, forwarder: Forwarder, contact: UpstreamContact, timers: TimerQueue, log: LogSink
+        self,
+        forwarder: Forwarder,
+        contact: UpstreamContact,
+        latest_version: Callable[[], ConfigVersion],
+        timers: TimerQueue,
+        log: LogSink,
     ) -> None:
         """Initialise the port.
 
         Args:
             forwarder: Serves the requests.
             contact: Tells whether this node is cut off as well.
+            latest_version: Returns the latest version that a live peer states; 0 if there is none.
             timers: Timers of the event loop.
             log: Receives an event for each request that does not decode.
         """
         self._forwarder = forwarder
         self._contact = contact
+        self._latest_version = latest_version
         self._timers = timers
         self._log = log
         self._waiters: list[_Waiter] = []
@@ -106,11 +113,15 @@
         if self._contact.cut_off:
             req.answer(STATUS_UNAVAILABLE, (), b"")
             return
-        if request.version <= self._forwarder.version:
+        version = request.version
+        if version == NOT_STATED:
+            # Another node may have served the sender's callers with the latest one.
+            version = self._latest_version()
+        if version <= self._forwarder.version:
             self._begin(req, request)
             return
         arrived = self._timers.clock.now()
-        waiter = _Waiter(req, request.version, lambda: self._begin(req, request, arrived))
+        waiter = _Waiter(req, version, lambda: self._begin(req, request, arrived))
         wait = min(MAX_VERSION_WAIT_S, MAX_VERSION_WAIT_SHARE * request.time_left)
         waiter.timer = self._timers.call_later(wait, lambda: self._end_wait(waiter))
         self._waiters.append(waiter)
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -245,6 +245,11 @@
             if last_heartbeat.version > version
         ]
 
+    def latest_version(self) -> ConfigVersion:
+        """Returns the latest configuration version that a live peer states; 0 if there is none."""
+        versions = [last_heartbeat.version for _, last_heartbeat in self._live_peers()]
+        return max(versions, default=ConfigVersion(0))
+
     def comparing_versions(self) -> list[NodeRecord]:
         """Returns the live peers that compare the versions of requests handed over to them."""
         return [
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -160,8 +160,13 @@
             self.net.add(f"u-{number}", "portal")
         self.net.apply(plain_route("portal"))
         self.log = MemoryLog()
+        self.receivers_peers = PeerTable(node("n2"), self.log)
         self.port = HandoverPort(
-            self.net.forwarder, self.net.ctx.contact, self.loop.timers, self.log
+            self.net.forwarder,
+            self.net.ctx.contact,
+            self.receivers_peers.latest_version,
+            self.loop.timers,
+            self.log,
         )
         self.requests: list[ServerRequest] = []
         self.server = HttpServer(
@@ -246,6 +251,26 @@
         self.loop.advance(0.02)
         self.assertEqual(results[0].unwrap().status, 200)
 
+    # Guards against CONFIG in an upgrade: a sender of an earlier build states no version, and another
+    # receiver has served its callers with a later one.
+    def test_request_without_a_version_waits_for_the_latest_one_that_peers_state(self) -> None:
+        table = self.net.forwarder.table
+        assert table is not None
+        later = replace(table, version=ConfigVersion(table.version + 1))
+        beat = heartbeat(node("n3"), version=later.version)
+        self.receivers_peers.record_heartbeat(beat, self.loop.clock.now())
+        body = encode([RequestId("r"), b"GET", b"/p/1", "h", (), b"", 1.0])
+        results: list[HttpResult] = []
+        call = HttpCall("127.0.0.1", self.server.port, "POST", HANDOVER_PATH, body=body)
+        self.client.request(call, results.append)
+        self.loop.settle()
+        self.assertEqual((results, self.net.forwarder.in_flight), ([], 0))
+        self.net.forwarder.apply(later)
+        self.port.wake()
+        self.loop.settle()
+        self.loop.advance(0.02)
+        self.assertEqual(results[0].unwrap().status, 200)
+
     # Guards against CONFIG in an upgrade: a node of an earlier build serves with any version.
     def test_nodes_that_compare_versions_come_first(self) -> None:
         now = self.loop.clock.now()
