--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -251,8 +251,8 @@
         self.loop.advance(0.02)
         self.assertEqual(results[0].unwrap().status, 200)
 
-    # Guards against CONFIG in an upgrade: a sender of an earlier build states no version, and another
-    # receiver has served its callers with a later one.
+    # Guards against CONFIG in an upgrade: a sender of an earlier build states no version, and
+    # another receiver has served its callers with a later one.
     def test_request_without_a_version_waits_for_the_latest_one_that_peers_state(self) -> None:
         table = self.net.forwarder.table
         assert table is not None
@@ -301,7 +301,7 @@
         self.hear_earlier("a", version=5)
         self.assertIsNotNone(self.handover.next_node([]))
 
-    # Guards against CONFIG after a cut in an upgrade: the version that callers have seen is unknown.
+    # Guards against CONFIG after a cut in an upgrade: what version callers have seen is unknown.
     def test_use_of_a_node_of_an_earlier_build_is_recorded(self) -> None:
         version = self.net.forwarder.version
         self.shown.record(version)
