Cut nodes off and check configuration versions in the soak

Nodes of the first failure domain read the store by a second port, which lists the links' addresses.

Versions are not checked with `--older`, as a production node that hands over states none.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -32,6 +32,8 @@
     RequestKind.SINGLE: 2,
     RequestKind.NON_IDEMPOTENT: 3,
 }
+VERSIONED_WEIGHT: Final = 10
+"""Weight of versioned requests in runs with link cuts."""
 SURPLUS_WAIT_S: Final = 0.001
 SURPLUS_BYTES: Final = 4_096
 HTTP_START: Final = b"HTTP/1.1 "
@@ -42,7 +44,13 @@
     """Sends requests one at a time over one connection."""
 
     def __init__(
-        self, name: str, hosts: list[str], failure_domain: str, checker: ResultChecker, seed: int
+        self,
+        name: str,
+        hosts: list[str],
+        failure_domain: str,
+        checker: ResultChecker,
+        seed: int,
+        versioned: bool = False,
     ) -> None:
         """Creates a caller without a connection.
 
@@ -52,7 +60,11 @@
             failure_domain: Failure domain of the caller.
             checker: Receives the outcomes and answers.
             seed: Seed of the random choices.
+            versioned: Whether it also sends requests that show the configuration version.
         """
+        self._weights = dict(KIND_WEIGHTS)
+        if versioned:
+            self._weights[RequestKind.VERSIONED] = VERSIONED_WEIGHT
         self._name = name
         self._hosts = hosts
         self._failure_domain = failure_domain
@@ -82,7 +94,7 @@
         """Sends one request, then records its outcome and checks its answer."""
         self._count += 1
         request = f"{self._name}-{self._count}"
-        kind = self._random.choices(tuple(KIND_WEIGHTS), tuple(KIND_WEIGHTS.values()))[0]
+        kind = self._random.choices(tuple(self._weights), tuple(self._weights.values()))[0]
         deadline = self._random.choice(DEADLINES_S)
         if kind is RequestKind.NON_IDEMPOTENT:
             self._checker.non_idempotent.add(request)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -32,6 +32,8 @@
     SINGLE = "GET /i/x"
     """Idempotent request to one service."""
     NON_IDEMPOTENT = "POST /o/x"
+    VERSIONED = "GET /v/x"
+    """Idempotent request to the service that stands for the configuration version."""
 
 
 class Violation(Struct, frozen=True):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,6 +12,10 @@
 MAX_FAULT_INTERVAL_S: Final = 1.6
 MIN_FAULT_DURATION_S: Final = 0.5
 MAX_FAULT_DURATION_S: Final = 3.0
+MIN_CUT_S: Final = 3.0
+MAX_CUT_S: Final = 9.0
+MIN_VERSION_INTERVAL_S: Final = 0.5
+MAX_VERSION_INTERVAL_S: Final = 1.3
 PLANNED_SHARE: Final = 0.4
 """Share of the faults that are planned work, or slow upstreams, at which it goes wrong."""
 
@@ -103,6 +107,29 @@
     """Index of the affected node or upstream, modulo the number of them."""
 
 
+class LinkCut(Struct, frozen=True):
+    """Time in which the nodes of one failure domain have no link to any upstream."""
+
+    at: float
+    """Seconds from the start of the run."""
+    lasts: float
+    version_interval: float
+    """Seconds between two configuration versions meanwhile."""
+
+
+def draw_cuts(seed: int, seconds: float, quiet_period: float) -> list[LinkCut]:
+    """Returns the cuts of a seed, one after another, beside the faults of `draw_faults`."""
+    random = Random(f"{seed} cuts")
+    cuts: list[LinkCut] = []
+    at = random.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S)
+    while at < seconds - quiet_period:
+        lasts = min(random.uniform(MIN_CUT_S, MAX_CUT_S), seconds - quiet_period - at)
+        interval = random.uniform(MIN_VERSION_INTERVAL_S, MAX_VERSION_INTERVAL_S)
+        cuts.append(LinkCut(round(at, 3), lasts, interval))
+        at += lasts + random.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S)
+    return cuts
+
+
 def draw_faults(seed: int, seconds: float, quiet_period: float) -> list[Fault]:
     """Returns the fault schedule of a seed, in order of start; faults may overlap.
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -65,8 +65,8 @@
         self._random = Random(target_port)
 
     async def open(self) -> None:
-        """Listens on a port that the operating system assigns."""
-        self._server = await start_server(self._accept, self._host, 0)
+        """Listens on a port that the operating system assigns, or on the same one as before."""
+        self._server = await start_server(self._accept, self._host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def close(self) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,8 +15,9 @@
 from soak.caller import Caller
 from soak.checker import ResultChecker, Violation
 from soak.inject import FaultInjector
-from soak.plan import Fault, draw_faults
+from soak.plan import Fault, draw_cuts, draw_faults
 from soak.testbed import DRAIN_S, SHARDS, Testbed
+from soak.versions import LinkCutter, find_regressions
 
 SEEDS_FILE: Final = Path(__file__).resolve().parent / "failed_seeds.json"
 """All seeds that have failed so far, each with its cause."""
@@ -54,6 +55,7 @@
     keep: Path | None = None,
     check_recovery: bool = True,
     older: Path | None = None,
+    cuts: bool = False,
 ) -> SoakResult:
     """Runs one seed.
 
@@ -65,15 +67,19 @@
         check_recovery: Whether the run fails if too few requests are served in the recovery
             window; that share also depends on the load of the machine.
         older: Checkout of an older build; nodes change between the builds at each start.
+        cuts: Whether the nodes of one failure domain are also cut off from the upstreams while
+            configuration versions are written. Versions are not checked beside an older build.
     """
     faults = draw_faults(seed, seconds, QUIET_PERIOD_S)
-    testbed = Testbed(f"127.9.{network}", older)
+    testbed = Testbed(f"127.9.{network}", older, cuts)
     await testbed.open()
     try:
         checker = ResultChecker(testbed.upstreams, frozenset(SHARDS))
         hosts = [node.host for node in testbed.fleet.nodes]
         injector = FaultInjector(testbed, faults)
         injection = create_task(injector.run())
+        cutter = LinkCutter(testbed, draw_cuts(seed, seconds, QUIET_PERIOD_S) if cuts else [])
+        cutting = create_task(cutter.run())
         callers = [
             Caller(
                 f"s{seed}-c{number}",
@@ -81,15 +87,22 @@
                 testbed.failure_domains[number % 2],
                 checker,
                 seed + number,
+                cuts,
             )
             for number in range(len(MEAN_PAUSES_S))
         ]
         runs = zip(callers, MEAN_PAUSES_S, strict=True)
         await gather(*(caller.run(seconds, pause) for caller, pause in runs))
-        await injection
+        await gather(injection, cutting)
         checker.check_runs()
         checker.check_lost(testbed.work, testbed.trouble)
         checker.check_leaves(testbed.disturbed, DRAIN_S)
+        if cuts and older is None:
+            regressions = find_regressions(
+                testbed.upstreams, checker.passages, testbed.written, testbed.disturbed
+            )
+            for request, detail in regressions:
+                checker.add_violation("a configuration does not revert", request, detail)
         served_samples = [
             served
             for at, served in checker.availability_samples
@@ -134,6 +147,7 @@
         "--report", type=Path, help="file to which results are appended, one JSON object per line"
     )
     parser.add_argument("--keep", type=Path, help="folder for the node logs of failed seeds")
+    parser.add_argument("--cuts", action="store_true", help="also cut nodes off from all upstreams")
     parser.add_argument(
         "--older", type=Path, help="checkout of an older build that serves beside this one"
     )
@@ -141,13 +155,15 @@
     if args.older is not None and not (args.older / "deploy" / "node.py").is_file():
         parser.error(f"--older {args.older}: no deploy/node.py")
     seeds = list(args.seed or [])
-    if args.failed:
-        seeds.extend(item["seed"] for item in json.decode(SEEDS_FILE.read_bytes()))
     seeds.extend(SystemRandom().randrange(SEED_RANGE) for _ in range(args.fresh))
+    plays = [(seed, args.cuts) for seed in seeds]
+    if args.failed:
+        for item in json.decode(SEEDS_FILE.read_bytes()):
+            plays.append((item["seed"], item.get("cuts", False)))
     failed = 0
-    for seed in seeds:
+    for seed, cuts in plays:
         started_at = monotonic()
-        result = run(soak(seed, args.seconds, args.network, args.keep, older=args.older))
+        result = run(soak(seed, args.seconds, args.network, args.keep, older=args.older, cuts=cuts))
         failed += not result.passed
         verdict = "passed" if result.passed else "FAILED"
         print(f"seed {seed}: {verdict} in {monotonic() - started_at:.0f} s, {result.outcomes}")
@@ -157,7 +173,7 @@
         if args.report is not None:
             with args.report.open("ab") as report:
                 report.write(json.encode(result) + b"\n")
-    print(f"{len(seeds) - failed} seeds passed, {failed} failed")
+    print(f"{len(plays) - failed} seeds passed, {failed} failed")
     sys.exit(1 if failed else 0)
 
 
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -9,7 +9,7 @@
 from shutil import copy
 from typing import Final
 
-from msgspec import json
+from msgspec import json, structs
 
 from soak.caller import HOST, ROUTE_TIMEOUT_S, read_answer
 from soak.loss import Trouble, Work
@@ -27,6 +27,12 @@
 """Region of each failure domain."""
 NODE_DOMAINS: Final = ("p", "p", "p", "q", "q", "q")
 """Failure domain of each node."""
+CUT_DOMAINS: Final = {**FAILURE_DOMAINS, "r": "h"}
+"""Failure domains of runs with link cuts, with two others that serve requests of the cut-off one at
+the same time."""
+CUT_NODE_DOMAINS: Final = ("p", "q", "r", "p", "q", "r")
+VERSION_SERVICES: Final = 16
+"""Number of services among which the versioned route moves, more than a node may lag behind."""
 START_TIMEOUT_S: Final = 30.0
 DRAIN_S: Final = 3.0
 """Time after an announced shutdown in which a node may still send requests to the upstream."""
@@ -42,15 +48,18 @@
     Nodes connect to the store and to every upstream through a proxy that can inject faults.
     """
 
-    def __init__(self, network: str, older: Path | None = None) -> None:
+    def __init__(self, network: str, older: Path | None = None, cuts: bool = False) -> None:
         """Creates everything without starting it.
 
         Args:
             network: First three numbers of the nodes' loopback addresses.
             older: Checkout of an older build that serves beside this one; None for this one alone.
+            cuts: Whether the nodes of the first failure domain have links of their own to the
+                upstreams, and a route shows the configuration version.
         """
         self._network = network
         self._older = older
+        self._cuts = cuts
         self.failure_domains = list(FAILURE_DOMAINS)
         self.store = StoreStandIn()
         self.upstreams = [
@@ -58,6 +67,16 @@
             for service in (*SHARDS, *NON_IDEMPOTENT_SERVICES)
             for number, domain in enumerate(_upstream_domains(service))
         ]
+        if cuts:
+            self.upstreams.extend(
+                PlatformUpstream(f"u-v-{number}", f"v-{number}", "127.0.0.1", "q")
+                for number in range(VERSION_SERVICES)
+            )
+        self.links: list[FaultProxy] = []
+        """Proxies between the nodes of the first failure domain and the upstreams, if there are
+        cuts."""
+        self.written: list[tuple[int, float]] = []
+        """Configuration versions, each with the time at which it was written."""
         self.proxies: list[FaultProxy] = []
         self.version = VERSION_BEFORE_FIRST
         self.disturbed: list[tuple[str, float]] = []
@@ -73,12 +92,18 @@
 
     async def open(self) -> None:
         """Starts everything and waits until every node is ready."""
+        if self._cuts:
+            self.store.service.view = self._by_link
         self.store.start()
         for upstream in self.upstreams:
             upstream.start()
             proxy = FaultProxy("127.0.0.1", "127.0.0.1", upstream.port)
             await proxy.open()
             self.proxies.append(proxy)
+            if self._cuts:
+                link = FaultProxy("127.0.0.1", "127.0.0.1", proxy.port)
+                await link.open()
+                self.links.append(link)
             self.register(upstream)
         self.store_proxy = FaultProxy("127.0.0.1", self.store.host, self.store.port)
         await self.store_proxy.open()
@@ -86,7 +111,13 @@
         self._copies = create_task(self._copy_store())
         store = f"127.0.0.1:{self.store_proxy.port}"
         shape = FleetSettings(self._network, store, FAILURE_DOMAINS, older=self._older)
-        self.fleet = PlatformFleet(shape, list(NODE_DOMAINS))
+        node_domains = NODE_DOMAINS
+        if self._cuts:
+            view = f"127.0.0.1:{self.store.service.view_listener.port}"
+            stores = {self.failure_domains[0]: view}
+            shape = structs.replace(shape, failure_domains=CUT_DOMAINS, stores=stores)
+            node_domains = CUT_NODE_DOMAINS
+        self.fleet = PlatformFleet(shape, list(node_domains))
         self.fleet.start()
         end = get_running_loop().time() + START_TIMEOUT_S
         for node in self.fleet.nodes:
@@ -100,12 +131,37 @@
         if self._copies is not None:
             self._copies.cancel()
         self.fleet.close()
-        for proxy in (*self.proxies, self.store_proxy):
+        for proxy in (*self.links, *self.proxies, self.store_proxy):
             proxy.close()
         for upstream in self.upstreams:
             upstream.stop()
         self.store.stop()
 
+    @property
+    def cut_hosts(self) -> list[str]:
+        """Addresses of the nodes whose links can be cut."""
+        first = self.failure_domains[0]
+        return [node.host for node in self.fleet.nodes if node.failure_domain == first]
+
+    def cut_links(self) -> None:
+        """Resets and refuses all connections of the first failure domain's nodes to upstreams."""
+        for link in self.links:
+            link.close()
+
+    async def restore_links(self) -> None:
+        """Ends a cut."""
+        for link in self.links:
+            await link.open()
+
+    def _by_link(self, key: str, value: bytes) -> bytes:
+        """Returns an entry with the port of the link in place of that of the proxy."""
+        if not key.startswith("servers/u-"):
+            return value
+        names = [upstream.name for upstream in self.upstreams]
+        entry = json.decode(value)
+        entry["address"] = f"127.0.0.1:{self.links[names.index(key.partition('/')[2])].port}"
+        return json.encode(entry)
+
     def register(
         self, upstream: PlatformUpstream, state: str = "ready", restarted: bool = False
     ) -> None:
@@ -171,11 +227,13 @@
             "type": "non_idempotent",
             "service": service,
         }
-        config = {
-            "version": self.version,
-            "routes": [{**base, **merged}, {**base, **single}, {**base, **non_idempotent}],
-        }
-        self._configuration = json.encode(config)
+        routes = [{**base, **merged}, {**base, **single}, {**base, **non_idempotent}]
+        if self._cuts:
+            shown = f"v-{len(self.written) % VERSION_SERVICES}"
+            route = {"name": "v", "prefix": "/v/", "type": "idempotent", "service": shown}
+            routes.append({**base, **route})
+        self._configuration = json.encode({"version": self.version, "routes": routes})
+        self.written.append((self.version, get_running_loop().time()))
         self.store.put("op/config", self._configuration)
 
     def keep_logs(self, folder: Path) -> None:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -35,6 +35,8 @@
     """Region of each failure domain."""
     grace: float = 6.0
     """Seconds between SIGTERM and SIGKILL, until the settings of a node are rewritten."""
+    stores: dict[str, str] = {}
+    """Address of the store for the nodes of a failure domain, where it is another one."""
     older: Path | None = None
     """Checkout of an older build; every second node starts with it, and each restart of a node
     changes its build. None for the same build on all nodes."""
@@ -190,5 +192,5 @@
 retry_slack = 200
 ttl_max_s = 5
 [platform]
-address = "{shape.store}"
+address = "{shape.stores.get(node.failure_domain, shape.store)}"
 """
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,8 +5,9 @@
 import builtins
 from argparse import ArgumentParser
 from asyncio import AbstractEventLoop, get_running_loop, sleep, wait_for
-from base64 import b64decode
+from base64 import b64decode, b64encode
 from collections import Counter
+from collections.abc import Callable
 from signal import SIG_BLOCK, SIGINT, SIGTERM, pthread_sigmask
 from typing import Final
 
@@ -84,16 +85,35 @@
         self.calls: Counter[str] = Counter()
         self.state = KvState()
         self.listener = Listener(self.answer, host, port)
+        self.view_listener = Listener(self._answer_view, host, 0)
+        self.view: Callable[[str, bytes], bytes] | None = None
+        """Returns the value of a key as readers of the second port see it; there is no such port
+        without it."""
         self._loop: AbstractEventLoop | None = None
 
     async def open(self) -> None:
-        """Opens the listening socket."""
+        """Opens the listening sockets."""
         self._loop = get_running_loop()
         await self.listener.open(self._loop)
+        if self.view is not None:
+            await self.view_listener.open(self._loop)
 
     async def close(self) -> None:
         """Stops listening and resets every connection."""
         self.listener.close()
+        self.view_listener.close()
+
+    async def _answer_view(self, request: Request) -> Response:
+        """Answers one call of the second port."""
+        response = await self.answer(request)
+        if response.status != 200 or request.method != "GET" or self.view is None:
+            return response
+        body = json.decode(response.body)
+        for item in (*body.get("items", ()), *body.get("events", ())):
+            if not item.get("deleted"):
+                value = self.view(item["key"], b64decode(item["value"]))
+                item["value"] = b64encode(value).decode()
+        return structs.replace(response, body=json.encode(body))
 
     async def answer(self, request: Request) -> Response:
         """Answers one call, applying the faults; every reply states the era."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,8 @@
 
 SEED = 11
 SECONDS = 13.0
+CUTS_SEED = 5
+CUTS_SECONDS = 16.0
 NETWORK = 3
 
 
@@ -23,6 +25,12 @@
         self.assertEqual(result.violations, ())
         self.assertGreater(result.outcomes.get("200", 0), 0)
 
+    # Guards against CONFIG of review case 5; on the code before its fix this seed finds it.
+    def test_callers_of_cut_off_nodes_see_no_older_version(self) -> None:
+        result = run(soak(CUTS_SEED, CUTS_SECONDS, NETWORK, check_recovery=False, cuts=True))
+        self.assertEqual(result.violations, ())
+        self.assertGreater(result.outcomes.get("200", 0), 0)
+
     def test_plan_is_determined_by_its_seed(self) -> None:
         self.assertEqual(draw_faults(5, 60.0, QUIET_PERIOD_S), draw_faults(5, 60.0, QUIET_PERIOD_S))
         kinds = {
