--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -127,6 +127,21 @@
         self.assertEqual(ask(behind, "/added/1"), OK)
         self.assertEqual(fleet.clients[0].sent, 2)
 
+    # Guards against CONFIG after a cut in an upgrade: a node of an earlier build, which states no
+    # version, has served callers with one that this node has not read.
+    def test_node_hands_over_until_its_state_is_as_recent_as_the_end_of_the_cut(self) -> None:
+        fleet = make_fleet()
+        fleet.load(2.0)
+        returned, client = fleet.nets[0], fleet.clients[0]
+        ended = fleet.timers.clock.now()
+        client.next_node = lambda _excluded: node("n1")  # type: ignore[method-assign]
+        returned.forwarder.shown.record_unknown()
+        returned.forwarder.shown.end_cut(ended)
+        for read_at, sent in ((ended - 0.1, 1), (ended, 1)):
+            returned.forwarder.state_read_at = lambda read_at=read_at: read_at
+            self.assertEqual(ask(returned, "/p/1"), OK)
+            self.assertEqual(client.sent, sent, f"state of {read_at - ended} s after the cut")
+
     def test_node_that_is_behind_and_alone_serves_by_itself(self) -> None:
         fleet = make_fleet()
         fleet.load(2.0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -292,6 +292,8 @@
         others = [self.handover.next_node([]) for _ in range(6)]
         self.assertEqual(others, [others[0]] * 6)
         self.assertNotIn(others[0], (None, first))
+        self.hear_earlier(str(first.name), version=5)
+        self.assertEqual(self.handover.next_node([]), others[0])
 
     # Guards against CONFIG in an upgrade: callers have seen a version that the other node lacks.
     def test_node_of_an_earlier_build_without_the_version_is_not_used(self) -> None:
