Serve by oneself if the store is away after a cut

A node that has used a node of an earlier build while it was cut off handed requests over until it had read the store again; in an outage of the store that could take minutes, in which it had no need to. The wait now ends after 3 s, the bound on the activation of a version on all nodes. The test of the return from a cut has the case, and fails without the bound.

--- a/src/sequoiapulley/forward/forwarder.py
+++ b/src/sequoiapulley/forward/forwarder.py
@@ -239,7 +239,8 @@
     @property
     def _is_behind(self) -> bool:
         """Whether callers of this node may have seen a version that it has not applied."""
-        return self.shown.is_ahead(self.version, self.state_read_at())
+        now = self._ctx.clock.now()
+        return self.shown.is_ahead(self.version, self.state_read_at(), now)
 
     def _make_handler(
         self, job: Job, req: CallerRequest, route: Route, end: float
--- a/src/sequoiapulley/forward/shown_version.py
+++ b/src/sequoiapulley/forward/shown_version.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from sequoiapulley.ids import ConfigVersion
 
+MAX_APPLY_S: Final = 3.0
+"""Bound on the time from the write of a version to its activation on all nodes, after which a node
+that cannot read the store serves by itself."""
+
 
 class ShownVersion:
     """Latest version with which a request of this node's callers was served, here or elsewhere.
@@ -38,11 +44,14 @@
             self._used_unknown = False
             self.unknown_until = now
 
-    def is_ahead(self, version: ConfigVersion, read_at: float) -> bool:
+    def is_ahead(self, version: ConfigVersion, read_at: float, now: float) -> bool:
         """Returns whether callers may have seen a later version.
 
         Args:
             version: The version that this node has applied.
             read_at: Clock reading at which the store was in the state that this node has read.
+            now: Clock reading in seconds.
         """
-        return self.version > version or read_at < self.unknown_until
+        if self.version > version:
+            return True
+        return read_at < self.unknown_until and now < self.unknown_until + MAX_APPLY_S
--- a/tests/test_cut_off_nodes.py
+++ b/tests/test_cut_off_nodes.py
@@ -9,6 +9,7 @@
 from unittest import TestCase
 
 from sequoiapulley.forward.messages import Answer
+from sequoiapulley.forward.shown_version import MAX_APPLY_S
 from sequoiapulley.ids import ConfigVersion
 from tests.partitioned_fleet import Cut, PartitionedFleet
 from tests.simulated_upstreams import SimulatedNet, add_search_and_portal, plain_route
@@ -141,6 +142,11 @@
             returned.forwarder.state_read_at = lambda read_at=read_at: read_at
             self.assertEqual(ask(returned, "/p/1"), OK)
             self.assertEqual(client.sent, sent, f"state of {read_at - ended} s after the cut")
+        # The store may be away for longer than any node takes to apply a version.
+        returned.forwarder.state_read_at = lambda: ended - 0.1
+        fleet.run(MAX_APPLY_S)
+        self.assertEqual(ask(returned, "/p/1"), OK)
+        self.assertEqual(client.sent, 1)
 
     def test_node_that_is_behind_and_alone_serves_by_itself(self) -> None:
         fleet = make_fleet()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -310,12 +310,12 @@
         self.peers.record_heartbeat(heartbeat(self.record), self.loop.clock.now())
         self.send()
         self.shown.end_cut(10.0)
-        self.assertFalse(self.shown.is_ahead(version, read_at=9.0))
+        self.assertFalse(self.shown.is_ahead(version, read_at=9.0, now=10.0))
         self.hear_earlier("n2", version)
         self.send()
         self.shown.end_cut(10.0)
-        self.assertTrue(self.shown.is_ahead(version, read_at=9.0))
-        self.assertFalse(self.shown.is_ahead(version, read_at=10.0))
+        self.assertTrue(self.shown.is_ahead(version, read_at=9.0, now=10.0))
+        self.assertFalse(self.shown.is_ahead(version, read_at=10.0, now=10.0))
 
     def hear_earlier(self, name: str, version: int, cut_off: bool = False) -> None:
         """Records a heartbeat of a node of an earlier build."""
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -417,15 +417,15 @@
     Break(
         8,
         "forward/forwarder.py",
-        "        return self.shown.is_ahead(self.version, self.state_read_at())\n",
+        "        return self.shown.is_ahead(self.version, self.state_read_at(), now)\n",
         "        return False\n",
         ("test_cut_off_nodes",),
     ),
     Break(
         8,
         "forward/shown_version.py",
-        " or read_at < self.unknown_until\n",
-        "\n",
+        "        return read_at < self.unknown_until and now < self.unknown_until + MAX_APPLY_S\n",
+        "        return False\n",
         ("test_cut_off_nodes", "test_handover"),
     ),
     Break(
