Test that parts do not depend on the configuration of the node that collects them

A request for parts names shards, upstreams and the size of the merged body, and the collecting node uses no table of its own.

--- a/tests/test_remote_parts.py
+++ b/tests/test_remote_parts.py
@@ -51,6 +51,7 @@
     SimulatedUpstream,
     ended,
     gather_route,
+    plain_route,
     success,
 )
 from tests.state_fixtures import node
@@ -172,6 +173,17 @@
         self.assertEqual((len(self.nodes.requests), self.direct_sends()), (1, 0))
         self.assertLess(time, REMOTE_ROUND_TRIP_S + 0.01)
 
+    # Guards against CONFIG of review case 5 by way of parts: the other node has other versions.
+    def test_configuration_of_the_other_node_does_not_change_the_parts(self) -> None:
+        _, before = self.ask()
+        self.net._next = 0
+        for version, route in ((1, plain_route("shard-1")), (9, gather_route(SHARDS[:2], 0.5))):
+            self.remote_net.apply(route, version=version)
+            _, answer = self.ask()
+            self.net._next = 0
+            self.assertEqual(answer, before, f"other node with version {version}")
+        self.assertEqual(self.direct_sends(), 0)
+
     def test_merged_body_is_the_same_as_from_direct_calls(self) -> None:
         _, merged = self.ask()
         self.nodes.connected = False
