Give the soak's links an address of their own

A link listens on its port again when a cut ends. No connection has the links' own address as its source.

--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -31,6 +31,9 @@
 """Failure domains of runs with link cuts, with two others that serve requests of the cut-off one at
 the same time."""
 CUT_NODE_DOMAINS: Final = ("p", "q", "r", "p", "q", "r")
+LINKS_NUMBER: Final = 250
+"""Last number of the links' address, which no connection has as its source, so that a link can
+listen on its port again."""
 VERSION_SERVICES: Final = 16
 """Number of services among which the versioned route moves, more than a node may lag behind."""
 START_TIMEOUT_S: Final = 30.0
@@ -60,6 +63,7 @@
         self._network = network
         self._older = older
         self._cuts = cuts
+        self._link_host = f"{network}.{LINKS_NUMBER}"
         self.failure_domains = list(FAILURE_DOMAINS)
         self.store = StoreStandIn()
         self.upstreams = [
@@ -101,7 +105,7 @@
             await proxy.open()
             self.proxies.append(proxy)
             if self._cuts:
-                link = FaultProxy("127.0.0.1", "127.0.0.1", proxy.port)
+                link = FaultProxy(self._link_host, "127.0.0.1", proxy.port)
                 await link.open()
                 self.links.append(link)
             self.register(upstream)
@@ -159,7 +163,8 @@
             return value
         names = [upstream.name for upstream in self.upstreams]
         entry = json.decode(value)
-        entry["address"] = f"127.0.0.1:{self.links[names.index(key.partition('/')[2])].port}"
+        link = self.links[names.index(key.partition("/")[2])]
+        entry["address"] = f"{self._link_host}:{link.port}"
         return json.encode(entry)
 
     def register(
