Do not tell callers that a request that ran has not run

Cause: `ServiceCall` took every complete reply to a request that is not idempotent as final, and the relay passed its status on. That an upstream ran the request is known from the reply: it lacks the statement that it did not. The status was never compared with that. The same held for 408, 421 and 429, and for the last failure of an idempotent request. The upstream also counted as sound and fast, so that it got more orders.

Ruled out: the retry of a refused order at another upstream (each order reached one upstream), and late replies of other requests (the seals are those of the attempts).

Change: a reply of an upstream that ran the request may be forwarded only if its status does not promise the opposite. Otherwise the try has failed: an idempotent request goes to another upstream, any other one is answered 502 at once, without the upstream's seal.

`test_status_of_an_upstream_that_ran_a_request_does_not_promise_that_it_has_not` fails for all four statuses before.

--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
+from typing import Final
 
 from msgspec import Struct, field
 from xxhash import xxh3_128_hexdigest
@@ -19,6 +20,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
+"""Statuses that promise a caller that its request has not run and never will."""
+
 
 class UpstreamRecord(Struct, frozen=True):
     """Record that an upstream publishes about itself."""
@@ -137,6 +141,16 @@
     detail: str = ""
     """Why a reply was refused as malformed, for the log; empty if it was not."""
 
+    @property
+    def may_be_forwarded(self) -> bool:
+        """Whether a caller may receive the reply.
+
+        The request has run, so a status that promises the opposite must not reach the caller.
+        """
+        if self.end is not ExchangeEnd.REPLY or self.reply is None:
+            return False
+        return self.reply.status not in NOT_RUN_STATUSES
+
 
 ExchangeCallback = Callable[[ExchangeReply], None]
 """Called once with the outcome of an exchange."""
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -104,7 +104,7 @@
         self.delegate: NodeId | None = None
         """Remote node to which this call is delegated, if any."""
         self.last_failure: ExchangeReply | None = None
-        """Last failure reply of an upstream that ran the request."""
+        """Last failure reply of an upstream that ran the request and whose status says so."""
 
     @property
     def done(self) -> bool:
@@ -331,7 +331,7 @@
         """Handles the end of one try: reports a final reply, or retries."""
         now = self._ctx.clock.now()
         self._close_try(sent_try)
-        failed = reply.end is not ExchangeEnd.REPLY or not self._is_final(reply)
+        failed = not self._is_final(reply)
         record_try_end(self._ctx, self._route, sent_try.upstream, sent_try.exchange, reply, failed)
         self._ctx.tally.ends[reply.end.value] += 1
         self._record_survival(sent_try, reply)
@@ -344,10 +344,10 @@
             self._ctx.quota.refund(self.service)
         if reply.end not in NEVER_RAN:
             self._may_have_run = True
-        if reply.end is ExchangeEnd.REPLY and self._is_final(reply):
+        if not failed:
             self._finish(CallResult(CallEnd.REPLY, reply))
             return
-        if reply.end is ExchangeEnd.REPLY:
+        if reply.may_be_forwarded:
             self.last_failure = reply
         lost = reply.end is ExchangeEnd.LOST
         self._ctx.log.log(
@@ -516,7 +516,7 @@
 
     def _is_final(self, reply: ExchangeReply) -> bool:
         """Returns whether a reply ends the call regardless of other upstreams."""
-        if reply.reply is None:
+        if reply.reply is None or not reply.may_be_forwarded:
             return False
         status = reply.reply.status
         if self._route.gather is not None:
--- a/tests/test_service_call.py
+++ b/tests/test_service_call.py
@@ -106,6 +106,40 @@
         net = self.net({"a": list(failure), "b": list(failure)})
         self.assertEqual(self.outcome(net), (500, b"broken"))
 
+    # Guards against REFUSED of review case 7: an order that ran was answered with a status that
+    # promises that it has not.
+    def test_status_of_an_upstream_that_ran_a_request_does_not_promise_that_it_has_not(
+        self,
+    ) -> None:
+        for status in (408, 421, 429, 503):
+            for idempotent in (False, True):
+                with self.subTest(status=status, idempotent=idempotent):
+                    failure = [(0.005, success(b"away", status=status))] * 9
+                    net = self.net({"a": list(failure), "b": list(failure)}, idempotent)
+                    answers = net.ask("/p/1")
+                    net.run(1.5)
+                    answer = answers[0][1]
+                    self.assertEqual(answer.status, 502)
+                    self.assertNotIn(b"Retry-After", dict(answer.headers))
+                    self.assertNotIn(b"away", answer.body)
+                    if not idempotent:
+                        self.assertEqual(self.arrivals(net), {"a": 1, "b": 0})
+
+    # Guards against the same status for a request that another upstream would have served.
+    def test_idempotent_request_is_sent_to_another_upstream_after_such_a_status(self) -> None:
+        for status in (408, 429, 503):
+            with self.subTest(status=status):
+                net = self.net({"a": [(0.005, success(b"away", status=status))] * 9})
+                self.assertEqual(self.outcome(net), (200, b"b"))
+
+    def test_failure_is_passed_on_if_another_upstream_denies_the_run(self) -> None:
+        script: Script = {
+            "a": [(0.005, success(b"broken", status=500))] * 9,
+            "b": [(0.005, success(b"away", status=503))] * 9,
+        }
+        net = self.net(script)
+        self.assertEqual(self.outcome(net), (500, b"broken"))
+
     def test_used_up_quota_ends_the_request_at_once(self) -> None:
         net = self.net({"a": [(0.005, ended(ExchangeEnd.LOST))]}, slack=0.0)
         answers = net.ask("/p/1")
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -477,4 +477,11 @@
         "            return False\n",
         ("test_upstream_pool",),
     ),
+    Break(
+        4,
+        "forward/messages.py",
+        "        return self.reply.status not in NOT_RUN_STATUSES\n",
+        "        return True\n",
+        ("test_service_call", "test_platform_documents"),
+    ),
 )
