Do not pass a false promise on that an earlier build's node hands back

A node that is cut off hands orders over to other nodes and passes their answers on. Nodes of the build in production forward an upstream's own 503, 429, 421 or 408 for an order that it ran; beside them a caller of this build would still be told that the order has not run.

Only 503 was compared with what this node knew of earlier tries.

Change: the contract tells whether an answer forwards an upstream's reply; with a status that promises that the request has not run, the caller gets 502 instead. Refusals that nodes make themselves have no seal and are passed on.

--- a/src/sequoiapulley/forward/contract.py
+++ b/src/sequoiapulley/forward/contract.py
@@ -38,6 +38,9 @@
     def forwarded_answer(self, reply: ExchangeReply) -> Answer:
         """Returns the answer that forwards an upstream's reply unchanged."""
 
+    def forwards_reply(self, answer: Answer) -> bool:
+        """Returns whether an answer forwards the reply of an upstream that ran the request."""
+
     def merged_answer(self, seals: list[bytes], missing: int, body: bytes) -> Answer:
         """Returns the merged answer of a gather.
 
--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -10,8 +10,8 @@
 
 from sequoiapulley.forward.context import ForwardContext
 from sequoiapulley.forward.log_events import HANDOVER_FAILED
-from sequoiapulley.forward.messages import Answer, CallerRequest
-from sequoiapulley.forward.refusal import NOT_EXECUTED_STATUS, Reason, error_answer
+from sequoiapulley.forward.messages import NOT_RUN_STATUSES, Answer, CallerRequest
+from sequoiapulley.forward.refusal import Reason, error_answer
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.ids import NodeId
 
@@ -140,8 +140,9 @@
             return
         self._ctx.tally.handovers["answered"] += 1
         answer = result.ok_value
-        if answer.status == NOT_EXECUTED_STATUS and self._may_have_run:
-            # This node's status must cover the node that may have run the request, too.
+        # Nodes of earlier builds forward any status of an upstream that ran the request.
+        self._may_have_run = self._may_have_run or self._ctx.contract.forwards_reply(answer)
+        if answer.status in NOT_RUN_STATUSES and self._may_have_run:
             self._fail()
             return
         self._finish(answer, None)
--- a/src/sequoiapulley/platform/platform_contract.py
+++ b/src/sequoiapulley/platform/platform_contract.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 from sequoiapulley.forward.attempt_history import AttemptHistory
@@ -131,6 +132,10 @@
         )
         return Answer(parsed.status, headers, parsed.body)
 
+    def forwards_reply(self, answer: Answer) -> bool:
+        """Returns whether an answer forwards an upstream's reply, as only those have a seal."""
+        return _header(answer.headers, SEAL) is not None
+
     def merged_answer(self, seals: list[bytes], missing: int, body: bytes) -> Answer:
         """Returns the answer to a gathered request.
 
@@ -184,7 +189,7 @@
     )
 
 
-def _header(headers: list[tuple[bytes, bytes]], wanted: bytes) -> bytes | None:
+def _header(headers: Iterable[tuple[bytes, bytes]], wanted: bytes) -> bytes | None:
     """Returns the value of the first header with a lower-case name, or None."""
     for name, value in headers:
         if name == wanted:
--- a/tests/simulated_upstreams.py
+++ b/tests/simulated_upstreams.py
@@ -44,6 +44,7 @@
 LOCAL_ROUND_TRIP_S = 0.0005
 GOAL_S = 0.1
 TIMEOUT_S = 1.0
+SEAL_HEADER = b"X-Seal"
 
 Behaviour = Callable[["SimulatedUpstream", Exchange, float], "tuple[float, ExchangeReply] | None"]
 """Returns the duration of an exchange and its outcome, or None if it never ends."""
@@ -145,6 +146,9 @@
         assert reply.reply is not None
         return Answer(reply.reply.status, (), reply.reply.body)
 
+    def forwards_reply(self, answer: Answer) -> bool:
+        return any(name == SEAL_HEADER for name, _ in answer.headers)
+
     def merged_answer(self, seals: list[bytes], missing: int, body: bytes) -> Answer:
         return Answer(200, ((b"missing", b"%d" % missing), (b"seals", b",".join(seals))), body)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -29,11 +29,11 @@
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
 from sequoiapulley.wire.http_server import HttpServer
 from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
-from tests.simulated_upstreams import SimulatedNet, plain_route, success
+from tests.simulated_upstreams import SEAL_HEADER, SimulatedNet, plain_route, success
 from tests.state_fixtures import heartbeat, node
 from tests.wire_support import Loop
 
-OK = Answer(200, ((b"X-Seal", b"s"),), b"body")
+OK = Answer(200, ((SEAL_HEADER, b"s"),), b"body")
 NOT_RUN = Answer(503, (), b"")
 
 
@@ -129,6 +129,19 @@
         nodes.reply(Ok(NOT_RUN))
         self.assertEqual(self.answers[0][0].status, 502)
 
+    # Guards against REFUSED of review case 7 beside nodes that forward such a status.
+    def test_status_of_an_upstream_that_ran_the_request_does_not_promise_that_it_has_not(
+        self,
+    ) -> None:
+        for status in (408, 421, 429, 503):
+            with self.subTest(status=status):
+                nodes = ScriptedNodes(2)
+                self.hand_over(nodes, idempotent=False)
+                nodes.reply(Ok(Answer(status, ((SEAL_HEADER, b"s"),), b"away")))
+                answer = self.answers[0][0]
+                self.assertEqual((answer.status, nodes.asked), (502, ["n0"]))
+                self.assertNotIn(SEAL_HEADER, dict(answer.headers))
+
     def test_refusal_of_the_first_node_is_forwarded(self) -> None:
         nodes = ScriptedNodes(2)
         self.hand_over(nodes)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from sequoiapulley.forward.messages import ExchangeEnd, LoadReport
+from sequoiapulley.forward.refusal import Reason, error_answer
 from sequoiapulley.forward.state import (
     NodeChange,
     TableChange,
@@ -263,6 +264,23 @@
         self.assertEqual((answer.status, answer.body), (500, b"x"))
         self.assertEqual(answer.headers, ((b"x-server-seal", b"s"),))
 
+    # Guards against REFUSED of review case 7: only a reply that says so is of a request that has
+    # not run.
+    def test_status_alone_does_not_state_that_a_request_has_not_run(self) -> None:
+        contract = PlatformContract()
+        seal = (b"x-server-seal", b"s")
+        for status in (200, 408, 429, 500, 503):
+            with self.subTest(status=status):
+                ran = contract.classify(ParsedReply(status, [seal], b"x", True))
+                self.assertIs(ran.end, ExchangeEnd.REPLY)
+                self.assertEqual(ran.may_be_forwarded, status in (200, 500))
+                self.assertTrue(contract.forwards_reply(contract.forwarded_answer(ran)))
+                stated = ParsedReply(status, [seal, (b"x-not-executed", b"1")], b"x", True)
+                refusal = contract.classify(stated)
+                self.assertIs(refusal.end, ExchangeEnd.NOT_RUN)
+                self.assertFalse(refusal.may_be_forwarded)
+        self.assertFalse(contract.forwards_reply(error_answer(Reason.REFUSED, False)))
+
     def test_merged_answer_lists_seals_and_missing_parts(self) -> None:
         answer = PlatformContract().merged_answer([b"a", b"b"], 1, b"r")
         self.assertEqual(dict(answer.headers), {b"x-part-seals": b"a, b", b"x-missing-parts": b"1"})
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -382,7 +382,7 @@
     Break(
         4,
         "forward/handover.py",
-        "        if answer.status == NOT_EXECUTED_STATUS and self._may_have_run:\n",
+        "        if answer.status in NOT_RUN_STATUSES and self._may_have_run:\n",
         "        if False:\n",
         ("test_handover",),
     ),
