Refuse replies with a status that HTTP does not have

Callers got 600 and 999 as answers, with the upstream's seal.

Cause: the reply parser decided by one comparison, below 200 or not. The parser library accepts any three digits.

Change: 200 to 599 are final statuses, 100, 102 and 103 interim ones; any other status makes the reply malformed where it is read, which is one place for upstreams, parts, health checks, the store, the VM list and other nodes. An idempotent request then goes to another upstream, any other one gets 502 at once. A node of an earlier build may still hand such an answer back after a hand-over; that counts as no answer.

Evidence: without the change the new tests fail: 600 and 999 are final replies of the pool and reach the caller of a node process; 000, 099, 101, 104 and 199 end no exchange.

`UpstreamFaults.fail_status` lets the stand-in fail with any status.

--- a/src/sequoiapulley/daemon/handover_client.py
+++ b/src/sequoiapulley/daemon/handover_client.py
@@ -25,6 +25,7 @@
 from sequoiapulley.ids import ConfigVersion, NodeId, RequestId
 from sequoiapulley.runtime import Clock
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpResult
+from sequoiapulley.wire.reply_parser import is_final_status
 
 NODES_IN_ROTATION: Final = 4
 """Number of nodes among which a cut-off node spreads its callers' requests."""
@@ -206,4 +207,7 @@
         return Err(HandoverFailure(True, f"reply does not decode: {exc}"))
     if answer.id != request:
         return Err(HandoverFailure(True, f"reply to request {answer.id} instead of {request}"))
+    if not is_final_status(answer.status):
+        # Nodes of earlier builds forward any status.
+        return Err(HandoverFailure(True, f"the answer has status {answer.status}"))
     return Ok(Answer(answer.status, answer.headers, answer.body))
--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -11,7 +11,11 @@
 
 from sequoiapulley.wire.receive_budget import SMALL_BODY_BYTES, ReceiveBudget
 
+INTERIM_STATUSES: Final = frozenset({100, 102, 103})
+"""Statuses of interim replies; the others below 200 are not assigned, or answer requests that this
+client does not send."""
 FIRST_FINAL_STATUS: Final = 200
+LAST_STATUS: Final = 599
 BODYLESS_STATUSES: Final = frozenset({204, 304})
 STATUS_LINE: Final = compile_pattern(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 """The beginning of a reply. Within a status line or a header it shows that an earlier reply broke
@@ -231,9 +235,11 @@
         if PROTOCOL in self._reason:
             _refuse_status_line(self._reason)
         status = self._parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        if status in INTERIM_STATUSES:
             _refuse_interim_body(self._headers)
             return
+        if not is_final_status(status):
+            raise ValueError(f"status {status:03} is not one of a reply")
         if status in BODYLESS_STATUSES:
             return
         self._unframed = True
@@ -295,6 +301,11 @@
             self._has_unaccepted_reply = True
 
 
+def is_final_status(status: int) -> bool:
+    """Returns whether HTTP has a status for a final reply."""
+    return FIRST_FINAL_STATUS <= status <= LAST_STATUS
+
+
 def _refuse_status_line(text: bytes) -> None:
     """Refuses a reply that begins within another one.
 
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -86,7 +86,7 @@
 
 def encode_response(response: Response) -> bytes:
     """Encodes the head and body of a reply."""
-    head = f"HTTP/1.1 {response.status} ".encode() + REASON_PHRASE + b"\r\n"
+    head = f"HTTP/1.1 {response.status:03} ".encode() + REASON_PHRASE + b"\r\n"
     for name, value in response.headers:
         head += f"{name}: {value}\r\n".encode("latin-1")
     head += f"content-type: application/json\r\ncontent-length: {len(response.body)}".encode()
@@ -95,7 +95,7 @@
 
 def _endless_head(response: Response, part: EndlessPart) -> bytes:
     """Encodes the beginning of a reply whose head or body never ends."""
-    head = f"HTTP/1.1 {response.status} ".encode() + REASON_PHRASE + b"\r\n"
+    head = f"HTTP/1.1 {response.status:03} ".encode() + REASON_PHRASE + b"\r\n"
     for name, value in response.headers:
         head += f"{name}: {value}\r\n".encode("latin-1")
     if part is EndlessPart.HEAD:
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -37,7 +37,9 @@
     lose: float = 0.0
     """Share of requests, 0 to 1, whose connection is reset after they ran."""
     fail: float = 0.0
-    """Share of requests, 0 to 1, answered with status 500 after they ran."""
+    """Share of requests, 0 to 1, answered with `fail_status` after they ran."""
+    fail_status: int = 500
+    """Status of failures, from 0 to 999."""
     cut: float = 0.0
     """Share of replies with status 200, 0 to 1, that are truncated."""
     silent: bool = False
@@ -226,7 +228,7 @@
         if self.faults.endless is not None:
             return Response(200, b"", sealed, endless=self.faults.endless)
         if self._random.random() < self.faults.fail:
-            return Response(500, b"failed", sealed)
+            return Response(self.faults.fail_status, b"failed", sealed)
         cut = None
         if self._random.random() < self.faults.cut:
             cut = self._random.randrange(1, MAX_CUT_BYTES)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -383,6 +383,17 @@
         self.assertIsInstance(self.results[0], Err)
         self.assertTrue(self.results[0].unwrap_err().sent)
 
+    # Guards against a status 000 or 600 that a node of an earlier build forwards.
+    def test_answer_with_a_status_that_http_does_not_have_is_not_used(self) -> None:
+        for status in (0, 199, 600, 999):
+            with self.subTest(status=status):
+                odd = encode(HandoverReply(RequestId("r1"), status, (), b""))
+                self.port.serve = (  # type: ignore[method-assign]
+                    lambda req, odd=odd: req.answer(200, (), odd)
+                )
+                self.send()
+                self.assertTrue(self.results.pop().unwrap_err().sent)
+
     def test_only_nodes_in_contact_are_used(self) -> None:
         now = self.loop.clock.now()
         beats = [
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -34,6 +34,7 @@
 """Bound on the time from the store's acknowledgement of a configuration to its activation."""
 DRAIN_S: Final = 3.0
 """Time after an announced shutdown from which an upstream receives no requests."""
+ROUTE_TIMEOUT_S: Final = 2.0
 PAUSE_GRACE_S: Final = 0.5
 """Time after a requested pause began from which requests count."""
 MAX_REQUESTS_IN_PAUSE: Final = 2
@@ -52,6 +53,7 @@
     def setUp(self) -> None:
         super().setUp()
         self.requests = 0
+        self.born = 1
         self.upstreams = [PlatformUpstream(f"u-{n}", "s", "127.0.0.1", "p") for n in range(2)]
         for upstream in self.upstreams:
             upstream.start()
@@ -69,7 +71,13 @@
         self.store.put(f"servers/{upstream.name}", json.encode(record))
 
     def put_configuration(self, version: int) -> None:
-        base = {"host": "x.example", "timeout_ms": 2000, "goal_ms": 500, "max_attempts": 2}
+        timeout_ms = int(ROUTE_TIMEOUT_S * 1_000)
+        base = {
+            "host": "x.example",
+            "timeout_ms": timeout_ms,
+            "goal_ms": 500,
+            "max_attempts": 2,
+        }
         route = {**base, "name": "r", "prefix": "/r/", "type": "idempotent", "service": "s"}
         once = {**base, "name": "o", "prefix": "/o/", "type": "non_idempotent", "service": "s"}
         config = {"version": version, "routes": [route, once]}
@@ -284,6 +292,30 @@
         ]
         self.assertEqual(running, pids)
 
+    # Guards against REFUSED of review case 7 and against odd statuses as answers, with processes.
+    def test_statuses_of_failures(self) -> None:
+        conn = self.connect()
+        for status in (408, 421, 429, 503, 0, 99, 101, 199, 600, 999):
+            with self.subTest(status=status):
+                for upstream in self.upstreams:
+                    upstream.faults = UpstreamFaults(fail=1.0, fail_status=status)
+                # Status 421 is the one that states by itself that an upstream did not run it.
+                expected = 503 if status == 421 else 502
+                for path in ("/o/1", "/r/1"):
+                    started = monotonic()
+                    self.assertEqual(self.ask(conn, path), expected, path)
+                    self.assertLess(monotonic() - started, ROUTE_TIMEOUT_S / 2)
+                self.heal(conn)
+
+    def heal(self, conn: HTTPConnection) -> None:
+        """Ends the faults of the upstreams and waits until requests are served."""
+        for number, upstream in enumerate(self.upstreams):
+            upstream.faults = UpstreamFaults()
+            self.born += 1
+            record = upstream.record(born=self.born)
+            self.store.put(f"servers/u-{number}", json.encode(record))
+        self.until(lambda: self.ask(conn) == 200)
+
     def post(self, node: int, path: str, body: bytes) -> int:
         """Sends a request to a node's port for other nodes; returns the status of the answer."""
         conn = HTTPConnection(self.fleet.nodes[node].host, PEERS_PORT, timeout=TIMEOUT_S)
--- a/tests/test_reply_parser.py
+++ b/tests/test_reply_parser.py
@@ -36,7 +36,7 @@
 
 def encode(status: int, body: bytes, chunked: bool) -> bytes:
     """Encodes a valid reply."""
-    head = b"HTTP/1.1 %d x\r\nX-Load: 0.5\r\n" % status
+    head = b"HTTP/1.1 %03d x\r\nX-Load: 0.5\r\n" % status
     if not chunked:
         return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
     parts = [body[start : start + 7] for start in range(0, len(body), 7)]
@@ -102,6 +102,33 @@
         replies, _ = feed(b"HTTP/1.1 100 x\r\n\r\n" + encode(200, b"ab", False), [25])
         self.assertEqual([reply.body for reply in replies], [b"ab"])
 
+    # Guards against a status that HTTP does not have as an answer, and against a wait for the reply
+    # behind one that is taken for an interim reply.
+    @given(
+        st.integers(0, 999).filter(lambda status: status not in (204, 304)),
+        st.booleans(),
+        st.lists(st.integers(0, 999), max_size=3),
+    )
+    def test_status_that_http_does_not_have_is_refused(
+        self, status: int, chunked: bool, cuts: list[int]
+    ) -> None:
+        stream = encode(status, b"ab", chunked)
+        if 200 <= status < 600:
+            replies, _ = feed(stream, cuts)
+            self.assertEqual([(reply.status, reply.body) for reply in replies], [(status, b"ab")])
+            return
+        with self.assertRaises(ReplyError) as caught:
+            feed(stream, cuts)
+        self.assertFalse(caught.exception.too_large)
+
+    def test_status_alone_is_refused_with_its_figure(self) -> None:
+        for status in (0, 99, 101, 104, 199, 600, 999):
+            with (
+                self.subTest(status=status),
+                self.assertRaisesRegex(ReplyError, f"status {status:03} is not one of a reply"),
+            ):
+                feed(b"HTTP/1.1 %03d x\r\n\r\n" % status, [])
+
     # Guards against an answer that is the body of an interim reply.
     @given(st.lists(st.integers(0, 999), max_size=3))
     def test_interim_reply_with_a_body_is_refused(self, cuts: list[int]) -> None:
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -105,6 +105,21 @@
         self.assertIs(self.ends["r0"].end, ExchangeEnd.REPLY)
         return conn
 
+    # Guards against a status 000 or 600 as an answer, and against a wait for the reply behind it.
+    def test_status_that_http_does_not_have_ends_the_exchange_at_once(self) -> None:
+        for number, status in enumerate((b"000", b"099", b"101", b"199", b"600", b"999")):
+            with self.subTest(status=status):
+                name = f"s{number}"
+                self.send(name)
+                conn = self.accept()
+                conn.sendall(reply(attempt=name.encode()).replace(b"200", status))
+                self.loop.settle()
+                end = self.ends[name]
+                self.assertIs(end.end, ExchangeEnd.MALFORMED)
+                self.assertIn(f"status {status.decode()} is not one of a reply", end.detail)
+                self.assertEqual(conn.recv(9_000)[:3], b"GET")
+                self.assertEqual(conn.recv(9_000), b"")
+
     def test_request_names_the_upstream_and_the_time_left(self) -> None:
         self.send()
         head = self.accept().recv(9_000).lower()
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -484,4 +484,11 @@
         "        return True\n",
         ("test_service_call", "test_platform_documents"),
     ),
+    Break(
+        3,
+        "wire/reply_parser.py",
+        "        if not is_final_status(status):\n",
+        "        if False:\n",
+        ("test_reply_parser", "test_upstream_pool"),
+    ),
 )
