Bound the memory of many incomplete replies together

A report of other operators: a faulty upstream sends bytes without end, and the node that called it runs out of memory and takes the requests of all its callers with it (LOST). Each reply was bounded, and large bodies shared a budget. Not bounded was what many connections hold that each stay below the limits of one reply.

Evidence, on the code before: 16 KB of headers of a few bytes occupy 380 to 457 KB in a process, 28 times their size, as each header is three objects. A node process of 21 MB whose 40 upstreams each send the beginning of a reply and no end reaches 95 MB with 400 callers (61 MB with short headers alone, 103 requests at upstreams); bodies below 64 KB were not counted at all. The smallest VMs have 152 MB and 2,670 sockets, so 64 KB for each is more than they have.

Change: a reply has at most 256 headers. A reply that is complete after one read is never refused for it, so that the replies of sound upstreams pass while faulty ones hold the budget.

--- a/src/sequoiapulley/wire/reply_parser.py
+++ b/src/sequoiapulley/wire/reply_parser.py
@@ -23,6 +23,9 @@
 PROTOCOL: Final = b"HTTP/"
 MAX_LENGTH_DIGITS: Final = 18
 """Number of digits of a stated length that are compared with the limit."""
+MAX_HEADERS: Final = 256
+HEADER_OVERHEAD_BYTES: Final = 160
+"""Memory of the objects of one header, in addition to its bytes."""
 MAX_BYTES_PER_BODY_BYTE: Final = 2
 """Received bytes permitted per byte of the body, in addition to the header limit: the byte itself
 and its chunk framing."""
@@ -77,6 +80,7 @@
         "_message_bytes",
         "_parser",
         "_reason",
+        "_small_taken",
         "_too_large",
         "_unframed",
     )
@@ -89,7 +93,8 @@
         Args:
             max_header_bytes: Maximum size of status line and headers.
             max_body_bytes: Maximum size of a body.
-            budget: Limits the memory of large bodies on several connections; None for no limit.
+            budget: Limits the memory of incomplete replies on several connections; None for no
+                limit.
         """
         self._max_header_bytes = max_header_bytes
         self._max_body_bytes = max_body_bytes
@@ -99,6 +104,7 @@
         self._body_bytes = 0
         self._budget = budget
         self._budget_taken = 0
+        self._small_taken = 0
         self._too_large = ""
         """Which size limit the reply exceeds; empty if it exceeds none."""
         self._reason = b""
@@ -168,6 +174,7 @@
             ):
                 detail = f"headers of {self._message_bytes} bytes or more exceed their limit"
                 raise ReplyError(detail, too_large=True)
+            self._take_small()
             return None
         self._done = None
         self._message_bytes = 0
@@ -199,11 +206,29 @@
         self._body = b""
         self._headers = []
 
+    def _take_small(self) -> None:
+        """Takes from the budget what an incomplete reply with a small body occupies.
+
+        Raises:
+            ReplyError: If too little is left.
+        """
+        if self._budget is None:
+            return
+        size = 0
+        if not self._budget_taken:
+            size = self._message_bytes + HEADER_OVERHEAD_BYTES * len(self._headers)
+        wanted = size - self._small_taken
+        if not self._budget.take_small(wanted):
+            used = self._budget.small_used
+            detail = f"{size} bytes of a reply exceed the budget, {used} bytes are in use"
+            raise ReplyError(detail, too_large=True)
+        self._small_taken = size
+
     def _release(self) -> None:
-        """Returns to the budget what the body has taken."""
-        if self._budget is not None and self._budget_taken:
-            self._budget.release(self._budget_taken)
-            self._budget_taken = 0
+        """Returns to the budget what the reply has taken."""
+        if self._budget is not None and (self._budget_taken or self._small_taken):
+            self._budget.release(self._budget_taken, self._small_taken)
+            self._budget_taken = self._small_taken = 0
 
     def on_message_begin(self) -> None:
         """Ends the parsing at the first byte after a complete reply.
@@ -226,8 +251,11 @@
         """Stores one header; drops a trailer, which must not replace or add to the headers."""
         if PROTOCOL in value:
             _refuse_status_line(value)
-        if not self._head_complete:
-            self._headers.append((name.lower(), value))
+        if self._head_complete:
+            return
+        if len(self._headers) == MAX_HEADERS:
+            self._refuse(f"the headers exceed {MAX_HEADERS}")
+        self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Records whether the body ends with the connection; refuses a length over the limit."""
--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -28,6 +28,7 @@
 MAX_UNSENT_BYTES: Final = 131_072
 """Number of unsent bytes above which an endless reply waits for the client to read."""
 ENDLESS_POLL_S: Final = 0.002
+SHORT_HEADER: Final = b"ab:cd\r\n"
 
 
 class Request(Struct):
@@ -50,6 +51,8 @@
     LENGTH_BODY = "length_body"
     """Body with a length that it does not reach."""
     CHUNKED_BODY = "chunked_body"
+    SHORT_HEADERS = "short_headers"
+    """Head with very many headers of a few bytes."""
 
 
 class Endless(Struct, frozen=True):
@@ -98,7 +101,7 @@
     head = f"HTTP/1.1 {response.status:03} ".encode() + REASON_PHRASE + b"\r\n"
     for name, value in response.headers:
         head += f"{name}: {value}\r\n".encode("latin-1")
-    if part is EndlessPart.HEAD:
+    if part in (EndlessPart.HEAD, EndlessPart.SHORT_HEADERS):
         return head
     if part is EndlessPart.LENGTH_BODY:
         head += b"content-length: 1000000000000\r\n"
@@ -109,6 +112,8 @@
 
 def _endless_chunk(endless: Endless) -> bytes:
     """Returns the bytes of one write of an endless reply."""
+    if endless.part is EndlessPart.SHORT_HEADERS:
+        return SHORT_HEADER * -(-endless.chunk_bytes // len(SHORT_HEADER))
     data = b"a" * endless.chunk_bytes
     if endless.part is EndlessPart.HEAD:
         return b"x-filler: " + data + b"\r\n"
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -7,26 +7,41 @@
 from __future__ import annotations
 
 from asyncio import get_running_loop
+from http.client import HTTPConnection
+from time import monotonic, sleep
+from typing import Final
 from unittest import TestCase
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import json
 from result import Err
 
 from sequoiapulley.forward.state import ChangesReply, SourceErrorKind
 from sequoiapulley.platform.kv_source import KvSource
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpFailureKind, HttpResult
 from sequoiapulley.wire.http_connection import ReplyBounds
-from sequoiapulley.wire.receive_budget import SMALL_BODY_BYTES, ReceiveBudget
-from sequoiapulley.wire.reply_parser import ReplyError, ReplyParser
-from standins.http_server import Endless, EndlessPart, Request, Response
+from sequoiapulley.wire.receive_budget import (
+    SMALL_BODY_BYTES,
+    ReceiveBudget,
+)
+from sequoiapulley.wire.reply_parser import MAX_HEADERS, ReplyError, ReplyParser
+from standins.http_server import SHORT_HEADER, Endless, EndlessPart, Request, Response
+from standins.platform_fleet import CALLERS_PORT, FleetSettings, PlatformFleet
+from standins.platform_upstream import PlatformUpstream, UpstreamFaults
 from standins.store import StoreStandIn
 from standins.thread_host import Listener, ThreadHost
+from tests.node_process_case import TIMEOUT_S, NodeProcessCase
 from tests.state_fixtures import position
 from tests.wire_support import Loop
 
 MAX_HEADER = 1_000
 MAX_BODY = 200_000
+ROUTE_TIMEOUT_S: Final = 2.0
+MANY_CALLERS: Final = 400
+MAX_GROWTH_KB: Final = 32_000
+"""Memory that endless replies may cost a node: a quarter of what a node of 20 MB has left on the
+smallest VMs, which have 152 MB."""
 HEADS = {
     EndlessPart.BODY: b"HTTP/1.1 200 x\r\n\r\n",
     EndlessPart.LENGTH_BODY: b"HTTP/1.1 200 x\r\nContent-Length: 190000\r\n\r\n",
@@ -40,7 +55,9 @@
     def feed_without_end(self, parser: ReplyParser, part: EndlessPart, size: int) -> int:
         """Feeds pieces of a reply until it is refused; returns the number of bytes fed."""
         piece = b"a" * size
-        if part is EndlessPart.HEAD:
+        if part is EndlessPart.SHORT_HEADERS:
+            head, piece = b"HTTP/1.1 200 x\r\n", SHORT_HEADER * (size // len(SHORT_HEADER) + 1)
+        elif part is EndlessPart.HEAD:
             head, piece = b"HTTP/1.1 200 x\r\n", b"x: " + piece + b"\r\n"
         else:
             head = HEADS[part].replace(b"190000", b"1" + b"0" * 12)
@@ -58,7 +75,8 @@
     @given(st.sampled_from(EndlessPart), st.integers(1, 70_000))
     def test_reply_is_refused_at_its_limit(self, part: EndlessPart, size: int) -> None:
         parser = ReplyParser(MAX_HEADER, MAX_BODY)
-        limit = MAX_HEADER if part is EndlessPart.HEAD else MAX_HEADER + 2 * MAX_BODY
+        heads = (EndlessPart.HEAD, EndlessPart.SHORT_HEADERS)
+        limit = MAX_HEADER if part in heads else MAX_HEADER + 2 * MAX_BODY
         self.assertLess(self.feed_without_end(parser, part, size), limit + size + 200)
 
     def test_stated_length_over_the_limit_is_refused_before_the_body(self) -> None:
@@ -75,6 +93,63 @@
                 for _ in range(20_000):
                     parser.feed(reply)
 
+    # Guards against the memory of headers of a few bytes, which is a multiple of their size.
+    def test_too_many_headers_are_refused(self) -> None:
+        head = b"HTTP/1.1 200 x\r\nContent-Length: 0\r\n" + SHORT_HEADER * (MAX_HEADERS - 1)
+        self.assertIsNotNone(ReplyParser(100_000, MAX_BODY).feed(head + b"\r\n"))
+        parser = ReplyParser(100_000, MAX_BODY)
+        with self.assertRaisesRegex(ReplyError, "the headers exceed 256"):
+            parser.feed(head + SHORT_HEADER + b"\r\n")
+
+    # Guards against the memory of many replies that are each below the limits and never complete.
+    def test_incomplete_small_replies_share_a_budget_and_complete_ones_need_none(self) -> None:
+        beginnings = {
+            EndlessPart.HEAD: b"HTTP/1.1 200 x\r\nx: " + b"a" * 14_000,
+            EndlessPart.SHORT_HEADERS: b"HTTP/1.1 200 x\r\n" + SHORT_HEADER * 200,
+            EndlessPart.BODY: HEADS[EndlessPart.BODY] + b"a" * 60_000,
+        }
+        for part, beginning in beginnings.items():
+            with self.subTest(part=part):
+                budget = ReceiveBudget(MAX_BODY, 1_000_000)
+                parsers = [ReplyParser(16_384, MAX_BODY, budget) for _ in range(2_000)]
+                refused = 0
+                for parser in parsers:
+                    try:
+                        parser.feed(beginning)
+                    except ReplyError as exc:
+                        self.assertTrue(exc.too_large)
+                        self.assertIn("exceed the budget", str(exc))
+                        refused += 1
+                held = (len(parsers) - refused) * len(beginning)
+                self.assertLess(held, 1_000_000)
+                self.assertLessEqual(budget.small_used, 1_000_000)
+                self.assertGreater(budget.small_used, 900_000)
+                other = ReplyParser(16_384, MAX_BODY, budget)
+                whole = b"HTTP/1.1 200 x\r\nContent-Length: 60000\r\n\r\n" + b"a" * 60_000
+                self.assertIsNotNone(other.feed(whole))
+                for parser in parsers:
+                    parser.close()
+                self.assertEqual((budget.used, budget.small_used), (0, 0))
+
+    @given(st.lists(st.integers(1, 90_000), min_size=1, max_size=8), st.booleans())
+    def test_budget_is_returned_however_a_reply_ends(self, sizes: list[int], close: bool) -> None:
+        budget = ReceiveBudget(MAX_BODY, MAX_BODY)
+        parser = ReplyParser(MAX_HEADER, MAX_BODY, budget)
+        parser.expect(lambda reply: reply.status == 200)
+        try:
+            for size in sizes:
+                parser.feed(b"HTTP/1.1 500 x\r\nContent-Length: %d\r\n\r\n" % size + b"a" * size)
+                parser.feed(b"HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n" % size)
+                self.assertGreater(budget.small_used, 0)
+                if close:
+                    break
+                parser.feed(b"a" * size)
+                self.assertEqual((budget.used, budget.small_used), (0, 0))
+        except ReplyError:
+            pass
+        parser.close()
+        self.assertEqual((budget.used, budget.small_used), (0, 0))
+
     def test_large_bodies_share_a_budget_and_small_ones_need_none(self) -> None:
         budget = ReceiveBudget(300_000)
         parsers = [ReplyParser(MAX_HEADER, MAX_BODY, budget) for _ in range(4)]
@@ -166,3 +241,65 @@
         [found] = replies
         assert isinstance(found, Err)
         self.assertIs(found.err_value.kind, SourceErrorKind.HISTORY_COMPACTED)
+
+
+class ManyUpstreamsTest(NodeProcessCase):
+    """A node process with many upstreams that all send the beginning of a reply and no end."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.upstreams = [PlatformUpstream(f"u-{n}", "s", "127.0.0.1", "p") for n in range(40)]
+        for upstream in self.upstreams:
+            upstream.start()
+            self.addCleanup(upstream.stop)
+            self.store.put(f"servers/{upstream.name}", json.encode(upstream.record()))
+        route = {
+            "host": "x.example",
+            "timeout_ms": int(ROUTE_TIMEOUT_S * 1_000),
+            "goal_ms": 500,
+            "max_attempts": 2,
+            "name": "r",
+            "prefix": "/r/",
+            "type": "idempotent",
+            "service": "s",
+        }
+        service = {"name": "s", "health_path": "/health", "max_connections": 100}
+        config = {"version": 10, "routes": [route], "services": [service]}
+        self.store.put("op/config", json.encode(config))
+        shape = FleetSettings("127.9.5", f"{self.store.host}:{self.store.port}", {"p": "g"})
+        fleet = PlatformFleet(shape, ["p"])
+        self.addCleanup(fleet.close)
+        fleet.start()
+        [self.node] = fleet.nodes
+        self.until(lambda: self.ready(self.node))
+
+    def begin(self, name: str) -> HTTPConnection:
+        """Sends a request whose answer is read later."""
+        conn = HTTPConnection(self.node.host, CALLERS_PORT, timeout=TIMEOUT_S)
+        self.addCleanup(conn.close)
+        time_left = str(int(ROUTE_TIMEOUT_S * 1_000))
+        headers = {"Host": "x.example", "X-Attempt-Id": name, "X-Deadline-Ms": time_left}
+        conn.request("GET", "/r/1", None, headers)
+        return conn
+
+    # Guards against LOST: the memory of many replies just below the limits of each ends the node
+    # and with it the requests of all its callers.
+    def test_many_incomplete_replies_cost_bounded_memory(self) -> None:
+        self.assertEqual(self.begin("first").getresponse().status, 200)
+        process = self.node.process
+        before = self.node.resident_kb()
+        for part in (EndlessPart.SHORT_HEADERS, EndlessPart.HEAD, EndlessPart.BODY):
+            with self.subTest(part=part):
+                size = 60_000 if part is EndlessPart.BODY else 15_000
+                for upstream in self.upstreams:
+                    upstream.faults = UpstreamFaults(endless=Endless(part, size, TIMEOUT_S))
+                conns = [self.begin(f"{part.value}-{number}") for number in range(MANY_CALLERS)]
+                most = 0
+                end = monotonic() + ROUTE_TIMEOUT_S
+                while monotonic() < end:
+                    most = max(most, self.node.resident_kb())
+                    sleep(0.02)
+                statuses = {conn.getresponse().status for conn in conns}
+                self.assertLessEqual(statuses, {502, 504})
+                self.assertLess(most - before, MAX_GROWTH_KB)
+                self.assertIs(self.node.process, process)
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -491,4 +491,18 @@
         "        if False:\n",
         ("test_reply_parser", "test_upstream_pool"),
     ),
+    Break(
+        7,
+        "wire/reply_parser.py",
+        "            self._take_small()\n",
+        "            pass\n",
+        ("test_endless_replies",),
+    ),
+    Break(
+        7,
+        "wire/reply_parser.py",
+        "        if len(self._headers) == MAX_HEADERS:\n",
+        "        if False:\n",
+        ("test_endless_replies",),
+    ),
 )
