Give every client of upstreams, store and nodes a budget for large replies

In `sequoiapulleyd` these are the connections to upstreams, the health checks, the store and the list of VMs, with 4 MB a connection; in the forwarding node the client of the store and of its peers, with 8 MB on each of 8 connections to each server, on VMs with 152 MB.

Change: the default bounds of a client and of the upstreams' transport contain a budget of 32 MB for large bodies and 8 MB for the others. The forwarding node's client of store and peers has memory for two of the largest states. Health checks have a client of their own, so that faulty upstreams cannot use up what replies of the store need.

Evidence: with twelve servers that send 3.9 MB and no end, a client held all 46.8 MB before, and at most 33.5 MB now; the two new tests fail before.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -117,8 +117,9 @@
 """Maximum size of an upstream's reply; it is as large as a value of the platform's store."""
 LARGE_REPLIES_BYTES: Final = 8_388_608
 """Memory for incomplete large replies: a share of that of the smallest VMs, which have 152 MB."""
-STATE_REPLY_BOUNDS: Final = ReplyBounds(body_bytes=8_388_608)
-"""Limits on replies of the store and of peers, several times a full state of 4,300 upstreams."""
+MAX_STATE_REPLY_BYTES: Final = 8_388_608
+"""Maximum size of a reply of the store or of a peer, several times a full state of 4,300 upstreams;
+incomplete ones have memory for two of that size."""
 
 
 class Store(StateSource, NodeRegistry, RefusalStore, Protocol):
@@ -238,7 +239,10 @@
             self._timers,
             log,
         )
-        self._client = HttpClient(self._reactor, self._clock, self._timers, STATE_REPLY_BOUNDS)
+        state_bounds = ReplyBounds(
+            body_bytes=MAX_STATE_REPLY_BYTES, budget=ReceiveBudget(2 * MAX_STATE_REPLY_BYTES)
+        )
+        self._client = HttpClient(self._reactor, self._clock, self._timers, state_bounds)
         store = make_store(self._client, cfg.store)
         self._sources = FeedSourceSelector(
             store,
--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -111,10 +111,14 @@
         """Creates the reactor, which owns the client sockets, and the clients of the platform."""
         self._reactor = Reactor(self.clock, self.timers, self._on_error)
         ReactorComponent(self._reactor, self.timers).register(self)
-        http = HttpClient(self._reactor, self.clock, self.timers)
-        self._health = HealthPoller(http, self.timers, self._on_health, randbits(SEED_BITS))
-        self._store = HttpStore(http, self._cfg.store.host, self._cfg.store.port)
-        self._vm_list = HttpVmList(http, self._cfg.vm_list.host, self._cfg.vm_list.port)
+        # Replies of upstreams must not use up the budget for those of the platform.
+        health_client = HttpClient(self._reactor, self.clock, self.timers)
+        self._health = HealthPoller(
+            health_client, self.timers, self._on_health, randbits(SEED_BITS)
+        )
+        client = HttpClient(self._reactor, self.clock, self.timers)
+        self._store = HttpStore(client, self._cfg.store.host, self._cfg.store.port)
+        self._vm_list = HttpVmList(client, self._cfg.vm_list.host, self._cfg.vm_list.port)
 
     def _wire_link(self) -> None:
         """Creates the link to other nodes and binds its port."""
--- a/src/sequoiapulley/upstream/transport.py
+++ b/src/sequoiapulley/upstream/transport.py
@@ -29,6 +29,7 @@
 )
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.reactor import Reactor
+from sequoiapulley.wire.receive_budget import ReceiveBudget
 
 SWEEP_INTERVAL_S: Final = 0.25
 DRAIN_CHECK_INTERVAL_S: Final = 0.01
@@ -63,7 +64,7 @@
             on_reply: Called with each reply.
             on_lost: Called with each loss.
             contract: The upstreams' wire contract; HTTP with JSON by default.
-            bounds: Size limits of replies.
+            bounds: Size limits of replies; the defaults have a budget of the transport's own.
             policy: Connection handling.
             log: Sink of log events, if any.
         """
@@ -73,7 +74,7 @@
         self._log = log
         self._callbacks = PoolCallbacks(on_reply, on_lost, self._on_event)
         self._contract = contract or HttpContract()
-        self._bounds = bounds or ReplyBounds()
+        self._bounds = bounds or ReplyBounds(budget=ReceiveBudget())
         self._policy = policy or PoolPolicy()
         self._totals = TransportCounts()
         self._draining = False
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -20,6 +20,7 @@
     host_header,
 )
 from sequoiapulley.wire.reactor import Reactor
+from sequoiapulley.wire.receive_budget import ReceiveBudget
 from sequoiapulley.wire.reply_parser import ParsedReply
 
 MAX_CONNECTIONS_PER_SERVER: Final = 8
@@ -150,8 +151,8 @@
             reactor: Reports readiness of the sockets.
             clock: Clock of the event loop.
             timers: Timers of the same event loop.
-            bounds: Size limits of a reply; None for the defaults. `unframed` has no effect: a reply
-                with neither a length nor chunks fails.
+            bounds: Size limits of a reply; None for the defaults, with a budget of the client's
+                own. `unframed` has no effect: a reply with neither a length nor chunks fails.
             max_connections: Maximum number of connections to one server.
         """
         self._reactor = reactor
@@ -159,7 +160,7 @@
         self._clock = clock
         self._timers = timers
         # The servers state a length or send chunks: a reply without either has broken off.
-        self._bounds = replace(bounds or ReplyBounds(), unframed=False)
+        self._bounds = replace(bounds or ReplyBounds(budget=ReceiveBudget()), unframed=False)
         self._servers: dict[tuple[str, int], _Server] = {}
         self._sweep_timer: TimerHandle | None = None
 
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -19,9 +19,11 @@
 
 from sequoiapulley.forward.state import ChangesReply, SourceErrorKind
 from sequoiapulley.platform.kv_source import KvSource
+from sequoiapulley.upstream.messages import ReplyKind
 from sequoiapulley.wire.http_client import HttpCall, HttpClient, HttpFailureKind, HttpResult
 from sequoiapulley.wire.http_connection import ReplyBounds
 from sequoiapulley.wire.receive_budget import (
+    DEFAULT_LARGE_BYTES,
     SMALL_BODY_BYTES,
     ReceiveBudget,
 )
@@ -33,10 +35,12 @@
 from standins.thread_host import Listener, ThreadHost
 from tests.node_process_case import TIMEOUT_S, NodeProcessCase
 from tests.state_fixtures import position
-from tests.wire_support import Loop
+from tests.wire_support import Loop, Recorder
 
 MAX_HEADER = 1_000
 MAX_BODY = 200_000
+LARGE_BODY_BYTES: Final = 3_900_000
+LARGE_BODIES: Final = 12
 ROUTE_TIMEOUT_S: Final = 2.0
 MANY_CALLERS: Final = 400
 MAX_GROWTH_KB: Final = 32_000
@@ -190,6 +194,47 @@
         return Response(200, b"", endless=self.endless)
 
 
+class DefaultBudgetTest(TestCase):
+    """Clients without a budget of their own, as in `sequoiapulleyd`."""
+
+    def setUp(self) -> None:
+        body = Endless(EndlessPart.CHUNKED_BODY, LARGE_BODY_BYTES, TIMEOUT_S)
+        self.ports = []
+        for _ in range(LARGE_BODIES):
+            service = EndlessService(body)
+            thread = ThreadHost(service)
+            thread.start()
+            self.addCleanup(thread.stop)
+            self.ports.append(service.listener.port)
+        self.loop = Loop()
+
+    # Guards against the memory of many servers that send large bodies at the same time.
+    def test_large_replies_to_one_client_share_a_budget(self) -> None:
+        client = HttpClient(self.loop.reactor, self.loop.clock, self.loop.timers)
+        self.addCleanup(client.close)
+        results: list[HttpResult] = []
+        for port in self.ports:
+            call = HttpCall("127.0.0.1", port, "GET", "/health", timeout=2.0)
+            client.request(call, results.append)
+        self.loop.until(lambda: len(results) == LARGE_BODIES)
+        details = [result.unwrap_err().detail for result in results]
+        held = sum("exceed the budget" not in detail for detail in details)
+        self.assertLessEqual(held * LARGE_BODY_BYTES, DEFAULT_LARGE_BYTES)
+        self.assertGreater(held, 0)
+
+    # Guards against the same in the connections to upstreams.
+    def test_large_replies_of_upstreams_share_a_budget(self) -> None:
+        recorder = Recorder(self.loop, self.ports[0], allowance=LARGE_BODIES)
+        for number in range(LARGE_BODIES):
+            recorder.send(number)
+        refused = LARGE_BODIES - DEFAULT_LARGE_BYTES // LARGE_BODY_BYTES
+        recorder.until_outcomes(refused)
+        self.loop.settle()
+        self.assertEqual(
+            [reply.kind for reply in recorder.replies.values()], [ReplyKind.MALFORMED] * refused
+        )
+
+
 class EndlessServerTest(TestCase):
     """The client of the store and of peers."""
 
