Let upstreams fail with any status in the soak

It now draws a series of failures beside the other faults, from the seed and without changing their schedule: one upstream at a time answers 0.6 of its requests after it ran them, with one of 500, 503, 429, 408, 504, 000, 199, 600 and 999. A check is added that statuses are those of HTTP.

--- a/soak/checker.py
+++ b/soak/checker.py
@@ -18,6 +18,7 @@
 """Minimum number of parts in a successful merged answer: half of the shards."""
 NOT_EXECUTED_STATUSES: Final = frozenset({408, 421, 429, 503})
 """Statuses that assert that a non-idempotent request has not run."""
+FINAL_STATUSES: Final = range(200, 600)
 MAX_RESIDENT_KB: Final = 152_000
 """Memory of the smallest VMs."""
 LATE_S: Final = 1.0
@@ -99,6 +100,8 @@
         """Checks one answer, and notes a refusal that `check_runs` compares with the runs."""
         if answer.status in NOT_EXECUTED_STATUSES and kind is RequestKind.NON_IDEMPOTENT:
             self._refused_status[request] = answer.status
+        if answer.status not in FINAL_STATUSES:
+            self.add_violation("a status is one of HTTP", request, str(answer.status))
         if answer.status == 404:
             self.add_violation("known routes are served", request, "404")
         attempt = answer.headers.get("x-attempt-id", request)
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -16,10 +16,12 @@
 
 UPSTREAM_FAULTS = {
     FaultKind.UPSTREAM_REFUSES: UpstreamFaults(refuse=0.6),
-    FaultKind.UPSTREAM_FAILS: UpstreamFaults(fail=0.6),
     FaultKind.UPSTREAM_LOSES: UpstreamFaults(lose=0.5),
     FaultKind.UPSTREAM_CUTS_REPLIES: UpstreamFaults(cut=0.5),
 }
+FAIL_SHARE = 0.6
+FAIL_STATUSES = (500, 503, 429, 408, 504, 0, 199, 600, 999)
+"""Statuses of failures after a run; 421 states by itself that the request did not run."""
 ENDLESS_PARTS = tuple(EndlessPart)
 LEAVE_MARGIN_S = 1.5
 """Time beyond `DRAIN_S` for which an upstream that leaves still serves."""
@@ -100,6 +102,10 @@
             await _apply_upstream_faults(
                 testbed.upstreams[index], UPSTREAM_FAULTS[kind], fault.lasts
             )
+        elif kind is FaultKind.UPSTREAM_FAILS:
+            status = FAIL_STATUSES[fault.pick // len(testbed.upstreams) % len(FAIL_STATUSES)]
+            faults = UpstreamFaults(fail=FAIL_SHARE, fail_status=status)
+            await _apply_upstream_faults(testbed.upstreams[index], faults, fault.lasts)
         elif kind in PROXY_FAULTS:
             trouble = testbed.note_trouble([testbed.upstreams[index].name])
             await _apply_proxy_fault(testbed.proxies[index], PROXY_FAULTS[kind], fault.lasts)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -16,6 +16,8 @@
 MAX_CUT_S: Final = 9.0
 MIN_VERSION_INTERVAL_S: Final = 0.5
 MAX_VERSION_INTERVAL_S: Final = 1.3
+MIN_FAILURE_INTERVAL_S: Final = 0.5
+MAX_FAILURE_INTERVAL_S: Final = 3.0
 PLANNED_SHARE: Final = 0.4
 """Share of the faults that are planned work, or slow upstreams, at which it goes wrong."""
 
@@ -64,7 +66,7 @@
     UPSTREAM_REFUSES = "upstream_refuses"
     """An upstream refuses a share of the requests before they run."""
     UPSTREAM_FAILS = "upstream_fails"
-    """An upstream answers a share of the requests with status 500 after they ran."""
+    """An upstream answers a share of the requests with a failure after they ran."""
     UPSTREAM_LOSES = "upstream_loses"
     """An upstream resets the connection of a share of the requests after they ran."""
     UPSTREAM_CUTS_REPLIES = "upstream_cuts_replies"
@@ -148,3 +150,16 @@
         faults.append(Fault(round(at, 3), kind, lasts, random.randrange(1_000)))
         at += random.uniform(MIN_FAULT_INTERVAL_S, MAX_FAULT_INTERVAL_S)
     return faults
+
+
+def draw_failures(seed: int, seconds: float, quiet_period: float) -> list[Fault]:
+    """Returns failures of upstreams, in order of start, beside the faults of `draw_faults`."""
+    random = Random(f"{seed} failures")
+    failures: list[Fault] = []
+    at = random.uniform(MIN_FAILURE_INTERVAL_S, MAX_FAILURE_INTERVAL_S)
+    while at < seconds - quiet_period:
+        lasts = random.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S)
+        pick = random.randrange(1_000)
+        failures.append(Fault(round(at, 3), FaultKind.UPSTREAM_FAILS, lasts, pick))
+        at += random.uniform(MIN_FAILURE_INTERVAL_S, MAX_FAILURE_INTERVAL_S)
+    return failures
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,7 +15,7 @@
 from soak.caller import Caller
 from soak.checker import ResultChecker, Violation
 from soak.inject import FaultInjector
-from soak.plan import Fault, draw_cuts, draw_faults
+from soak.plan import Fault, draw_cuts, draw_failures, draw_faults
 from soak.testbed import DRAIN_S, SHARDS, Testbed
 from soak.versions import LinkCutter, find_regressions
 
@@ -70,7 +70,11 @@
         cuts: Whether the nodes of one failure domain are also cut off from the upstreams while
             configuration versions are written. Versions are not checked beside an older build.
     """
-    faults = draw_faults(seed, seconds, QUIET_PERIOD_S)
+    faults = [
+        *draw_faults(seed, seconds, QUIET_PERIOD_S),
+        *draw_failures(seed, seconds, QUIET_PERIOD_S),
+    ]
+    faults.sort(key=lambda fault: fault.at)
     testbed = Testbed(f"127.9.{network}", older, cuts)
     await testbed.open()
     try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,13 +7,15 @@
 
 from msgspec import json
 
-from soak.plan import FaultKind, draw_faults
+from soak.plan import FaultKind, draw_failures, draw_faults
 from soak.run import QUIET_PERIOD_S, SEEDS_FILE, soak
 
 SEED = 11
 SECONDS = 13.0
 CUTS_SEED = 5
 CUTS_SECONDS = 16.0
+FAILURES_SEED = 364970
+FAILURES_SECONDS = 16.0
 NETWORK = 3
 
 
@@ -31,15 +33,21 @@
         self.assertEqual(result.violations, ())
         self.assertGreater(result.outcomes.get("200", 0), 0)
 
+    # Guards against REFUSED of review case 7; on the code before its fix this seed finds it.
+    def test_callers_are_not_told_that_an_order_that_ran_has_not_run(self) -> None:
+        result = run(soak(FAILURES_SEED, FAILURES_SECONDS, NETWORK, check_recovery=False))
+        self.assertEqual(result.violations, ())
+        self.assertGreater(result.outcomes.get("200", 0), 0)
+
     def test_plan_is_determined_by_its_seed(self) -> None:
-        self.assertEqual(draw_faults(5, 60.0, QUIET_PERIOD_S), draw_faults(5, 60.0, QUIET_PERIOD_S))
+        for draw in (draw_faults, draw_failures):
+            self.assertEqual(draw(5, 60.0, QUIET_PERIOD_S), draw(5, 60.0, QUIET_PERIOD_S))
         kinds = {
             fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0, QUIET_PERIOD_S)
         }
         self.assertEqual(kinds, set(FaultKind))
-        self.assertTrue(
-            all(fault.at < 60.0 - QUIET_PERIOD_S for fault in draw_faults(5, 60.0, QUIET_PERIOD_S))
-        )
+        faults = draw_faults(5, 60.0, QUIET_PERIOD_S) + draw_failures(5, 60.0, QUIET_PERIOD_S)
+        self.assertTrue(all(fault.at < 60.0 - QUIET_PERIOD_S for fault in faults))
 
     def test_failed_seeds_have_a_cause(self) -> None:
         for item in json.decode(SEEDS_FILE.read_bytes()):
