Do not take a reset reply without a length as complete

Cause: the kernel reports the error of a reset once. The write of the rest of the request received it and dropped it, as if the send buffer were full, and the next read returned the end of the stream, which completes such a reply.

Change: a write that fails for another reason than a full buffer is remembered, and the end of the stream then completes no reply.

The new test of the pool fails before: the exchange ends as a reply.

--- a/src/sequoiapulley/wire/http_connection.py
+++ b/src/sequoiapulley/wire/http_connection.py
@@ -107,6 +107,7 @@
         "_owner",
         "_parser",
         "_reactor",
+        "_send_failed",
         "_sock",
         "_unframed",
         "_unsent",
@@ -146,6 +147,9 @@
         self._parser = ReplyParser(bounds.header_bytes, bounds.body_bytes, bounds.budget)
         self._unframed = bounds.unframed
         self._unsent = b""
+        self._send_failed = False
+        """Whether a write has met an error; the kernel reports it once, and reads then return the
+        end of the stream as if the peer had closed the connection."""
         self.state = _CONNECTING
         self.any_bytes_sent = False
         """Whether any byte of the current exchange was written to the socket."""
@@ -253,8 +257,11 @@
         """Writes as much as the socket accepts and buffers the rest."""
         try:
             sent = self._sock.send(data)
+        except BlockingIOError:
+            sent = 0
         except OSError:
-            # Either the send buffer is full, or the connection is broken: the reactor reports that.
+            # The reactor reports the broken connection, so that what was received is read first.
+            self._send_failed = True
             sent = 0
         if sent:
             self.any_bytes_sent = True
@@ -291,7 +298,8 @@
             self._fail(CloseReason.PATH_LOST)
             return
         if not data:
-            self._end_of_stream(self._parser.end_of_stream() if self._unframed else None)
+            may_complete = self._unframed and not self._send_failed
+            self._end_of_stream(self._parser.end_of_stream() if may_complete else None)
             return
         if self.state is _IDLE:
             self._fail(CloseReason.MALFORMED)
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -24,6 +24,8 @@
 from tests.wire_support import Loop
 
 SEAL = b"X-Server-Seal: s\r\n"
+LONG_BODY_BYTES = 16_000_000
+"""More than the kernel's buffers of one connection hold."""
 
 
 def reply(body: bytes = b"ok", attempt: bytes = b"r1", extra: bytes = b"") -> bytes:
@@ -283,6 +285,24 @@
                 end = self.ends["r1"].end
                 self.assertIs(end, ExchangeEnd.REPLY if orderly else ExchangeEnd.MALFORMED)
 
+    # Guards against MIXED of review case 6: the write of a long request took the error of a reset
+    # away from the read, which took the end of the stream for the end of the reply.
+    def test_reset_reply_is_incomplete_while_the_request_is_still_being_sent(self) -> None:
+        now = self.loop.clock.now()
+        headers = ((b"X-Attempt-Id", b"r1"),)
+        body = bytes(LONG_BODY_BYTES)
+        req = CallerRequest(RequestId("r1"), b"POST", b"/x", "h", headers, body, 1.0, now)
+        exchange = Exchange(req, now + 1.0, False, self._recorder("r1"))
+        self.pool.submit(exchange)
+        self.loop.settle()
+        conn = self.accept()
+        head = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n" + SEAL
+        conn.sendall(head + b"\r\nfirst part")
+        conn.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+        conn.close()
+        self.loop.settle()
+        self.assertIs(self.ends["r1"].end, ExchangeEnd.MALFORMED)
+
     def test_broken_replies(self) -> None:
         cases = {
             "cut short": (reply()[:-1], ExchangeEnd.MALFORMED),
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -505,4 +505,11 @@
         "        if False:\n",
         ("test_endless_replies",),
     ),
+    Break(
+        3,
+        "wire/http_connection.py",
+        "            self._send_failed = True\n",
+        "            pass\n",
+        ("test_upstream_pool",),
+    ),
 )
