Stop by the grace period of the settings file at the signal

Cause: the node stopped by the settings that it had read last, up to 2 s before, and set the end of the open requests once. A check during the stop moved only the moment at which it stops accepting.

Change: the file is checked at the signal, and each change during the stop sets the ends again, by the shortest grace period since the signal. A longer one is not followed, as the platform may measure the one of the signal.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -370,9 +370,8 @@
         self._directory.update_limit_shares(now)
         self._crash_guard.sweep()
         self._check_contact()
-        if self._lifecycle.may_stop_accepting(
-            now, self._settings_task.cfg.grace, len(self._callers_server.connections)
-        ):
+        grace = self._lifecycle.shortest_grace(self._settings_task.cfg.grace)
+        if self._lifecycle.may_stop_accepting(now, grace, len(self._callers_server.connections)):
             self._close_callers()
 
     def _check_contact(self) -> None:
@@ -484,6 +483,8 @@
         self._sources.seeds = cfg.seeds
         self._directory.drain = cfg.drain
         self._entry_port.max_ttl = cfg.most_entry_ttl
+        if self._lifecycle.state is NodeState.LEAVING:
+            self._schedule_shutdown_end()
 
     def _on_scrape(self, req: ServerRequest) -> None:
         """Answers a metrics scrape; the first one loads the metrics library."""
@@ -516,6 +517,8 @@
         self._callers_server.shutting_down = True
         self._log.log(NODE_LEAVING, in_flight=self._callers_server.busy)
         self._schedule_shutdown_end()
+        # The file may have changed without a signal since the last check.
+        self._settings_task.check()
         self._heartbeats.send_now()
         self._registration.stop()
 
@@ -536,11 +539,8 @@
             self._stop()
 
     def _schedule_shutdown_end(self) -> None:
-        """Sets when this node, which shuts down, answers all open requests, and when it stops.
-
-        The platform measures the grace period that applied when it sent the signal.
-        """
-        grace = self._settings_task.cfg.grace
+        """Sets when this node, which shuts down, answers all open requests, and when it stops."""
+        grace = self._lifecycle.shortest_grace(self._settings_task.cfg.grace)
         end = self._lifecycle.answer_end(grace)
         self._forwarder.shutdown_end = end
         self._timers.call_at(end, self._end_requests)
--- a/src/sequoiapulley/daemon/node_lifecycle.py
+++ b/src/sequoiapulley/daemon/node_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Final
 
 from sequoiapulley.forward.peer_table import NodeState
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.state = NodeState.STARTING
         self._shutdown_started_at = 0.0
+        self._shortest_grace = inf
 
     def mark_ready(self) -> bool:
         """Changes the state from starting to ready; returns whether the state has changed."""
@@ -43,6 +45,20 @@
         self._shutdown_started_at = now
         return True
 
+    def shortest_grace(self, grace: float) -> float:
+        """Returns the shortest grace period in force since the signal to stop.
+
+        The users' pages do not say whether a change during the shutdown counts; a node that keeps
+        to the shortest one has answered its callers in either case.
+
+        Args:
+            grace: Seconds between the signal to stop and the forced termination, as set now.
+        """
+        if self.state is not NodeState.LEAVING:
+            return grace
+        self._shortest_grace = min(self._shortest_grace, grace)
+        return self._shortest_grace
+
     def answer_end(self, grace: float) -> float:
         """Returns the clock reading at which a node that shuts down answers all open requests.
 
--- a/src/sequoiapulley/daemon/settings_task.py
+++ b/src/sequoiapulley/daemon/settings_task.py
@@ -50,6 +50,10 @@
         """Applies the file if it has changed, now and at regular intervals."""
         # The next check is scheduled first, so that an unexpected error does not end the series.
         self._timers.call_later(SETTINGS_POLL_INTERVAL_S, self.start)
+        self.check()
+
+    def check(self) -> None:
+        """Reads and applies the file if it has changed."""
         self._apply_settings(self._watch.poll())
 
     def reload(self) -> None:
--- a/tests/test_node_lifecycle.py
+++ b/tests/test_node_lifecycle.py
@@ -66,6 +66,13 @@
         self.lifecycle.begin_shutdown(0.0)
         self.assertTrue(self.lifecycle.may_stop_accepting(0.9, 1.0, 1))
 
+    # Guards against a stop by a grace period that is longer than the platform waits.
+    def test_shortest_grace_period_since_the_signal_counts(self) -> None:
+        self.assertEqual(self.lifecycle.shortest_grace(2.0), 2.0)
+        self.lifecycle.begin_shutdown(0.0)
+        found = [self.lifecycle.shortest_grace(grace) for grace in (6.0, 4.0, 8.0)]
+        self.assertEqual(found, [6.0, 4.0, 4.0])
+
     def test_second_signal_changes_nothing(self) -> None:
         self.assertTrue(self.lifecycle.begin_shutdown(0.0))
         self.assertFalse(self.lifecycle.begin_shutdown(2.0))
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -18,6 +18,9 @@
 from tests.simulated_upstreams import SimulatedNet, SimulatedUpstream, plain_route, success
 
 GRACE_S: Final = 6.0
+SHORT_GRACE_S: Final = 4.0
+SETTINGS_CHANGE_S: Final = 0.3
+"""Time between a change of the settings file and SIGTERM; the node checks it less often."""
 UPSTREAMS: Final = 4
 TIME_LEFT_MS: Final = 3_000
 WORK_S: Final = (1.0, 1.6, 2.2, 2.8)
@@ -120,14 +123,25 @@
             # Callers whose request is refused turn to another node; these come back to this one.
             sleep(0.05)
 
-    def stop_in_use(self) -> None:
-        """Stops the node while callers send requests, and kills it at the end of the grace."""
+    def stop_in_use(
+        self, grace: float = GRACE_S, before: float | None = None, after: float | None = None
+    ) -> None:
+        """Stops the node while callers send requests, and kills it at the end of the grace.
+
+        Args:
+            grace: Seconds between SIGTERM and the end.
+            before: Grace period that is written to the settings file just before SIGTERM, if any.
+            after: Grace period that is written to it after SIGTERM, if any.
+        """
         kept = [self.connect() for _ in range(KEPT_CONNECTIONS)]
         for number, conn in enumerate(kept):
             self.assertEqual(self.call(conn, f"first-{number}", True).status, 200)
         for upstream, work in zip(self.upstreams, WORK_S, strict=True):
             upstream.faults.work = work
         self.outcomes.clear()
+        if before is not None:
+            self.node.write_settings(before)
+            sleep(SETTINGS_CHANGE_S)
         self.stopped_at = monotonic()
         threads = [
             Thread(target=self.call_late, args=(conn, number)) for number, conn in enumerate(kept)
@@ -138,7 +152,10 @@
         for thread in threads:
             thread.start()
         self.node.terminate()
-        end = self.stopped_at + GRACE_S
+        if after is not None:
+            sleep(SETTINGS_CHANGE_S)
+            self.node.write_settings(after)
+        end = self.stopped_at + grace
         while self.node.is_running and monotonic() < end:
             sleep(0.005)
         self.ended_after = monotonic() - self.stopped_at
@@ -149,13 +166,31 @@
     # Guards against requests that end without an answer because the node's grace period is over.
     def test_requests_of_a_planned_stop_have_an_answer(self) -> None:
         self.stop_in_use()
+        self.check_answers(GRACE_S)
+
+    # Guards against LOST of review case 8: the node stopped by the grace period that it had read
+    # before the settings file changed.
+    def test_requests_have_an_answer_if_the_grace_period_was_just_shortened(self) -> None:
+        self.stop_in_use(SHORT_GRACE_S, before=SHORT_GRACE_S)
+        self.check_answers(SHORT_GRACE_S)
+
+    def test_requests_have_an_answer_if_the_grace_period_is_shortened_during_the_stop(self) -> None:
+        self.stop_in_use(SHORT_GRACE_S, after=SHORT_GRACE_S)
+        self.check_answers(SHORT_GRACE_S)
+
+    def test_requests_have_an_answer_if_the_grace_period_is_raised_during_the_stop(self) -> None:
+        self.stop_in_use(SHORT_GRACE_S, before=SHORT_GRACE_S, after=GRACE_S)
+        self.check_answers(SHORT_GRACE_S)
+
+    def check_answers(self, grace: float) -> None:
+        """Checks that the node has ended in time and has answered every request that it read."""
         lost = [
             outcome
             for outcome in self.outcomes
             if not outcome.status and (self.runs(outcome.name) or outcome.seconds > CLOSE_CROSSED_S)
         ]
         self.assertEqual(lost, [], "requests without an answer")
-        self.assertLess(self.ended_after, GRACE_S, "the node was killed")
+        self.assertLess(self.ended_after, grace, "the node was killed")
         assert self.node.process is not None
         self.assertEqual(self.node.process.returncode, 0)
         for outcome in self.outcomes:
