Test that interim replies neither end nor delay a request

An upstream that only sends interim replies, one or a run of them, does not keep an idempotent request from being hedged (both parts of the new test pass without a change, served within half of the route's timeout), and a run of them at full speed is refused at the limit on a head.

--- a/standins/http_server.py
+++ b/standins/http_server.py
@@ -29,6 +29,7 @@
 """Number of unsent bytes above which an endless reply waits for the client to read."""
 ENDLESS_POLL_S: Final = 0.002
 SHORT_HEADER: Final = b"ab:cd\r\n"
+INTERIM_REPLY: Final = b"HTTP/1.1 100 -\r\n\r\n"
 
 
 class Request(Struct):
@@ -53,6 +54,8 @@
     CHUNKED_BODY = "chunked_body"
     SHORT_HEADERS = "short_headers"
     """Head with very many headers of a few bytes."""
+    INTERIM = "interim"
+    """Interim replies, one after another."""
 
 
 class Endless(Struct, frozen=True):
@@ -98,6 +101,8 @@
 
 def _endless_head(response: Response, part: EndlessPart) -> bytes:
     """Encodes the beginning of a reply whose head or body never ends."""
+    if part is EndlessPart.INTERIM:
+        return b""
     head = f"HTTP/1.1 {response.status:03} ".encode() + REASON_PHRASE + b"\r\n"
     for name, value in response.headers:
         head += f"{name}: {value}\r\n".encode("latin-1")
@@ -114,6 +119,8 @@
     """Returns the bytes of one write of an endless reply."""
     if endless.part is EndlessPart.SHORT_HEADERS:
         return SHORT_HEADER * -(-endless.chunk_bytes // len(SHORT_HEADER))
+    if endless.part is EndlessPart.INTERIM:
+        return INTERIM_REPLY * -(-endless.chunk_bytes // len(INTERIM_REPLY))
     data = b"a" * endless.chunk_bytes
     if endless.part is EndlessPart.HEAD:
         return b"x-filler: " + data + b"\r\n"
--- a/tests/test_endless_replies.py
+++ b/tests/test_endless_replies.py
@@ -28,7 +28,14 @@
     ReceiveBudget,
 )
 from sequoiapulley.wire.reply_parser import MAX_HEADERS, ReplyError, ReplyParser
-from standins.http_server import SHORT_HEADER, Endless, EndlessPart, Request, Response
+from standins.http_server import (
+    INTERIM_REPLY,
+    SHORT_HEADER,
+    Endless,
+    EndlessPart,
+    Request,
+    Response,
+)
 from standins.platform_fleet import CALLERS_PORT, FleetSettings, PlatformFleet
 from standins.platform_upstream import PlatformUpstream, UpstreamFaults
 from standins.store import StoreStandIn
@@ -61,6 +68,8 @@
         piece = b"a" * size
         if part is EndlessPart.SHORT_HEADERS:
             head, piece = b"HTTP/1.1 200 x\r\n", SHORT_HEADER * (size // len(SHORT_HEADER) + 1)
+        elif part is EndlessPart.INTERIM:
+            head, piece = b"", INTERIM_REPLY * (size // len(INTERIM_REPLY) + 1)
         elif part is EndlessPart.HEAD:
             head, piece = b"HTTP/1.1 200 x\r\n", b"x: " + piece + b"\r\n"
         else:
@@ -79,7 +88,7 @@
     @given(st.sampled_from(EndlessPart), st.integers(1, 70_000))
     def test_reply_is_refused_at_its_limit(self, part: EndlessPart, size: int) -> None:
         parser = ReplyParser(MAX_HEADER, MAX_BODY)
-        heads = (EndlessPart.HEAD, EndlessPart.SHORT_HEADERS)
+        heads = (EndlessPart.HEAD, EndlessPart.SHORT_HEADERS, EndlessPart.INTERIM)
         limit = MAX_HEADER if part in heads else MAX_HEADER + 2 * MAX_BODY
         self.assertLess(self.feed_without_end(parser, part, size), limit + size + 200)
 
--- a/tests/test_node_contract.py
+++ b/tests/test_node_contract.py
@@ -307,6 +307,21 @@
                     self.assertLess(monotonic() - started, ROUTE_TIMEOUT_S / 2)
                 self.heal(conn)
 
+    # Guards against an idempotent request that waits for an upstream that only sends interim
+    # replies, although another one would serve it.
+    def test_interim_replies(self) -> None:
+        conn = self.connect()
+        self.load(0.3, conn)
+        for pause in (2 * TIMEOUT_S, 0.02):
+            with self.subTest(pause=pause):
+                endless = Endless(EndlessPart.INTERIM, 1, pause)
+                self.upstreams[0].faults = UpstreamFaults(endless=endless)
+                for _ in range(6):
+                    started = monotonic()
+                    self.assertEqual(self.ask(conn), 200)
+                    self.assertLess(monotonic() - started, ROUTE_TIMEOUT_S / 2)
+                self.heal(conn)
+
     def heal(self, conn: HTTPConnection) -> None:
         """Ends the faults of the upstreams and waits until requests are served."""
         for number, upstream in enumerate(self.upstreams):
