Keep heartbeats within what their receivers read

It was cut and not understood, so that peers would lose sight of a node while it has much news.

Change: a heartbeat is sent with the news that fits, at most 2,048 bytes, as nodes of the build in production read no more; the news takes turns. Heartbeats are received up to 8,192 bytes, as that build sends more than it reads.

--- a/src/sequoiapulley/daemon/heartbeat_port.py
+++ b/src/sequoiapulley/daemon/heartbeat_port.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 from socket import AF_INET, SOCK_DGRAM, socket
-from typing import Final
+from typing import Final, TypeVar
 
 from msgspec.msgpack import Decoder, encode
+from msgspec.structs import replace
 
 from sequoiapulley.decoding import CheckedDecoder
 from sequoiapulley.forward.addresses import check_addresses
@@ -17,8 +18,13 @@
 from sequoiapulley.wire.reactor import READABLE, Reactor
 
 MAX_DATAGRAM_BYTES: Final = 2_048
+"""Maximum size of a heartbeat that is sent, as nodes of earlier builds read no more of it."""
+RECEIVE_BYTES: Final = 8_192
+"""Nodes of earlier builds send more than they read."""
 MAX_DATAGRAMS_PER_EVENT: Final = 128
 
+Item = TypeVar("Item")
+
 
 class HeartbeatPort:
     """Sends heartbeats to peers, and receives and decodes theirs."""
@@ -47,6 +53,8 @@
         self._log = log
         self._on_heartbeat = on_heartbeat
         self._decoder = CheckedDecoder(Decoder(Heartbeat))
+        self._turn = 0
+        """Number of heartbeats so far that had more news than fits."""
         self._sock = socket(AF_INET, SOCK_DGRAM)
         self._sock.setblocking(False)
         try:
@@ -58,7 +66,7 @@
 
     def send(self, heartbeat: Heartbeat, peers: list[NodeRecord]) -> None:
         """Sends a heartbeat to peers; a datagram that the socket refuses is dropped."""
-        data = encode(heartbeat)
+        data = self._encode(heartbeat)
         for peer in peers:
             try:
                 self._sock.sendto(data, (peer.host, peer.heartbeat_port))
@@ -66,6 +74,19 @@
                 # The next heartbeat replaces it; a peer that receives none marks this node as lost.
                 continue
 
+    def _encode(self, heartbeat: Heartbeat) -> bytes:
+        """Encodes a heartbeat, without the news that does not fit; the news takes turns."""
+        data = encode(heartbeat)
+        if len(data) <= MAX_DATAGRAM_BYTES:
+            return data
+        self._turn += 1
+        strikes = _rotated(heartbeat.strikes, self._turn)
+        leaving = _rotated(heartbeat.leaving, self._turn)
+        while len(data) > MAX_DATAGRAM_BYTES and (strikes or leaving):
+            strikes, leaving = strikes[:-1], leaving[:-1]
+            data = encode(replace(heartbeat, strikes=strikes, leaving=leaving))
+        return data
+
     def on_failure(self) -> None:
         """Does nothing: the next datagram is read."""
 
@@ -73,7 +94,7 @@
         """Reads the datagrams that have arrived, up to a limit for each event."""
         for _ in range(MAX_DATAGRAMS_PER_EVENT):
             try:
-                data = self._sock.recv(MAX_DATAGRAM_BYTES)
+                data = self._sock.recv(RECEIVE_BYTES)
             except OSError:
                 return
             try:
@@ -88,3 +109,9 @@
         """Closes the socket."""
         self._reactor.unregister(self._sock.fileno())
         self._sock.close()
+
+
+def _rotated(items: tuple[Item, ...], turn: int) -> tuple[Item, ...]:
+    """Returns the items in an order that begins with another one at each turn."""
+    first = turn % max(1, len(items))
+    return (*items[first:], *items[:first])
