Read on a new connection after a failed read of the state

Cause: a time-out closes the idle connections of the node that met it. Nodes that read from a peer learn of the silence only by being turned away; their read of the store then used a connection that had been idle, from the renewal of the lease, and waited for its whole limit of 2 s.

Change: a read that follows a failed one closes the idle connections to its source first and so uses a new one.

--- a/src/sequoiapulley/daemon/peer_source.py
+++ b/src/sequoiapulley/daemon/peer_source.py
@@ -92,6 +92,10 @@
         """Whether a part of a reply has arrived."""
         return self._client.is_receiving(self.address.host, self.address.port)
 
+    def close_idle(self) -> None:
+        """Closes idle connections to the peer."""
+        self._client.close_idle(self.address.host, self.address.port)
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads the full state that the peer has; `exact` has no effect."""
         self._ask(NO_POSITION, 0.0, timeout, done)
--- a/src/sequoiapulley/forward/state.py
+++ b/src/sequoiapulley/forward/state.py
@@ -164,6 +164,9 @@
     def receiving(self) -> bool:
         """Whether a part of a reply has arrived."""
 
+    def close_idle(self) -> None:
+        """Closes idle connections to the source, which may have gone silent."""
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads the full state.
 
--- a/src/sequoiapulley/forward/state_feed.py
+++ b/src/sequoiapulley/forward/state_feed.py
@@ -180,6 +180,9 @@
     def _request(self) -> None:
         """Requests the state or its changes from the selected source."""
         plan = self._plan = self._choose(self._failures)
+        if self._failures:
+            # What failed the last read may have silenced all open connections.
+            plan.source.close_idle()
         timeout = min(MAX_TIMEOUT_S, INITIAL_TIMEOUT_S * 2**self._failures)
         read = self._pending = PendingRead(self._timers, lambda reply: self._on_reply(plan, reply))
         if self._needs_full_read or plan.whole:
--- a/src/sequoiapulley/platform/kv_client.py
+++ b/src/sequoiapulley/platform/kv_client.py
@@ -161,6 +161,10 @@
         """Whether a part of a reply of the store has arrived."""
         return self._client.is_receiving(self._host, self._port)
 
+    def close_idle(self) -> None:
+        """Closes idle connections to the store, so that the next call opens a new one."""
+        self._client.close_idle(self._host, self._port)
+
     def read(
         self,
         path: str,
--- a/src/sequoiapulley/platform/kv_source.py
+++ b/src/sequoiapulley/platform/kv_source.py
@@ -86,6 +86,10 @@
         """Whether a part of a reply has arrived."""
         return self._kv.receiving
 
+    def close_idle(self) -> None:
+        """Closes idle connections to the store."""
+        self._kv.close_idle()
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         """Reads all items, page by page."""
         _RangeRead(self._kv, exact, timeout, done).read_page("", None)
--- a/src/sequoiapulley/wire/http_client.py
+++ b/src/sequoiapulley/wire/http_client.py
@@ -212,6 +212,16 @@
         server = self._servers.get((host, port))
         return server is not None and any(conn.reply_begun for conn in server.open)
 
+    def close_idle(self, host: str, port: int) -> None:
+        """Closes the idle connections to a server, so that the next call opens a new one."""
+        server = self._servers.get((host, port))
+        if server is None:
+            return
+        for conn in server.idle:
+            server.open.discard(conn)
+            conn.close()
+        server.idle.clear()
+
     def has_unacknowledged(self) -> bool:
         """Returns whether a server has not yet acknowledged all bytes sent to it."""
         conns = [conn for server in self._servers.values() for conn in server.open]
@@ -351,7 +361,8 @@
             conn.close()
             if server is not None:
                 server.open.discard(conn)
-                _close_idle(server)
+                # They may be broken like the one that timed out.
+                self.close_idle(call.host, call.port)
         elif server is not None and exchange in server.waiting:
             server.waiting.remove(exchange)
         exchange.finish(Err(HttpFailure(kind, sent, f"{call.host}:{call.port}: {detail}")))
@@ -382,14 +393,6 @@
     return min(exchange.started_at + limit, conn.received_at + STALL_TIMEOUT_S)
 
 
-def _close_idle(server: _Server) -> None:
-    """Closes idle connections; they may be broken like the one that timed out."""
-    for conn in server.idle:
-        server.open.discard(conn)
-        conn.close()
-    server.idle.clear()
-
-
 def _tag(conn: HttpConnection) -> tuple[str, int, _Exchange | None]:
     """Returns the host, port and exchange of a connection."""
     tag = conn.tag
--- a/tests/state_fixtures.py
+++ b/tests/state_fixtures.py
@@ -152,8 +152,13 @@
         self.asked: list[str] = []
         self.waited: list[float] = []
         """Maximum wait of each read of changes."""
+        self.idle_closed_before: list[int] = []
+        """Number of the read before which idle connections were closed, for each time."""
         self._done: list[Callable[[ChangesReply], None]] = []
 
+    def close_idle(self) -> None:
+        self.idle_closed_before.append(len(self.asked) + 1)
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         self.asked.append("exact" if exact else "stale")
         self._done.append(done)
--- a/tests/state_fleet.py
+++ b/tests/state_fleet.py
@@ -68,6 +68,9 @@
     def receiving(self) -> bool:
         return self._transfer is not None and self._transfer.receiving
 
+    def close_idle(self) -> None:
+        """Does nothing: there are no connections."""
+
     def read_all(self, exact: bool, timeout: float, done: Callable[[ChangesReply], None]) -> None:
         self._answer(lambda: Ok(self.fleet.full_state()), timeout, done)
 
@@ -185,6 +188,9 @@
         req = FakeRequest(call, server, transfer)
         timers.call_later(REPLY_S, lambda: server.port.serve(req))
 
+    def close_idle(self, _host: str, _port: int) -> None:
+        """Does nothing: there are no connections."""
+
     def is_receiving(self, host: str, _port: int) -> bool:
         """Returns whether a part of the last reply of a node has arrived."""
         transfer = self._transfers.get(host)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -67,6 +67,20 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    def test_call_after_idle_connections_were_closed_opens_a_new_one(self) -> None:
+        self.call()
+        conn = self.server.accept()
+        conn.recv(RECEIVE_BYTES)
+        conn.sendall(reply_bytes(1))
+        self.loop.settle()
+        self.client.close_idle("127.0.0.1", self.server.port)
+        self.client.close_idle("127.0.0.1", 1)
+        self.assertEqual((self.client.connections(), conn.recv(RECEIVE_BYTES)), (0, b""))
+        self.call()
+        self.server.accept().sendall(reply_bytes(2))
+        self.loop.settle()
+        self.assertIsInstance(self.results[-1], Ok)
+
     # Guards against an error in place of a result: sockets raise another one for such a port.
     def test_port_out_of_range_is_a_failed_connect(self) -> None:
         call = HttpCall("127.0.0.1", 70_000, "GET", "/")
--- a/tests/test_state_feed.py
+++ b/tests/test_state_feed.py
@@ -70,6 +70,23 @@
             self.run_for(1.2)
         self.assertEqual(len(self.store.asked), 7)
 
+    # Guards against CONFIG of review case 10: after open connections went silent, a read waited for
+    # its whole time limit on another one that had been idle.
+    def test_read_after_a_failed_one_uses_no_idle_connection(self) -> None:
+        self.start_with(7)
+        self.use_peer = True
+        self.store.reply(read(changes(8, upstream_change("a"))))
+        self.run_for(1.2)
+        self.peer.reply(unavailable())
+        self.run_for(0.1)
+        self.store.reply(unavailable())
+        self.run_for(0.2)
+        self.store.reply(read(changes(9, upstream_change("a"))))
+        self.run_for(1.2)
+        self.assertEqual(self.peer.idle_closed_before, [])
+        self.assertEqual(self.store.asked, ["stale", "after 7", "after 8", "after 8"])
+        self.assertEqual(self.store.idle_closed_before, [3, 4])
+
     # Guards against a version that a peer has and this node reads up to a second later.
     def test_read_that_is_wanted_soon_does_not_wait_for_the_interval(self) -> None:
         self.start_with(7)
--- a/tools/forward_breaks.py
+++ b/tools/forward_breaks.py
@@ -512,4 +512,25 @@
         "            pass\n",
         ("test_upstream_pool",),
     ),
+    Break(
+        8,
+        "forward/state_feed.py",
+        "            plan.source.close_idle()\n",
+        "            pass\n",
+        ("test_state_feed",),
+    ),
+    Break(
+        7,
+        "daemon/node_lifecycle.py",
+        "        self._shortest_grace = min(self._shortest_grace, grace)\n",
+        "        self._shortest_grace = grace\n",
+        ("test_node_lifecycle",),
+    ),
+    Break(
+        3,
+        "wire/server_connection.py",
+        "        self._parser.set_limits(limits.header_bytes, limits.body_bytes)\n",
+        "        pass\n",
+        ("test_http_server",),
+    ),
 )
