--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -517,10 +517,10 @@
         self._callers_server.shutting_down = True
         self._log.log(NODE_LEAVING, in_flight=self._callers_server.busy)
         self._schedule_shutdown_end()
-        # The file may have changed without a signal since the last check.
-        self._settings_task.check()
         self._heartbeats.send_now()
         self._registration.stop()
+        # The file may have changed without a signal since the last check.
+        self._settings_task.check()
 
     def _close_callers(self) -> None:
         """Stops accepting callers, and stops the node once nothing is in flight."""
--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -143,6 +143,8 @@
         # Nodes of earlier builds forward any status of an upstream that ran the request.
         self._may_have_run = self._may_have_run or self._ctx.contract.forwards_reply(answer)
         if answer.status in NOT_RUN_STATUSES and self._may_have_run:
+            detail = f"status {answer.status} for a request that may have run"
+            self._ctx.log.log(HANDOVER_FAILED, id=self._req.id, peer=node.name, error=detail)
             self._fail()
             return
         self._finish(answer, None)
--- a/src/sequoiapulley/forward/service_call.py
+++ b/src/sequoiapulley/forward/service_call.py
@@ -104,7 +104,7 @@
         self.delegate: NodeId | None = None
         """Remote node to which this call is delegated, if any."""
         self.last_failure: ExchangeReply | None = None
-        """Last failure reply of an upstream that ran the request and whose status says so."""
+        """Last failure reply that the caller may receive."""
 
     @property
     def done(self) -> bool:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -141,6 +141,7 @@
                 answer = self.answers[0][0]
                 self.assertEqual((answer.status, nodes.asked), (502, ["n0"]))
                 self.assertNotIn(SEAL_HEADER, dict(answer.headers))
+                self.assertIn(f"status {status}", str(self.net.log.entries))
 
     def test_refusal_of_the_first_node_is_forwarded(self) -> None:
         nodes = ScriptedNodes(2)
