--- a/soak/inject.py
+++ b/soak/inject.py
@@ -4,6 +4,7 @@
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
 from collections.abc import Awaitable, Callable
+from enum import Enum
 
 from soak.loss import Trouble, Work, WorkKind
 from soak.plan import Fault, FaultKind
@@ -32,6 +33,10 @@
 """Time between the signals to two nodes that are stopped one after another."""
 GRACES_S = (6.0, 6.0, 4.0, 8.0)
 """Grace periods of rewritten settings."""
+SHORT_GRACE_S = 4.0
+LONG_GRACE_S = 10.0
+SETTINGS_CHANGE_S = 0.3
+"""Time between a change of a settings file and the signal to stop, in either order."""
 STOP_POLL_S = 0.02
 SLOW_SHARE = 0.4
 STORE_AWAY_S = 0.6
@@ -66,6 +71,17 @@
 STORM_INTERVAL_S = 0.1
 
 
+class SettingsChange(Enum):
+    """Change of a node's settings file around a stop, without a signal."""
+
+    NONE = "none"
+    SHORTER_BEFORE = "shorter_before"
+    LONGER_DURING = "longer_during"
+
+
+SETTINGS_CHANGES = tuple(SettingsChange)
+
+
 class FaultInjector:
     """Executes a fault schedule on a testbed."""
 
@@ -121,7 +137,7 @@
             testbed.note_disturbed([node])
             _end(trouble)
         elif kind is FaultKind.NODE_STOP:
-            await self._stop_and_restart(node)
+            await self._stop_and_restart(node, fault.pick // len(testbed.fleet.nodes))
         elif kind is FaultKind.ROLLING_STOP:
             await self._stop_all()
         elif kind is FaultKind.NODE_RELOAD:
@@ -232,8 +248,15 @@
             await sleep(ROLLING_INTERVAL_S)
         await gather(*tasks)
 
-    async def _stop_and_restart(self, node: FleetNode) -> None:
-        """Stops a node as the platform does and restarts it; a stop in a stop repeats SIGTERM."""
+    async def _stop_and_restart(self, node: FleetNode, number: int = 0) -> None:
+        """Stops a node as the platform does and restarts it; a stop in a stop repeats SIGTERM.
+
+        Args:
+            node: The node.
+            number: Selects whether its settings file changes without a signal: not, to a shorter
+                grace period just before the stop, or to a longer one during the stop, for which the
+                platform does not wait.
+        """
         loop = get_running_loop()
         testbed = self._testbed
         testbed.note_disturbed([node])
@@ -242,9 +265,16 @@
             node.terminate()
             return
         self._stopping.add(node.host)
+        change = SETTINGS_CHANGES[number % len(SETTINGS_CHANGES)]
+        if change is SettingsChange.SHORTER_BEFORE:
+            node.write_settings(SHORT_GRACE_S)
+            await sleep(SETTINGS_CHANGE_S)
         end = loop.time() + node.grace
         testbed.work.append(Work(WorkKind.STOP, node.host, loop.time(), node.grace))
         node.terminate()
+        if change is SettingsChange.LONGER_DURING:
+            await sleep(SETTINGS_CHANGE_S)
+            node.write_settings(LONG_GRACE_S)
         while process.poll() is None and loop.time() < end:
             await sleep(STOP_POLL_S)
         if node.process is process:
