--- a/tests/test_broken_replies.py
+++ b/tests/test_broken_replies.py
@@ -41,6 +41,9 @@
                 True,
             ),
             "no JSON": (reply_bytes(7, b"{"), False),
+            "status 000": (good.replace(b" 200 ", b" 000 "), False),
+            "status 199": (good.replace(b" 200 ", b" 199 "), False),
+            "status 600": (good.replace(b" 200 ", b" 600 "), False),
         }
         for name, (data, close) in cases.items():
             with self.subTest(name):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -67,6 +67,18 @@
         self.assertEqual(self.client.connections(), 0)
         self.assertEqual(len(self.results), 4)
 
+    # Guards against a status 000 or 600 as a reply of the store, of another node with parts or
+    # state, of the list of VMs, or to a health check.
+    def test_status_that_http_does_not_have_is_no_reply(self) -> None:
+        for status in (b"000", b"099", b"199", b"600", b"999"):
+            with self.subTest(status=status):
+                self.call()
+                self.server.accept().sendall(reply_bytes(1).replace(b"200", status))
+                self.loop.settle()
+                self.assertIs(self.failure().kind, HttpFailureKind.BAD_REPLY)
+                self.assertIn(f"status {status.decode()}", self.failure().detail)
+                self.assertEqual(self.client.connections(), 0)
+
     def test_call_after_idle_connections_were_closed_opens_a_new_one(self) -> None:
         self.call()
         conn = self.server.accept()
