--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -12,6 +12,8 @@
 
 from msgspec import Struct
 
+from standins.process_meter import resident_kb
+
 ROOT: Final = Path(__file__).resolve().parent.parent
 CALLERS_PORT: Final = 8104
 DIRECTORY_PORT: Final = 8100
@@ -40,6 +42,10 @@
     older: Path | None = None
     """Checkout of an older build; every second node starts with it, and each restart of a node
     changes its build. None for the same build on all nodes."""
+    memory_mb: int = 0
+    """Memory of each VM in MB; 0 for settings without it."""
+    max_fds: int = 0
+    """Maximum number of descriptors of a process; 0 for settings without it."""
 
 
 class FleetNode:
@@ -87,8 +93,7 @@
         """Returns the resident memory of the process in kB; 0 if it is not running."""
         if self.process is None or not self.is_running:
             return 0
-        text = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
-        return int(next(line for line in text.splitlines() if line.startswith("VmRSS")).split()[1])
+        return resident_kb(self.process.pid)
 
     def start(self) -> None:
         """Starts the process, with the other build than before if there are two."""
@@ -167,6 +172,8 @@
     """Returns the text of a node's settings file in the platform's format."""
     zones = "\n".join(f'{domain} = "{region}"' for domain, region in shape.failure_domains.items())
     seeds = ", ".join(f'"{shape.network}.{number}:{PEERS_PORT}"' for number in (1, 2, 3))
+    limits = {"memory_mb": shape.memory_mb, "max_fds": shape.max_fds}
+    limit_lines = "\n".join(f"{name} = {value}" for name, value in limits.items() if value)
     return f"""
 node_name = "{node.name}"
 ip = "{node.host}"
@@ -185,6 +192,7 @@
 [limits]
 cpu_share = 1.0
 cores = 1
+{limit_lines}
 [bounds]
 grace_s = {node.grace}
 retry_ratio = 0.2
