Let the reactor defer sockets with much to read

Cause: each poll handled up to 512 sockets, 64 KB each, whatever that took; timers, heartbeats and other callers came afterwards.

Sockets that their owner marks as deferrable are handled after all others and for 10 ms in each poll, in turn: those that had no time keep their places before those that had.

--- a/src/sequoiapulley/wire/reactor.py
+++ b/src/sequoiapulley/wire/reactor.py
@@ -12,6 +12,8 @@
 WRITABLE: Final = EPOLLOUT
 BROKEN: Final = EPOLLERR | EPOLLHUP
 MAX_EVENTS_PER_POLL: Final = 512
+DEFERRABLE_SLICE_S: Final = 0.01
+"""Time for deferrable sockets in each poll. The others, and timers, run in between."""
 
 
 class SocketHandler(Protocol):
@@ -50,6 +52,16 @@
         self._epoll = epoll()
         self._handlers: dict[int, SocketHandler] = {}
         self._registered_in_poll: set[int] = set()
+        self._deferrable: dict[int, int] = {}
+        """Number of the last turn of each deferrable socket, by descriptor; 0 for none."""
+        self._turns = 0
+        self._deferred: dict[int, int] = {}
+        """Events of deferrable sockets that were not handled yet, by descriptor."""
+
+    @property
+    def sockets(self) -> int:
+        """Number of registered sockets."""
+        return len(self._handlers)
 
     def fileno(self) -> int:
         """Returns the descriptor of the epoll object, itself readable when a socket is ready."""
@@ -71,9 +83,22 @@
         """Replaces the event mask of a registered socket."""
         self._epoll.modify(fd, events)
 
+    def set_deferrable(self, fd: int, deferrable: bool) -> None:
+        """Sets whether a registered socket may wait while others are handled.
+
+        Deferrable sockets are handled in turn, after all others, for a limited time in each poll:
+        many of them with much to read must delay neither the others nor timers.
+        """
+        if deferrable:
+            self._deferrable.setdefault(fd, 0)
+        else:
+            self._deferrable.pop(fd, None)
+
     def unregister(self, fd: int) -> None:
         """Removes a registered socket; must be called before the socket is closed."""
         del self._handlers[fd]
+        self._deferrable.pop(fd, None)
+        self._deferred.pop(fd, None)
         self._epoll.unregister(fd)
 
     def poll(self, timeout: float = 0.0) -> int:
@@ -83,28 +108,55 @@
             timeout: Maximum wait for the first ready socket, in seconds.
 
         Returns:
-            The number of handlers called.
+            The number of handlers called. Deferrable sockets may be left for the next poll.
         """
-        ready = self._epoll.poll(timeout, MAX_EVENTS_PER_POLL)
+        ready = self._epoll.poll(0.0 if self._deferred else timeout, MAX_EVENTS_PER_POLL)
         self._registered_in_poll.clear()
         called = 0
+        deferrable: list[tuple[int, int]] = []
         for fd, events in ready:
-            handler = self._handlers.get(fd)
-            if handler is None or fd in self._registered_in_poll:
-                # An earlier handler of this poll closed the socket; its descriptor may be reused.
-                continue
-            called += 1
-            if self._on_error is None:
-                handler.on_ready(events)
+            if fd in self._deferrable:
+                deferrable.append((fd, events))
                 continue
-            try:
-                handler.on_ready(events)
-            except Exception as exc:
-                # One message must not end the process and the other requests in flight.
-                self._on_error(exc)
-                self._end_failed(fd, handler, self._on_error)
+            called += self._handle(fd, events)
+        # Those of earlier polls keep their places, so that each socket has its turn.
+        deferrable.sort(key=lambda item: self._deferrable.get(item[0], 0))
+        self._deferred.update(deferrable)
+        return called + self._handle_deferred()
+
+    def _handle_deferred(self) -> int:
+        """Handles deferrable sockets for a limited time; returns the number of handlers called."""
+        if not self._deferred:
+            return 0
+        called = 0
+        end = self.clock.now() + DEFERRABLE_SLICE_S
+        while self._deferred:
+            fd = next(iter(self._deferred))
+            called += self._handle(fd, self._deferred.pop(fd))
+            if fd in self._deferrable:
+                self._turns += 1
+                self._deferrable[fd] = self._turns
+            if self.clock.now() >= end:
+                break
         return called
 
+    def _handle(self, fd: int, events: int) -> int:
+        """Calls the handler of a socket; returns the number of handlers called, 0 or 1."""
+        handler = self._handlers.get(fd)
+        if handler is None or fd in self._registered_in_poll:
+            # An earlier handler of this poll closed the socket; its descriptor may be reused.
+            return 0
+        if self._on_error is None:
+            handler.on_ready(events)
+            return 1
+        try:
+            handler.on_ready(events)
+        except Exception as exc:
+            # One message must not end the process and the other requests in flight.
+            self._on_error(exc)
+            self._end_failed(fd, handler, self._on_error)
+        return 1
+
     def _end_failed(
         self, fd: int, handler: SocketHandler, on_error: Callable[[Exception], None]
     ) -> None:
