Bound the number of nodes that only heartbeats name

What callers saw: nothing yet; a node's memory grew with each name in a datagram to its heartbeat port, without end.

Cause: every heartbeat of an unknown name registered a node for good, and each check of the peers passed through all of them.

The peer table keeps 1,024 nodes that are not registered; those that are lost make room for others, and SP2552 tells of the rest.

--- a/src/sequoiapulley/forward/log_events.py
+++ b/src/sequoiapulley/forward/log_events.py
@@ -305,6 +305,14 @@
     "nevertheless, but would not know it after they have all restarted.",
     "Check the store if this event recurs.",
 )
+PEERS_TOO_MANY: Final = define_event(
+    2552,
+    "peers_too_many",
+    Severity.WARNING,
+    "A heartbeat of `peer` was ignored: `peers` nodes are known, and too many of them are named "
+    "only by heartbeats and not registered.",
+    "Find out who else sends datagrams to the heartbeat port.",
+)
 NODE_STARTED: Final = define_event(
     2540, "forward_node_started", Severity.INFO, "The node accepts callers."
 )
--- a/src/sequoiapulley/forward/peer_table.py
+++ b/src/sequoiapulley/forward/peer_table.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from sequoiapulley.forward.crash_guard import StrikeNews
-from sequoiapulley.forward.log_events import PEER_LOST, PEER_SEEN
+from sequoiapulley.forward.log_events import PEER_LOST, PEER_SEEN, PEERS_TOO_MANY
 from sequoiapulley.forward.roles import choose_store_reader, ranked
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.forward.store_position import NO_ERA, StorePosition
@@ -33,6 +33,10 @@
 """Number of nodes of each failure domain that exchange heartbeats with other failure domains: those
 that hold a role."""
 
+MAX_UNREGISTERED_PEERS: Final = 1_024
+"""Maximum number of nodes that only heartbeats name, as datagrams of any sender may do: more than
+the nodes that start at the same time, before any registration is read."""
+
 
 class NodeState(Enum):
     """State of a node, as stated in its own heartbeats."""
@@ -85,7 +89,7 @@
 class _Peer:
     """State of one other node."""
 
-    __slots__ = ("last_heartbeat", "last_heartbeat_at", "lost", "record")
+    __slots__ = ("last_heartbeat", "last_heartbeat_at", "lost", "record", "registered")
 
     def __init__(self, record: NodeRecord) -> None:
         """Initialise a peer that has not sent a heartbeat yet."""
@@ -93,6 +97,8 @@
         self.last_heartbeat_at = float("-inf")
         self.last_heartbeat: Heartbeat | None = None
         self.lost = False
+        self.registered = False
+        """Whether the state of the fleet lists the node, and not only a heartbeat names it."""
 
 
 class PeerTable:
@@ -111,13 +117,19 @@
         self._now = 0.0
 
     def register(self, record: NodeRecord) -> bool:
-        """Stores a node's record, unless it is already known or of an earlier process.
+        """Stores a registered node's record, unless it is known or of an earlier process.
 
         Returns:
             Whether the record is new.
         """
         if record.name == self.local_node.name:
             return False
+        is_new = self._store(record)
+        self._peers[record.name].registered = True
+        return is_new
+
+    def _store(self, record: NodeRecord) -> bool:
+        """Stores a record; returns whether it is new."""
         peer = self._peers.get(record.name)
         if peer is not None and record.incarnation <= peer.record.incarnation:
             return False
@@ -130,7 +142,10 @@
     def unregister(self, name: NodeId) -> None:
         """Removes a node whose registration was removed, unless it still sends heartbeats."""
         peer = self._peers.get(name)
-        if peer is not None and not self._is_alive(peer):
+        if peer is None:
+            return
+        peer.registered = False
+        if not self._is_alive(peer):
             del self._peers[name]
 
     def record_heartbeat(self, heartbeat: Heartbeat, now: float) -> None:
@@ -144,7 +159,10 @@
         record = heartbeat.record
         if record.name == self.local_node.name:
             return
-        self.register(record)
+        if record.name not in self._peers and not self._has_room():
+            self._log.log(PEERS_TOO_MANY, peer=record.name, peers=len(self._peers))
+            return
+        self._store(record)
         peer = self._peers[record.name]
         if record.incarnation < peer.record.incarnation:
             return
@@ -154,6 +172,16 @@
         peer.last_heartbeat_at = now
         peer.lost = False
 
+    def _has_room(self) -> bool:
+        """Returns whether another unregistered node can be stored; removes those that are lost."""
+        unregistered = [name for name, peer in self._peers.items() if not peer.registered]
+        if len(unregistered) < MAX_UNREGISTERED_PEERS:
+            return True
+        for name in unregistered:
+            if self._peers[name].lost:
+                del self._peers[name]
+        return sum(not peer.registered for peer in self._peers.values()) < MAX_UNREGISTERED_PEERS
+
     def mark_lost_peers(self, now: float) -> None:
         """Marks the peers as lost whose heartbeats have stopped."""
         self._now = now
