Take requests of full size that other nodes hand over

What callers saw: at a node that is cut off from the upstreams, a request within the limits whose body and headers are near them ended with a failure, although other nodes could have served it.

Cause: the request that is handed over holds body and headers, and the port for other nodes had the limit of a body alone, 262,144 bytes, whatever the configuration allows: 285,119 bytes got 413.

The port's limit follows from those of the configuration. Found while looking for single requests at the limits; test_handover.HandoverSizeTest fails with the limit of before.

--- a/src/sequoiapulley/daemon/forward_node.py
+++ b/src/sequoiapulley/daemon/forward_node.py
@@ -13,7 +13,7 @@
 from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.feed_sources import FeedSourceSelector
 from sequoiapulley.daemon.handover_client import HttpHandoverClient
-from sequoiapulley.daemon.handover_port import HANDOVER_PATH, HandoverPort
+from sequoiapulley.daemon.handover_port import HANDOVER_PATH, HandoverPort, peer_limits
 from sequoiapulley.daemon.heartbeat_port import HeartbeatPort
 from sequoiapulley.daemon.heartbeat_task import HeartbeatTask
 from sequoiapulley.daemon.node_lifecycle import NodeLifecycle
@@ -309,7 +309,7 @@
         )
         self._callers_server = self._listen(cfg.callers, self._on_caller_request)
         self._peer_server = self._listen(
-            cfg.peers, self._on_peer_request, ServerLimits(quick_acks=True)
+            cfg.peers, self._on_peer_request, peer_limits(CallerLimits())
         )
         self._other_servers = [self._peer_server]
         for address in (cfg.readiness, cfg.directory):
@@ -378,6 +378,7 @@
         if table is None:
             return
         self._callers_server.limits = _server_limits(table.limits)
+        self._peer_server.limits = peer_limits(table.limits)
         if self._lifecycle.mark_ready():
             self._heartbeats.send_now()
 
--- a/src/sequoiapulley/daemon/handover_port.py
+++ b/src/sequoiapulley/daemon/handover_port.py
@@ -8,6 +8,7 @@
 
 from msgspec import Struct
 from msgspec.msgpack import Decoder, encode
+from msgspec.structs import replace
 
 from sequoiapulley.daemon.parts_port import MAX_REQUEST_TIME_S, STATUS_BAD_REQUEST
 from sequoiapulley.daemon.peer_source import MSGPACK_HEADERS, STATUS_OK, STATUS_UNAVAILABLE
@@ -16,14 +17,16 @@
 from sequoiapulley.forward.log_events import HANDOVER_UNREADABLE
 from sequoiapulley.forward.messages import Answer, CallerRequest, Headers
 from sequoiapulley.forward.refusal import Reason
+from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.upstream_contact import UpstreamContact
 from sequoiapulley.ids import ConfigVersion, RequestId
 from sequoiapulley.observe.log_event import LogSink
 from sequoiapulley.runtime import TimerHandle, TimerQueue
-from sequoiapulley.wire.server_connection import ServerRequest
+from sequoiapulley.wire.server_connection import ServerLimits, ServerRequest
 
 HANDOVER_PATH: Final = "/v1/handover"
-
+ENCODED_HEADER_BYTES: Final = 2
+"""Bytes of an encoded request per byte of the caller's headers; short headers gain most."""
 
 NOT_STATED: Final = ConfigVersion(-1)
 STATUS_OTHER_VERSION: Final = 409
@@ -60,6 +63,17 @@
     body: bytes
 
 
+def peer_limits(limits: CallerLimits) -> ServerLimits:
+    """Returns the limits of the port for other nodes, at which every caller's request fits.
+
+    Args:
+        limits: Limits on the callers' own requests.
+    """
+    base = ServerLimits(quick_acks=True)
+    handover_bytes = limits.body_bytes + ENCODED_HEADER_BYTES * limits.header_bytes
+    return replace(base, body_bytes=max(base.body_bytes, handover_bytes))
+
+
 class _Waiter:
     """A request that waits for its version to be applied."""
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,11 +16,13 @@
     HandoverPort,
     HandoverReply,
     HandoverRequest,
+    peer_limits,
 )
 from sequoiapulley.forward.handover import MAX_NODES, Handover, HandoverFailure, HandoverResult
 from sequoiapulley.forward.messages import Answer, CallerRequest
 from sequoiapulley.forward.peer_table import MAX_CONTACT_AGE_S, PeerTable
 from sequoiapulley.forward.refusal import Reason
+from sequoiapulley.forward.route_table import CallerLimits
 from sequoiapulley.forward.shown_version import ShownVersion
 from sequoiapulley.forward.state import NodeRecord
 from sequoiapulley.ids import ConfigVersion, NodeId, RequestId
@@ -414,3 +416,31 @@
         self.assertTrue(self.handover.available)
         self.loop.clock.advance(MAX_CONTACT_AGE_S)
         self.assertFalse(self.handover.available)
+
+
+class HandoverSizeTest(TestCase):
+    """The limits of the port for other nodes."""
+
+    # Guards against a request inside the limits that a cut-off node cannot hand over.
+    def test_requests_at_the_limits_of_the_configuration_are_served(self) -> None:
+        for limits in (CallerLimits(), CallerLimits(header_bytes=30_000, body_bytes=1_000_000)):
+            headers = ((b"a", b"b"),) * (limits.header_bytes // len(b"a:b\r\n"))
+            body = b"b" * limits.body_bytes
+            request = HandoverRequest(
+                RequestId("r"), b"POST", b"/p/1", "x.example", headers, body, 3.0
+            )
+            loop = Loop()
+            found: list[ServerRequest] = []
+            server = HttpServer(
+                loop.reactor, loop.timers, "127.0.0.1", 0, found.append, peer_limits(limits)
+            )
+            self.addCleanup(server.close)
+            client = HttpClient(loop.reactor, loop.clock, loop.timers)
+            self.addCleanup(client.close)
+            results: list[HttpResult] = []
+            call = HttpCall(
+                "127.0.0.1", server.port, "POST", HANDOVER_PATH, body=encode(request), timeout=9.0
+            )
+            client.request(call, results.append)
+            loop.until(lambda found=found, results=results: bool(found or results))
+            self.assertEqual([len(req.parsed.body) for req in found], [len(encode(request))])
