Limit what all connections of a daemon occupy together

What callers saw: sequoiapulleyd ran out of memory (6.6 GB with 1,000 clients that send chunks of two bytes) or of descriptors.

Cause: 4,000 connections were permitted on each port, with 1 MB each; chunks were kept as objects; the guard and its parser refer to each other, so that the bodies of closed connections waited for the collector, as did the requests in the events of circuits; trailers and chunk framing had no limit; answers that nobody read kept a connection open beyond its timeout.

Change: both ports share a ConnectionBudget from `limits` in the settings, or else from the machine; all descriptors of the process count. All bytes of a request are limited, and the guard is released when its connection ends. A timeout closes the connection whatever is unsent. The same events and metrics as at a node.

--- a/src/sequoiapulley/daemon/node.py
+++ b/src/sequoiapulley/daemon/node.py
@@ -12,6 +12,7 @@
 
 from sequoiapulley.daemon.callers_backend import NodeCallersBackend
 from sequoiapulley.daemon.config_task import ConfigTask
+from sequoiapulley.daemon.connection_log import ConnectionLog
 from sequoiapulley.daemon.error_log import ErrorLog
 from sequoiapulley.daemon.fleet_task import FleetTask
 from sequoiapulley.daemon.leave_task import LeaveTask
@@ -22,6 +23,7 @@
     MessageUnsent,
     NodeLost,
 )
+from sequoiapulley.daemon.open_sockets import OpenSockets
 from sequoiapulley.daemon.operators_backend import NodeOperatorsBackend
 from sequoiapulley.daemon.request_task import RequestTask
 from sequoiapulley.daemon.search_task import SearchTask
@@ -43,6 +45,7 @@
 from sequoiapulley.link.tls_files import TlsFiles
 from sequoiapulley.model import Configuration
 from sequoiapulley.observe import LogSink
+from sequoiapulley.observe.metrics import CONNECTIONS_ENDED
 from sequoiapulley.observe.node_observer import NodeObserver
 from sequoiapulley.platform.http_store import HttpStore
 from sequoiapulley.platform.http_vm_list import HttpVmList
@@ -58,11 +61,14 @@
 from sequoiapulley.upstream.dispatcher import Dispatcher
 from sequoiapulley.upstream.health_poller import HealthPoller, HealthReport
 from sequoiapulley.upstream.http_codec import HttpExchangeCodec
+from sequoiapulley.wire.connection_budget import ConnectionBudget
 from sequoiapulley.wire.http_client import HttpClient
 from sequoiapulley.wire.reactor import Reactor
 from sequoiapulley.wire.reactor_component import ReactorComponent
 
 LINK_STOP_GRACE_S: Final = 1.0
+LINK_SOCKET_SHARE: Final = 0.5
+"""Share of the sockets for connections that other nodes open: one or two of each."""
 SEED_BITS: Final = 32
 MS_PER_S: Final = 1_000
 
@@ -102,6 +108,13 @@
         self.directory = EntryDirectory(cfg.node, cfg.entry_lifetime_s)
         self._shares: UpstreamShares | None = None
         self._wire_reactor()
+        self._sockets = OpenSockets(self._reactor, self.timers)
+        connection_log = ConnectionLog(
+            self._log,
+            self.clock,
+            lambda reason: self.observer.metrics.count(CONNECTIONS_ENDED, reason),
+        )
+        self._budget = ConnectionBudget(cfg.resources, self._sockets.total, connection_log)
         self._wire_link()
         self._wire_fleet()
         self._wire_work()
@@ -129,7 +142,8 @@
         if cfg.tls is not None:
             tls = TlsFiles(cfg.tls.authority, cfg.tls.certificate, cfg.tls.key)
         address = (cfg.link.host, cfg.link.port)
-        self._link = PeerLink(identity, address, self._call_soon, handlers, self._log, tls)
+        most = int(cfg.resources.sockets * LINK_SOCKET_SHARE)
+        self._link = PeerLink(identity, address, self._call_soon, handlers, self._log, tls, most)
         self._link_port = self._link.start()
         self._message_router = MessageRouter(cfg.node, self.incarnation, self._link).register(self)
 
@@ -224,7 +238,7 @@
             self.observer,
         )
         self.callers_port = CallersPort(
-            cfg.callers.host, cfg.callers.port, self.timers, self.clock, callers
+            cfg.callers.host, cfg.callers.port, self.timers, self.clock, callers, self._budget
         ).register(self)
         self.operators = NodeOperatorsBackend(
             cfg,
@@ -237,8 +251,11 @@
             self._count_home_upstreams,
             self.observer,
             self.upstreams,
+            self._budget,
+        )
+        server = GuardedServer(
+            cfg.operators.host, cfg.operators.port, "operators", self.timers, self._budget
         )
-        server = GuardedServer(cfg.operators.host, cfg.operators.port, "operators", self.timers)
         self.operators_server = server.register(self)
         OperatorsPort(server, self.operators).register(self)
         self.leave = LeaveTask(
@@ -259,6 +276,7 @@
             signal(number, lambda *_: self.timers.call_later(0.0, self.leave.start))
         self.config.start()
         self.fleet.start()
+        self._sockets.start(self._budget)
         self._log.log(
             NODE_STARTED,
             node=self._cfg.node,
--- a/src/sequoiapulley/daemon/operators_backend.py
+++ b/src/sequoiapulley/daemon/operators_backend.py
@@ -39,6 +39,7 @@
 from sequoiapulley.runtime import Clock
 from sequoiapulley.settings.daemon_settings import DaemonSettings
 from sequoiapulley.settings.text import ParsedConfiguration
+from sequoiapulley.wire.connection_budget import ConnectionBudget
 
 EDIT_TEXT_NAME: Final = "edit"
 """Stated in findings in place of a file name, as an edit is no file."""
@@ -59,6 +60,7 @@
         count_home_upstreams: Callable[[], int],
         observer: NodeObserver,
         upstreams: UpstreamTask,
+        budget: ConnectionBudget,
     ) -> None:
         """Initialise the backend.
 
@@ -73,6 +75,7 @@
             count_home_upstreams: Returns the number of upstreams whose preferred home is this node.
             observer: Holds metrics, the burn report and recent log events.
             upstreams: Counts the work sent to upstreams.
+            budget: Counts the accepted connections.
         """
         self._cfg = cfg
         self._clock = clock
@@ -85,6 +88,7 @@
         self._count_home_upstreams = count_home_upstreams
         self._observer = observer
         self._upstreams = upstreams
+        self._budget = budget
         self.shutting_down = False
 
     def config(self) -> ConfigView:
@@ -167,6 +171,8 @@
             store_reachable=self._config.store_reachable,
             uptime_s=self._uptime(),
             upstreams=self._upstreams.sample(),
+            connections=len(self._budget.connections),
+            connection_bytes=self._budget.used,
         )
         return self._observer.render(sample)
 
--- a/src/sequoiapulley/entry/callers_port.py
+++ b/src/sequoiapulley/entry/callers_port.py
@@ -35,6 +35,7 @@
 from sequoiapulley.requests.messages import KeyedRequest, RefusalReason, RequestOutcome, RunState
 from sequoiapulley.runtime import Clock, TimerQueue
 from sequoiapulley.search.messages import MissingReason, SearchAnswer, SearchRequest
+from sequoiapulley.wire.connection_budget import ConnectionBudget
 
 MAX_KEY_LENGTH: Final = 128
 MAX_CALLER_LENGTH: Final = 64
@@ -104,7 +105,13 @@
     """HTTP server for callers."""
 
     def __init__(
-        self, host: str, port: int, timers: TimerQueue, clock: Clock, backend: CallersBackend
+        self,
+        host: str,
+        port: int,
+        timers: TimerQueue,
+        clock: Clock,
+        backend: CallersBackend,
+        budget: ConnectionBudget | None = None,
     ) -> None:
         """Binds the port.
 
@@ -114,11 +121,12 @@
             timers: Timers of the process.
             clock: Clock of the process.
             backend: The node behind the port.
+            budget: Limits on all connections of the process; None for a budget of the port's own.
 
         Raises:
             OSError: If the address cannot be bound.
         """
-        super().__init__(host, port, "callers", timers)
+        super().__init__(host, port, "callers", timers, budget)
         self._clock = clock
         self._backend = backend
         self._active_searches: dict[socket, RequestId] = {}
--- a/src/sequoiapulley/entry/guarded_server.py
+++ b/src/sequoiapulley/entry/guarded_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from socket import IPPROTO_TCP, SO_REUSEADDR, SOL_SOCKET, TCP_NODELAY, socket
+from socket import IPPROTO_TCP, SO_RCVBUF, SO_REUSEADDR, SOL_SOCKET, TCP_NODELAY, socket
 from typing import Any, Final
 
 from circuits import BaseComponent, Event, handler
@@ -17,6 +17,7 @@
 from sequoiapulley.entry.connection_guard import ConnectionGuard
 from sequoiapulley.entry.error_messages import ErrorBody, ErrorDetail
 from sequoiapulley.runtime import TimerQueue
+from sequoiapulley.wire.connection_budget import ConnectionBudget, ResourceLimits
 
 LISTEN_BACKLOG: Final = 1_024
 
@@ -33,7 +34,14 @@
     display_banner = False
     """Read by circuits.web."""
 
-    def __init__(self, host: str, port: int, name: str, timers: TimerQueue) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        name: str,
+        timers: TimerQueue,
+        budget: ConnectionBudget | None = None,
+    ) -> None:
         """Binds the listening socket.
 
         Args:
@@ -41,13 +49,20 @@
             port: TCP port; 0 lets the operating system choose.
             name: Channel of the HTTP events.
             timers: Timers of the process.
+            budget: Limits on all connections of the process; None for a budget of the server's own.
 
         Raises:
             OSError: If the address cannot be bound.
         """
         super().__init__(channel=name)
         self._tcp_channel = f"{name}-tcp"
-        options = [(SOL_SOCKET, SO_REUSEADDR, 1), (IPPROTO_TCP, TCP_NODELAY, 1)]
+        budget = budget or _own_budget()
+        options = [
+            (SOL_SOCKET, SO_REUSEADDR, 1),
+            (IPPROTO_TCP, TCP_NODELAY, 1),
+            # Connections that were not accepted yet receive, too. They inherit the size.
+            (SOL_SOCKET, SO_RCVBUF, budget.small_buffer),
+        ]
         self._tcp = TCPServer(
             (host, port),
             channel=self._tcp_channel,
@@ -57,7 +72,9 @@
         self._listener: socket = self._tcp._sock
         self.host: str = self._tcp.host
         self.port: int = self._tcp.port
-        self._guard = ConnectionGuard(self._tcp_channel, name, timers).register(self)
+        self._guard = ConnectionGuard(
+            self._tcp_channel, name, timers, self, self.port, budget
+        ).register(self)
         self.http = HTTP(self, channel=name).register(self)
         self._shutting_down = False
 
@@ -66,6 +83,15 @@
         """Number of open connections."""
         return int(self._guard.open_connections)
 
+    def abort(self, sock: socket) -> None:
+        """Closes a connection at once, with the answers that were not sent."""
+        self._tcp._close(sock)
+
+    def unsent_bytes(self, sock: socket) -> int:
+        """Returns the size of the answers that were not sent on a connection."""
+        buffers = self._tcp._buffers
+        return sum(len(data) for data in buffers[sock]) if sock in buffers else 0
+
     def stop_accepting(self) -> None:
         """Closes the listening socket and idle connections; requests in progress are answered.
 
@@ -154,3 +180,9 @@
             self.answer_error(res, code, "internal", "the server failed to handle the request")
             return
         self.answer_error(res, code, f"http_{code}", "the request has no route here")
+
+
+def _own_budget() -> ConnectionBudget:
+    """Returns a budget with the limits of the machine, for a process with one server."""
+    budget = ConnectionBudget(ResourceLimits(), lambda: len(budget.connections))
+    return budget
--- a/src/sequoiapulley/entry/http_guard.py
+++ b/src/sequoiapulley/entry/http_guard.py
@@ -14,6 +14,10 @@
 MAX_PIPELINED: Final = 32
 """Maximum number of complete requests queued behind the one being answered."""
 
+MAX_BYTES_PER_BODY_BYTE: Final = 8
+"""Received bytes permitted per byte of the body, in addition to the header limit: the byte itself
+and its chunk framing."""
+
 ALLOWED_METHODS: Final = frozenset({"GET", "POST", "PUT"})
 FORWARDED_HEADERS: Final = frozenset(
     {"host", "content-type", "connection", "idempotency-key", "x-caller", "x-place", "x-request-id"}
@@ -63,11 +67,17 @@
 
     def __init__(self) -> None:
         """Initialise a guard for one connection."""
-        self._parser = HttpRequestParser(self)
+        self._parser: HttpRequestParser | None = HttpRequestParser(self)
         self._outputs: list[GuardOutput] = []
-        self._refused = False
         self._reset()
 
+    @property
+    def memory(self) -> int:
+        """Approximate memory that an incomplete request occupies, in bytes."""
+        if not self._in_request:
+            return 0
+        return self._header_field_bytes + len(self._url) + len(self._body)
+
     @property
     def mid_request(self) -> bool:
         """Whether a request has been received in part."""
@@ -82,18 +92,24 @@
         Returns:
             The outputs in order; a `GuardRefusal` is the last output of a connection.
         """
-        if self._refused:
+        if self._parser is None:
             return []
         self._outputs = []
         try:
             self._parser.feed_data(data)
-            self._check_header_size(len(data))
+            self._check_received_size(len(data))
         except _RefusedError as exc:
             self._refuse(exc.refusal)
         except HttpParserError as exc:
             self._refuse(self._refusal_from(exc))
         return self._outputs
 
+    def discard(self) -> None:
+        """Frees the memory of an incomplete request; later bytes are ignored."""
+        # The parser refers to this object, and the collector would free the cycle much later.
+        self._parser = None
+        self._reset()
+
     def on_message_begin(self) -> None:
         """Starts a new request; called by the parser."""
         self._reset()
@@ -126,37 +142,42 @@
 
     def on_body(self, body: bytes) -> None:
         """Appends a part of the body; called by the parser."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
+        self._body += body
+        if len(self._body) > MAX_BODY_BYTES:
             raise _RefusedError(_body_too_large())
-        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Outputs the complete request; called by the parser."""
+        assert self._parser is not None
         self._in_request = False
         keep_alive = bool(self._parser.should_keep_alive())
         self._outputs.append(GuardedRequest(self._canonical(keep_alive), keep_alive))
+        self._headers.clear()
+        self._body = bytearray()
 
     def _reset(self) -> None:
         """Discards the state of the previous request."""
         self._in_request = False
         self._headers_done = False
-        self._unfinished_header_bytes = 0
-        """Bytes of all reads that left the headers incomplete."""
+        self._received_bytes = 0
+        """Bytes of all reads that left the request incomplete."""
         self._header_count = 0
         self._header_field_bytes = 0
         """Bytes of the names and values of the complete headers."""
         self._url = b""
         self._headers: dict[str, str] = {}
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+
+    def _check_received_size(self, received: int) -> None:
+        """Refuses headers, trailers and chunk framing that exceed the size limit before they end.
 
-    def _check_header_size(self, received: int) -> None:
-        """Refuses headers that exceed the size limit before they are complete."""
-        if not self._in_request or self._headers_done:
+        Once the body has begun, the latest read is not counted.
+        """
+        if not self._in_request:
             return
-        self._unfinished_header_bytes += received
-        if self._unfinished_header_bytes > MAX_HEADER_BYTES:
+        self._received_bytes += received
+        allowed = MAX_HEADER_BYTES + MAX_BYTES_PER_BODY_BYTE * len(self._body)
+        if self._received_bytes > allowed + received * bool(self._body):
             raise _RefusedError(_header_too_large())
 
     def _check_framing(self) -> None:
@@ -174,6 +195,7 @@
 
     def _check_request_line(self) -> None:
         """Refuses methods, targets and HTTP versions that the ports do not support."""
+        assert self._parser is not None
         method = self._parser.get_method().decode("latin-1")
         if method not in ALLOWED_METHODS:
             message = f"method {method!r} is not supported"
@@ -189,7 +211,8 @@
 
     def _canonical(self, keep_alive: bool) -> bytes:
         """Returns the request in canonical form: HTTP/1.1, known headers and an exact length."""
-        body = b"".join(self._body)
+        assert self._parser is not None
+        body = self._body
         method = self._parser.get_method().decode("latin-1")
         lines = [f"{method} {self._url.decode('latin-1')} HTTP/1.1"]
         for key, value in self._headers.items():
@@ -203,8 +226,8 @@
 
     def _refuse(self, refusal: GuardRefusal) -> None:
         """Outputs a refusal; later bytes are ignored."""
-        self._refused = True
         self._outputs.append(refusal)
+        self.discard()
 
     def _refusal_from(self, exc: HttpParserError) -> GuardRefusal:
         """Returns the refusal raised in a callback, or one for malformed HTTP."""
--- a/src/sequoiapulley/observe/node_observer.py
+++ b/src/sequoiapulley/observe/node_observer.py
@@ -17,10 +17,12 @@
 from sequoiapulley.observe.metrics import (
     CONFIG_CHECK_SECONDS,
     CONFIG_VERSION,
+    CONNECTION_BYTES,
     HOME_UPSTREAMS,
     IN_FLIGHT,
     LOG_EVENTS,
     MEMBERS,
+    OPEN_CONNECTIONS,
     REQUEST_SECONDS,
     REQUESTS,
     REQUESTS_REFUSED,
@@ -82,6 +84,10 @@
     uptime_s: float
     upstreams: UpstreamSample | None = None
     """Totals of the work sent to upstreams; None if their metrics are not set."""
+    connections: int = 0
+    """Number of accepted connections."""
+    connection_bytes: int = 0
+    """Memory that they occupy, in bytes."""
 
 
 class NodeObserver:
@@ -161,6 +167,8 @@
         metrics.set(HOME_UPSTREAMS, sample.homes)
         metrics.set(STORE_REACHABLE, int(sample.store_reachable))
         metrics.set(UPTIME_SECONDS, sample.uptime_s)
+        metrics.set(OPEN_CONNECTIONS, sample.connections)
+        metrics.set(CONNECTION_BYTES, sample.connection_bytes)
         if sample.upstreams is not None:
             set_upstream_metrics(metrics, sample.upstreams)
         numbers = Counter(sample.member_states)
--- a/src/sequoiapulley/settings/daemon_settings.py
+++ b/src/sequoiapulley/settings/daemon_settings.py
@@ -13,10 +13,13 @@
 from sequoiapulley.settings.document import Problem, read_document
 from sequoiapulley.settings.finding import Finding
 from sequoiapulley.settings.section import MAX_PORT, Section
+from sequoiapulley.wire.connection_budget import ResourceLimits
 
 DEFAULT_ENTRY_LIFETIME_S: Final = 30.0
 MIN_ENTRY_LIFETIME_S: Final = 1.0
 MAX_ENTRY_LIFETIME_S: Final = 600.0
+MAX_MEMORY_MB: Final = 16_777_216
+MAX_FDS: Final = 1_048_576
 
 _LISTENERS: Final = ("callers", "operators", "link", "membership")
 _PLATFORM_SERVERS: Final = ("store", "vm_list")
@@ -92,6 +95,8 @@
     entry_lifetime_s: float = DEFAULT_ENTRY_LIFETIME_S
     """Time that callers may cache the address of an entry node, in seconds; a node that shuts down
     continues to serve for this time."""
+    resources: ResourceLimits = ResourceLimits()
+    """Memory and descriptors of the VM, `limits` in the file."""
 
 
 def load_settings(path: str | Path) -> Result[DaemonSettings, tuple[Finding, ...]]:
@@ -150,6 +155,7 @@
             MAX_ENTRY_LIFETIME_S,
             DEFAULT_ENTRY_LIFETIME_S,
         ),
+        resources=_read_limits(root.section("limits")),
         **endpoints,
     )
     root.report_unknown_keys()
@@ -205,3 +211,13 @@
     log = LogSettings(json=section.flag("json", False))
     section.report_unknown_keys()
     return log
+
+
+def _read_limits(section: Section | None) -> ResourceLimits:
+    if section is None:
+        return ResourceLimits()
+    limits = ResourceLimits(
+        section.integer("memory_mb", 0, MAX_MEMORY_MB, 0), section.integer("max_fds", 0, MAX_FDS, 0)
+    )
+    section.report_unknown_keys()
+    return limits
--- a/tests/test_daemon_settings.py
+++ b/tests/test_daemon_settings.py
@@ -44,8 +44,8 @@
             [
                 (2, '"region" is missing'),
                 (8, 'unknown key "regoin"; known here: callers, customer, entry_lifetime_s, '
-                 "fan_out, link, log, membership, membership_key_file, node, operators, place, "
-                 "region, store, tls, vm_list"),
+                 "fan_out, limits, link, log, membership, membership_key_file, node, operators, "
+                 "place, region, store, tls, vm_list"),
                 (12, '"callers" and "link" have the same address'),
                 (13, '"port" is 99999, must be from 1 to 65535'),
                 (17, '"host" must be an IP address; "store.example" is not'),
