Limit the connections to the link of a daemon

What callers saw: silent connections to the link's port used up the descriptors of sequoiapulleyd.

Cause: the server of grpc accepted any number of connections and gave each two minutes for its handshake.

--- a/src/sequoiapulley/link/_transport.py
+++ b/src/sequoiapulley/link/_transport.py
@@ -59,13 +59,31 @@
     ("grpc.use_local_subchannel_pool", 1),
     ("grpc.so_reuseport", 0),
 )
+HANDSHAKE_TIMEOUT_MS: Final = 3_000
+"""Time within which a new connection must have begun to speak HTTP/2."""
+IDLE_TIMEOUT_MS: Final = 10_000
+"""Time after which a connection without a stream is closed."""
+MAX_METADATA_BYTES: Final = 8_192
+MAX_STREAMS_PER_CONNECTION: Final = 8
+SERVER_OPTIONS: Final = (
+    *CHANNEL_OPTIONS,
+    ("grpc.server_handshake_timeout_ms", HANDSHAKE_TIMEOUT_MS),
+    ("grpc.max_connection_idle_ms", IDLE_TIMEOUT_MS),
+    ("grpc.max_metadata_size", MAX_METADATA_BYTES),
+    ("grpc.max_concurrent_streams", MAX_STREAMS_PER_CONNECTION),
+)
 
 
 class Transport:
     """Opens, accepts, reads, writes and closes streams."""
 
     def __init__(
-        self, hello: LinkHello, owner: TransportOwner, log: LogSink, tls: TlsSource | None
+        self,
+        hello: LinkHello,
+        owner: TransportOwner,
+        log: LogSink,
+        tls: TlsSource | None,
+        max_connections: int | None,
     ) -> None:
         """Initialise a transport that is not started.
 
@@ -74,7 +92,9 @@
             owner: Receives messages and reports of lost streams.
             log: Receives the log events.
             tls: Provides the credentials, or None for plaintext.
+            max_connections: Maximum number of connections that are accepted; None for no limit.
         """
+        self._max_connections = max_connections
         self._hello = hello
         self._owner = owner
         self._log = log
@@ -91,7 +111,10 @@
 
     async def start(self, address: tuple[str, int]) -> int:
         """Binds the port and starts to serve; returns the port."""
-        server = aio.server(options=CHANNEL_OPTIONS)
+        options: tuple[tuple[str, int], ...] = SERVER_OPTIONS
+        if self._max_connections is not None:
+            options = (*options, ("grpc.max_allowed_incoming_connections", self._max_connections))
+        server = aio.server(options=options)
         handler = grpc.stream_stream_rpc_method_handler(self._serve)
         generic = grpc.method_handlers_generic_handler(SERVICE, {METHOD: handler})
         server.add_generic_rpc_handlers((generic,))
--- a/src/sequoiapulley/link/peer_link.py
+++ b/src/sequoiapulley/link/peer_link.py
@@ -82,6 +82,7 @@
         handlers: LinkHandlers,
         log: LogSink,
         tls: TlsFiles | None = None,
+        max_connections: int | None = None,
     ) -> None:
         """Initialise a link that is not started.
 
@@ -92,6 +93,7 @@
             handlers: Callbacks, which run on the node's event loop.
             log: Receives the log events.
             tls: Files for mutual TLS, or None for plaintext.
+            max_connections: Maximum number of connections that are accepted; None for no limit.
 
         Raises:
             OSError: If a TLS file cannot be read.
@@ -108,7 +110,7 @@
         self._inbound_scheduled = False
         source = TlsSource(tls, log) if tls is not None else None
         hello = LinkHello(identity.workspace, identity.node, identity.incarnation)
-        self._transport = Transport(hello, self, log, source)
+        self._transport = Transport(hello, self, log, source, max_connections)
         self._grpc_loop: AbstractEventLoop | None = None
         self._thread: Thread | None = None
         self._ready = ThreadEvent()
