--- a/soak/run.py
+++ b/soak/run.py
@@ -14,6 +14,7 @@
 
 from soak.caller import Caller
 from soak.checker import ResultChecker, Violation
+from soak.crowds import CrowdRunner, draw_crowds
 from soak.inject import FaultInjector
 from soak.plan import Fault, draw_cuts, draw_failures, draw_faults
 from soak.testbed import DRAIN_S, SHARDS, Testbed
@@ -56,6 +57,7 @@
     check_recovery: bool = True,
     older: Path | None = None,
     cuts: bool = False,
+    crowds: bool = False,
 ) -> SoakResult:
     """Runs one seed.
 
@@ -69,13 +71,14 @@
         older: Checkout of an older build; nodes change between the builds at each start.
         cuts: Whether the nodes of one failure domain are also cut off from the upstreams while
             configuration versions are written. Versions are not checked beside an older build.
+        crowds: Whether crowds of clients outside the limits visit the nodes.
     """
     faults = [
         *draw_faults(seed, seconds, QUIET_PERIOD_S),
         *draw_failures(seed, seconds, QUIET_PERIOD_S),
     ]
     faults.sort(key=lambda fault: fault.at)
-    testbed = Testbed(f"127.9.{network}", older, cuts)
+    testbed = Testbed(f"127.9.{network}", older, cuts, crowds)
     await testbed.open()
     try:
         checker = ResultChecker(testbed.upstreams, frozenset(SHARDS))
@@ -84,6 +87,10 @@
         injection = create_task(injector.run())
         cutter = LinkCutter(testbed, draw_cuts(seed, seconds, QUIET_PERIOD_S) if cuts else [])
         cutting = create_task(cutter.run())
+        visitors = CrowdRunner(
+            testbed, draw_crowds(seed, seconds, QUIET_PERIOD_S) if crowds else []
+        )
+        visiting = create_task(visitors.run())
         callers = [
             Caller(
                 f"s{seed}-c{number}",
@@ -97,7 +104,7 @@
         ]
         runs = zip(callers, MEAN_PAUSES_S, strict=True)
         await gather(*(caller.run(seconds, pause) for caller, pause in runs))
-        await gather(injection, cutting)
+        await gather(injection, cutting, visiting)
         checker.check_runs()
         checker.check_lost(testbed.work, testbed.trouble)
         checker.check_leaves(testbed.disturbed, DRAIN_S)
@@ -118,7 +125,9 @@
         for node in testbed.fleet.nodes:
             if b"Traceback" in node.log.read_bytes():
                 checker.add_violation("a node does not fail", "", node.name)
-            checker.check_memory(node.name, node.resident_kb())
+            checker.check_memory(
+                node.name, max(node.resident_kb(), visitors.most_kb.get(node.name, 0))
+            )
         result = SoakResult(
             seed,
             seconds,
@@ -152,6 +161,9 @@
     )
     parser.add_argument("--keep", type=Path, help="folder for the node logs of failed seeds")
     parser.add_argument("--cuts", action="store_true", help="also cut nodes off from all upstreams")
+    parser.add_argument(
+        "--crowds", action="store_true", help="also let clients outside the limits visit the nodes"
+    )
     parser.add_argument(
         "--older", type=Path, help="checkout of an older build that serves beside this one"
     )
@@ -160,14 +172,24 @@
         parser.error(f"--older {args.older}: no deploy/node.py")
     seeds = list(args.seed or [])
     seeds.extend(SystemRandom().randrange(SEED_RANGE) for _ in range(args.fresh))
-    plays = [(seed, args.cuts) for seed in seeds]
+    plays = [(seed, args.cuts, args.crowds) for seed in seeds]
     if args.failed:
         for item in json.decode(SEEDS_FILE.read_bytes()):
-            plays.append((item["seed"], item.get("cuts", False)))
+            plays.append((item["seed"], item.get("cuts", False), item.get("crowds", False)))
     failed = 0
-    for seed, cuts in plays:
+    for seed, cuts, crowds in plays:
         started_at = monotonic()
-        result = run(soak(seed, args.seconds, args.network, args.keep, older=args.older, cuts=cuts))
+        result = run(
+            soak(
+                seed,
+                args.seconds,
+                args.network,
+                args.keep,
+                older=args.older,
+                cuts=cuts,
+                crowds=crowds,
+            )
+        )
         failed += not result.passed
         verdict = "passed" if result.passed else "FAILED"
         print(f"seed {seed}: {verdict} in {monotonic() - started_at:.0f} s, {result.outcomes}")
--- a/soak/testbed.py
+++ b/soak/testbed.py
@@ -37,6 +37,9 @@
 VERSION_SERVICES: Final = 16
 """Number of services among which the versioned route moves, more than a node may lag behind."""
 START_TIMEOUT_S: Final = 30.0
+MEMORY_MB: Final = 152
+MAX_FDS: Final = 1_535
+"""Limits of the smallest VMs."""
 DRAIN_S: Final = 3.0
 """Time after an announced shutdown in which a node may still send requests to the upstream."""
 COPY_INTERVAL_S: Final = 3.0
@@ -51,7 +54,9 @@
     Nodes connect to the store and to every upstream through a proxy that can inject faults.
     """
 
-    def __init__(self, network: str, older: Path | None = None, cuts: bool = False) -> None:
+    def __init__(
+        self, network: str, older: Path | None = None, cuts: bool = False, limited: bool = False
+    ) -> None:
         """Creates everything without starting it.
 
         Args:
@@ -59,10 +64,13 @@
             older: Checkout of an older build that serves beside this one; None for this one alone.
             cuts: Whether the nodes of the first failure domain have links of their own to the
                 upstreams, and a route shows the configuration version.
+            limited: Whether the settings of the nodes state the memory and the descriptors of the
+                smallest VMs.
         """
         self._network = network
         self._older = older
         self._cuts = cuts
+        self._limited = limited
         self._link_host = f"{network}.{LINKS_NUMBER}"
         self.failure_domains = list(FAILURE_DOMAINS)
         self.store = StoreStandIn()
@@ -115,6 +123,8 @@
         self._copies = create_task(self._copy_store())
         store = f"127.0.0.1:{self.store_proxy.port}"
         shape = FleetSettings(self._network, store, FAILURE_DOMAINS, older=self._older)
+        if self._limited:
+            shape = structs.replace(shape, memory_mb=MEMORY_MB, max_fds=MAX_FDS)
         node_domains = NODE_DOMAINS
         if self._cuts:
             view = f"127.0.0.1:{self.store.service.view_listener.port}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from msgspec import json
 
+from soak.crowds import draw_crowds
 from soak.plan import FaultKind, draw_failures, draw_faults
 from soak.run import QUIET_PERIOD_S, SEEDS_FILE, soak
 
@@ -16,6 +17,8 @@
 CUTS_SECONDS = 16.0
 FAILURES_SEED = 364970
 FAILURES_SECONDS = 16.0
+CROWDS_SEED = 173467
+CROWDS_SECONDS = 16.0
 NETWORK = 3
 
 
@@ -39,13 +42,24 @@
         self.assertEqual(result.violations, ())
         self.assertGreater(result.outcomes.get("200", 0), 0)
 
+    # Guards against nodes that exceed their memory beside clients outside the limits; on 3450876
+    # this seed finds it.
+    def test_promises_hold_beside_crowds(self) -> None:
+        result = run(soak(CROWDS_SEED, CROWDS_SECONDS, NETWORK, check_recovery=False, crowds=True))
+        self.assertEqual(result.violations, ())
+        self.assertGreater(result.outcomes.get("200", 0), 0)
+
     def test_plan_is_determined_by_its_seed(self) -> None:
-        for draw in (draw_faults, draw_failures):
+        for draw in (draw_faults, draw_failures, draw_crowds):
             self.assertEqual(draw(5, 60.0, QUIET_PERIOD_S), draw(5, 60.0, QUIET_PERIOD_S))
         kinds = {
             fault.kind for seed in range(20) for fault in draw_faults(seed, 60.0, QUIET_PERIOD_S)
         }
         self.assertEqual(kinds, set(FaultKind))
+        crowds = draw_crowds(5, 60.0, QUIET_PERIOD_S)
+        self.assertTrue(
+            all(crowd.at + crowd.lasts < 60.0 - QUIET_PERIOD_S + 0.01 for crowd in crowds)
+        )
         faults = draw_faults(5, 60.0, QUIET_PERIOD_S) + draw_failures(5, 60.0, QUIET_PERIOD_S)
         self.assertTrue(all(fault.at < 60.0 - QUIET_PERIOD_S for fault in faults))
 
