Explain requests whose connection was ended

The command explain had no sentence for the refusal reason connection_ended; test_explain fails without it.

--- a/src/sequoiapulley/cli/explain_command.py
+++ b/src/sequoiapulley/cli/explain_command.py
@@ -34,6 +34,8 @@
     "refuse it. Status 503 means that it has not run this time.",
     "shutdown_near": "The node was shutting down, and the request came so late that its answer "
     "might not have come in time. The request has not run; another node serves it.",
+    "connection_ended": "All connections of the node together needed too much memory or too many "
+    "descriptors, and that of the request was ended.",
     "shutdown": "The node was shutting down, and the upstreams had not answered shortly before "
     "the end of its grace period. Status 503 means that the request has not run.",
 }
