--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -151,6 +151,13 @@
     return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
 
 
+def request_at_the_limits(target: Target) -> bytes:
+    """Returns a request of very many short header lines with a whole body in chunks of one byte."""
+    head = served_request(CrowdKind.SHORT_HEADERS_SERVED, target, 0)
+    head = head.replace(b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n")
+    return head + chunks(BODY_LIMIT_BYTES, 1) + b"0\r\n\r\n"
+
+
 def chunks(size: int, chunk: int) -> bytes:
     """Returns `size` bytes of a body in chunks of `chunk` bytes, without the last chunk."""
     whole, rest = divmod(size, chunk)
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -8,7 +8,7 @@
 
 from http.client import HTTPConnection, HTTPException
 from signal import SIGTERM
-from socket import AF_INET, SOCK_DGRAM, socket
+from socket import AF_INET, SOCK_DGRAM, create_connection, socket
 from time import sleep
 from typing import Final
 
@@ -24,7 +24,13 @@
     RegionName,
     Revision,
 )
-from standins.crowd import Crowd, CrowdKind, Target
+from standins.crowd import (
+    HEADER_LIMIT_BYTES,
+    Crowd,
+    CrowdKind,
+    Target,
+    request_at_the_limits,
+)
 from standins.platform_fleet import (
     CALLERS_PORT,
     DIRECTORY_PORT,
@@ -200,6 +206,15 @@
     def test_long_ids(self) -> None:
         self.endure_served(CrowdKind.LONG_IDS_SERVED)
 
+    # Guards against limits on memory that refuse a single request inside the other limits.
+    def test_one_request_at_every_limit(self) -> None:
+        target = Target(self.node.host, CALLERS_PORT, "/r/1", headers=ATTEMPT)
+        with create_connection((self.node.host, CALLERS_PORT), TIMEOUT_S) as sock:
+            sock.sendall(request_at_the_limits(target))
+            answer = sock.recv(HEADER_LIMIT_BYTES)
+        self.assertEqual(answer.partition(b"\r\n")[0], b"HTTP/1.1 200 OK")
+        self.endure()
+
     # Guards against requests that are kept after an upstream has lost them.
     def test_short_headers_that_are_lost(self) -> None:
         self.upstreams["s"].faults = UpstreamFaults(lose=SOME_LOST)
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -25,6 +25,7 @@
 MAX_FDS: Final = 1_535
 FEW_FDS: Final = 400
 CLIENTS: Final = 500
+FEW_CLIENTS: Final = 8
 HOLD_S: Final = 4.0
 DATAGRAMS: Final = 20_000
 SERVICE: Final = "s"
@@ -90,11 +91,13 @@
         )
         return status == 200 and bool(answer["complete"])
 
-    def crowd(self, kind: CrowdKind, port: str = "callers", path: str = "") -> Crowd:
+    def crowd(
+        self, kind: CrowdKind, port: str = "callers", path: str = "", count: int = CLIENTS
+    ) -> Crowd:
         """Starts a crowd at a port of the daemon."""
         path = path or f"/v1/services/{SERVICE}/search"
         target = Target(HOST, getattr(self.node.ports, port), path)
-        crowd = Crowd(kind, target, CLIENTS)
+        crowd = Crowd(kind, target, count)
         self.addCleanup(crowd.stop)
         crowd.start()
         return crowd
@@ -168,6 +171,18 @@
         self.endure()
 
 
+class DaemonServedTest(DaemonCrowdCase):
+    """A few clients that send one request after the other, each answered."""
+
+    # Guards against requests of many headers that are kept after their answer.
+    def test_short_headers(self) -> None:
+        self.endure(self.crowd(CrowdKind.SHORT_HEADERS_SERVED, count=FEW_CLIENTS))
+
+    # Guards against bodies that are kept after their answer.
+    def test_bodies(self) -> None:
+        self.endure(self.crowd(CrowdKind.BODIES_SERVED, count=FEW_CLIENTS))
+
+
 class DaemonDescriptorTest(DaemonCrowdCase):
     """Crowds that would use up the descriptors of a daemon."""
 
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -7,9 +7,11 @@
 from gc import collect, disable, enable, get_objects
 from socket import IPPROTO_TCP, SHUT_WR, SO_LINGER, SOL_SOCKET, TCP_NODELAY, create_server, socket
 from struct import pack
+from tracemalloc import get_traced_memory, start, stop
 from unittest import TestCase
 from unittest.mock import patch
 
+from sequoiapulley.forward.attempt_history import REMEMBERED_ATTEMPTS, AttemptHistory
 from sequoiapulley.forward.exchange import Exchange
 from sequoiapulley.forward.messages import CallerRequest, ExchangeEnd, ExchangeReply, UpstreamRecord
 from sequoiapulley.forward.upstream_pool import (
@@ -25,6 +27,7 @@
 from tests.wire_support import Loop
 
 SEAL = b"X-Server-Seal: s\r\n"
+LONG_ID_BYTES = 15_000
 LONG_BODY_BYTES = 16_000_000
 """More than the kernel's buffers of one connection hold."""
 
@@ -463,3 +466,23 @@
         conn.sendall(reply(attempt=b"r2"))
         self.loop.settle()
         self.assertEqual(set(self.ends), {"r1", "r2"})
+
+
+class AttemptHistoryTest(TestCase):
+    """What a connection remembers of the requests that it has carried."""
+
+    # Guards against memory of ids and seals as large as a head, 32 of them for each connection.
+    def test_memory_does_not_depend_on_the_size_of_ids(self) -> None:
+        start()
+        self.addCleanup(stop)
+        history = AttemptHistory()
+        before, _ = get_traced_memory()
+        for number in range(2 * REMEMBERED_ATTEMPTS):
+            attempt = RequestId(f"{number}".rjust(LONG_ID_BYTES, "i"))
+            history.record_send(attempt)
+            history.record_reply(attempt, attempt.encode())
+        used = get_traced_memory()[0] - before
+        self.assertTrue(history.has_carried(attempt))
+        self.assertTrue(history.has_seal(attempt.encode()))
+        self.assertFalse(history.has_carried(RequestId("0".rjust(LONG_ID_BYTES, "i"))))
+        self.assertLess(used, REMEMBERED_ATTEMPTS * LONG_ID_BYTES)
