State why an answer to a request that was handed over is checked

The comment named only nodes of earlier builds since. The check also covers a node that was asked before and may have run the request. No change of behaviour.

--- a/src/sequoiapulley/forward/handover.py
+++ b/src/sequoiapulley/forward/handover.py
@@ -140,7 +140,9 @@
             return
         self._ctx.tally.handovers["answered"] += 1
         answer = result.ok_value
-        # Nodes of earlier builds forward any status of an upstream that ran the request.
+        # The node that answers knows only its own tries: the status that this node passes on must
+        # also be true for an earlier node, or this one, that may have run the request. Nodes of
+        # earlier builds forward any status of an upstream that ran it.
         self._may_have_run = self._may_have_run or self._ctx.contract.forwards_reply(answer)
         if answer.status in NOT_RUN_STATUSES and self._may_have_run:
             detail = f"status {answer.status} for a request that may have run"
