Cancel a large request at its upstream once it is given up

What callers saw: a node that exceeds the memory of its VM under a crowd of some hundred clients that send whole bodies. Clients that are refused less often than in a crowd of 500 get more requests forwarded.

Cause: a request that the connection budget ends, or whose caller leaves, may go on at its upstream for 0.3 s, so that the connection can be used again. Request and encoding stayed in memory meanwhile, up to 512 kB for each connection to an upstream, but no longer counted. The budget thus ended connections without freeing what they held.

Change: an abandoned exchange goes on only if its request is small, up to 16 kB with its headers as objects. Any other is cancelled, which closes the connection and frees the request; the upstream notices that as it notices the end of those 0.3 s.

--- a/src/sequoiapulley/forward/messages.py
+++ b/src/sequoiapulley/forward/messages.py
@@ -17,6 +17,7 @@
     UpstreamName,
 )
 from sequoiapulley.wire.reply_parser import ParsedReply
+from sequoiapulley.wire.request_parser import BYTES_PER_HEADER
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -61,6 +62,12 @@
     arrived: float
     """Clock reading at which the request was completely received."""
 
+    @property
+    def memory(self) -> int:
+        """Approximate memory of headers and body, in bytes."""
+        headers = sum(BYTES_PER_HEADER + len(name) + len(value) for name, value in self.headers)
+        return headers + len(self.body)
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Hash of the content, the same for every attempt that sends the same request."""
--- a/src/sequoiapulley/forward/upstream_pool.py
+++ b/src/sequoiapulley/forward/upstream_pool.py
@@ -35,6 +35,8 @@
 ABANDONED_TIMEOUT_S: Final = 0.3
 """Time in which an abandoned exchange may end, so that its connection can be reused. The callers'
 contracts allow half a second of processing after a caller has disconnected."""
+MAX_ABANDONED_BYTES: Final = 16_384
+"""Memory of a request up to which an abandoned exchange may go on: no limit counts it any more."""
 CONNECT_TIMEOUT_S: Final = 0.5
 """Timeout of opening a connection: several round trips between regions."""
 MALFORMED_REASONS: Final = frozenset(
@@ -124,9 +126,11 @@
     def abandon(self, exchange: Exchange) -> None:
         """Abandons an exchange, which may still end shortly and leave its connection reusable.
 
-        Its outcome is reported if it ends in time, as a latency sample of the upstream.
+        Its outcome is reported if it ends in time, as a latency sample of the upstream. A large one
+        is cancelled, which frees the request.
         """
-        if exchange.state is ExchangeState.WAITING:
+        waiting = exchange.state is ExchangeState.WAITING
+        if waiting or exchange.req.memory > MAX_ABANDONED_BYTES:
             self.cancel(exchange)
             return
         self._timers.call_later(ABANDONED_TIMEOUT_S, lambda: self._end_abandoned(exchange))
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -67,6 +67,8 @@
     """A chunked body with trailers that do not end."""
     UNREAD_ANSWERS = "unread answers"
     """Many requests one behind the other, whose answers are not read."""
+    BODIES_LEFT = "bodies, left"
+    """One request with a body of full size; the connection is closed once it is sent."""
     SHORT_HEADERS_SERVED = "short headers, served"
     """Requests of very many short header lines, each sent after the answer to the last one."""
     SHORT_HEADERS_REPEATED = "short headers, repeated"
@@ -122,6 +124,7 @@
         CrowdKind.SMALL_CHUNKS: chunked + chunks(almost, SMALL_CHUNK_BYTES),
         CrowdKind.BYTE_CHUNKS: chunked + chunks(almost, 1),
         CrowdKind.WHOLE_BODY: whole,
+        CrowdKind.BODIES_LEFT: whole,
         CrowdKind.BODIES_PIPELINED: whole * PIPELINED_REQUESTS,
         CrowdKind.OVERSIZED_CHUNKS: chunked + chunks(OVERSIZED_BODY_BYTES, LARGE_CHUNK_BYTES),
         CrowdKind.OVERSIZED_LENGTH: line
@@ -286,7 +289,9 @@
         assert client.sock is not None
         if client.sent < limit:
             client.sent += client.sock.send(client.payload[client.sent : limit])
-        if client.sent >= limit:
+        if client.sent >= limit and self._kind is CrowdKind.BODIES_LEFT:
+            self._close(client)
+        elif client.sent >= limit:
             events = 0 if self._kind is CrowdKind.UNREAD_ANSWERS else EPOLLIN
             self._epoll.modify(client.sock.fileno(), events)
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -50,6 +50,8 @@
 MAX_FDS: Final = 1_535
 FEW_FDS: Final = 400
 CLIENTS: Final = 500
+SOME_CLIENTS: Final = 120
+"""Size of a crowd of which more requests are forwarded, as fewer of them are refused."""
 FEW_CLIENTS: Final = 8
 MIN_SERVED: Final = 20
 """Number of requests from which a crowd has been served rather than refused."""
@@ -277,6 +279,18 @@
     def test_bodies_pipelined(self) -> None:
         self.endure(self.crowd(CrowdKind.BODIES_PIPELINED, path="/w/1"))
 
+    # Guards against requests that are kept after their answer, most of which are forwarded here.
+    def test_short_headers_ended_of_some_clients(self) -> None:
+        self.endure(self.crowd(CrowdKind.SHORT_HEADERS_ENDED, count=SOME_CLIENTS))
+
+    # Guards against the memory of requests that were ended while an upstream ran them.
+    def test_bodies_pipelined_of_some_clients(self) -> None:
+        self.endure(self.crowd(CrowdKind.BODIES_PIPELINED, count=SOME_CLIENTS))
+
+    # Guards against the same of requests whose callers have disconnected.
+    def test_bodies_of_callers_that_disconnect(self) -> None:
+        self.endure(self.crowd(CrowdKind.BODIES_LEFT, path="/w/1", count=SOME_CLIENTS))
+
     # Guards against the memory of bodies far over the limit that are just sent.
     def test_oversized_chunks(self) -> None:
         self.endure(self.crowd(CrowdKind.OVERSIZED_CHUNKS))
--- a/tests/test_upstream_pool.py
+++ b/tests/test_upstream_pool.py
@@ -17,6 +17,7 @@
 from sequoiapulley.forward.upstream_pool import (
     ABANDONED_TIMEOUT_S,
     CONNECT_TIMEOUT_S,
+    MAX_ABANDONED_BYTES,
     NON_IDEMPOTENT_IDLE_S,
     UpstreamPool,
 )
@@ -363,6 +364,25 @@
                 self.ends.clear()
                 self.assertEqual((self.pool.busy, collect()), (0, 0))
 
+    # Guards against memory of large requests that were given up: no limit counts it any more.
+    def test_large_request_that_is_abandoned_is_cancelled_at_once(self) -> None:
+        for size in (MAX_ABANDONED_BYTES // 2, MAX_ABANDONED_BYTES):
+            with self.subTest(size=size):
+                now = self.loop.clock.now()
+                headers = ((b"X-Attempt-Id", b"r1"),)
+                req = CallerRequest(
+                    RequestId("r1"), b"POST", b"/x", "h", headers, bytes(size), 1.0, now
+                )
+                exchange = Exchange(req, now + 1.0, True, self._recorder("r1"))
+                self.pool.submit(exchange)
+                self.loop.settle()
+                conn = self.accept()
+                self.pool.abandon(exchange)
+                self.assertEqual(self.pool.busy, int(size < MAX_ABANDONED_BYTES))
+                self.loop.advance(ABANDONED_TIMEOUT_S)
+                self.assertEqual((self.pool.busy, self.ends), (0, {}))
+                conn.close()
+
     # Guards against memory of requests that idle connections keep.
     def test_idle_connection_does_not_keep_its_last_request(self) -> None:
         disable()
