Collect the garbage of received bytes at the ports of sequoiapulleyd

What callers saw: test_small_chunks_at_both_ports failed once beside load with 149,752 of 147,456 kB.

Cause: the events of circuits and their values refer to each other, and an event of received bytes keeps them until the collector runs. Only the bytes of complete requests were counted for the explicit collection, so that incomplete ones left as much garbage as the collector allows.

Change: received bytes count, too.

--- a/src/sequoiapulley/entry/connection_guard.py
+++ b/src/sequoiapulley/entry/connection_guard.py
@@ -36,7 +36,7 @@
 """Memory of a request that is being answered, relative to its size: circuits.web parses it again,
 and its body is decoded."""
 GARBAGE_SHARE: Final = 0.125
-"""Share of the memory limit for the bytes of requests that wait for the garbage collector."""
+"""Share of the memory limit for the bytes of events that wait for the garbage collector."""
 LINGER_S: Final = 1.0
 """Time within which a caller should read the answer that refuses its request."""
 
@@ -132,7 +132,7 @@
         self._connections: dict[socket, _Connection] = {}
         self._accepting = True
         self._garbage_bytes = 0
-        """Size of the requests passed on since the last collection."""
+        """Bytes received, and of requests passed on, since the last collection."""
 
     @property
     def open_connections(self) -> int:
@@ -207,6 +207,7 @@
         conn = self._connections.get(sock)
         if conn is None or conn.closing:
             return
+        self._collect_garbage(len(data))
         was_mid_request = conn.guard.mid_request
         for output in conn.guard.feed(data):
             self._handle_output(sock, conn, output)
@@ -284,9 +285,9 @@
             self._write_refusal(sock, conn, conn.refusal)
 
     def _collect_garbage(self, size: int) -> None:
-        """Collects garbage after a part of the memory limit has been passed on in requests.
+        """Collects garbage after a part of the memory limit has been received or passed on.
 
-        The events of circuits and their values refer to each other, and keep the request's bytes.
+        The events of circuits and their values refer to each other, and keep the bytes.
         """
         self._garbage_bytes += size
         if self._garbage_bytes >= self._budget.memory_limit * GARBAGE_SHARE:
