Drop requests of sequoiapulleyd whose connection was closed before they ran

What callers saw: a daemon whose memory grows for good. Clients that send a whole request and leave, or whose connection the budget ends, each leave the request in memory: 249 bodies of 262 kB were alive after 2.5 s with 20 such clients, 622 after they had gone.

Cause: circuits.web asks the socket for its peer when it has parsed the request. That fails on a closed socket, before the parser is removed from the buffers, and nothing else removes it.

Change: the server stops the event of a request whose socket is closed.

--- a/src/sequoiapulley/entry/guarded_server.py
+++ b/src/sequoiapulley/entry/guarded_server.py
@@ -20,6 +20,8 @@
 from sequoiapulley.wire.connection_budget import ConnectionBudget, ResourceLimits
 
 LISTEN_BACKLOG: Final = 1_024
+CLOSED_FD: Final = -1
+"""Descriptor of a closed socket."""
 
 
 class GuardedServer(BaseComponent):
@@ -151,6 +153,15 @@
             if name in res.headers:
                 del res.headers[name]
 
+    @handler("read", priority=1)
+    def _on_read(self, event: Event, sock: socket, _data: bytes) -> None:
+        """Drops a request whose connection was closed after the guard had forwarded it.
+
+        circuits.web would fail on the closed socket and keep the request for good.
+        """
+        if sock.fileno() == CLOSED_FD:
+            event.stop()
+
     @handler("write")
     def _on_write(self, sock: socket, data: bytes) -> None:
         """Forwards the bytes of a response to the TCP server."""
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -25,6 +25,7 @@
 MAX_FDS: Final = 1_535
 FEW_FDS: Final = 400
 CLIENTS: Final = 500
+SOME_CLIENTS: Final = 60
 FEW_CLIENTS: Final = 8
 HOLD_S: Final = 4.0
 DATAGRAMS: Final = 20_000
@@ -135,6 +136,10 @@
     def test_bodies_pipelined(self) -> None:
         self.endure(self.crowd(CrowdKind.BODIES_PIPELINED))
 
+    # Guards against requests that stay in memory for good, as their callers left before they ran.
+    def test_bodies_of_callers_that_disconnect(self) -> None:
+        self.endure(self.crowd(CrowdKind.BODIES_LEFT, count=SOME_CLIENTS))
+
     # Guards against the memory of bodies that are sent on, whatever their limit.
     def test_oversized_chunks(self) -> None:
         self.endure(self.crowd(CrowdKind.OVERSIZED_CHUNKS))
