Do not keep the last request of an idle connection of sequoiapulleyd

What callers saw: a daemon that exceeds the memory of its VM under clients that send one whole body each and keep the connection.

Cause: the guard of a connection kept the outputs of its last read, with the request, until the next read. The budget counts a request only until it is answered.

Change: the outputs are handed over.

--- a/src/sequoiapulley/entry/http_guard.py
+++ b/src/sequoiapulley/entry/http_guard.py
@@ -102,7 +102,9 @@
             self._refuse(exc.refusal)
         except HttpParserError as exc:
             self._refuse(self._refusal_from(exc))
-        return self._outputs
+        # An idle connection must not keep its last request.
+        outputs, self._outputs = self._outputs, []
+        return outputs
 
     def discard(self) -> None:
         """Frees the memory of an incomplete request; later bytes are ignored."""
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -136,6 +136,10 @@
     def test_bodies_pipelined(self) -> None:
         self.endure(self.crowd(CrowdKind.BODIES_PIPELINED))
 
+    # Guards against the last request that each idle connection keeps.
+    def test_whole_bodies(self) -> None:
+        self.endure(self.crowd(CrowdKind.WHOLE_BODY))
+
     # Guards against requests that stay in memory for good, as their callers left before they ran.
     def test_bodies_of_callers_that_disconnect(self) -> None:
         self.endure(self.crowd(CrowdKind.BODIES_LEFT, count=SOME_CLIENTS))
