Count the objects of small requests as garbage at sequoiapulleyd

What callers saw: a daemon that exceeds the memory of its VM under clients that send many small requests without reading the answers.

Cause: the ports collect garbage after a number of bytes, because the events of circuits form cycles. A small request has few bytes and many objects; while hundreds of connections are served at once, their objects survive the first collections and wait for one of generation 2.

Change: 16 kB for the objects of each request count, too.

--- a/src/sequoiapulley/entry/connection_guard.py
+++ b/src/sequoiapulley/entry/connection_guard.py
@@ -35,6 +35,8 @@
 MEMORY_IN_SERVICE: Final = 4
 """Memory of a request that is being answered, relative to its size: circuits.web parses it again,
 and its body is decoded."""
+EVENT_BYTES: Final = 16_384
+"""Approximate memory of the events and objects of a request in addition to its bytes."""
 GARBAGE_SHARE: Final = 0.125
 """Share of the memory limit for the bytes of events that wait for the garbage collector."""
 LINGER_S: Final = 1.0
@@ -278,7 +280,7 @@
             conn.answering = True
             wire = conn.pipelined.popleft().wire
             conn.answered_bytes = len(wire)
-            self._collect_garbage(len(wire))
+            self._collect_garbage(len(wire) + EVENT_BYTES)
             self.fire(read(sock, wire), self._http_channel)
             return
         if conn.refusal is not None:
--- a/tests/test_daemon_crowds.py
+++ b/tests/test_daemon_crowds.py
@@ -160,6 +160,14 @@
     def test_unread_answers_of_the_operators_port(self) -> None:
         self.endure(self.crowd(CrowdKind.UNREAD_ANSWERS, "operators", "/v1/config"))
 
+    # Guards against the objects of many small requests, which are left to the garbage collector.
+    def test_unread_answers_at_both_ports(self) -> None:
+        crowds = [
+            self.crowd(CrowdKind.UNREAD_ANSWERS, port, path)
+            for port, path in (("callers", ""), ("operators", "/v1/config"))
+        ]
+        self.endure(*crowds)
+
     # Guards against limits of each port whose sum is more than the memory of the daemon.
     def test_small_chunks_at_both_ports(self) -> None:
         crowds = [
