--- /dev/null
+++ b/review/lib3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and harness of the cases of the third review."""
